--- /dev/null
+++ b/examples/quickstart.rs
@@ -0,0 +1,134 @@
+//! The main job with no set-up: a stand-in log, daemons of three failure
+//! domains and targets, on loopback in one process.
+
+#[path = "../tests/support/mod.rs"]
+mod support;
+
+use std::collections::BTreeMap;
+
+use rilltrack::{
+    daemon::Daemon,
+    settings::Settings,
+    state::{change::Op, version::Version},
+};
+use serde_json::json;
+use support::{
+    log::Log,
+    mesh::{attach, knows, ops, publish, reached, ready, settings},
+    target::Target,
+};
+
+const DOMAINS: [&str; 3] = ["palermo", "catania", "messina"];
+const CALLS: usize = 30;
+
+fn main() -> Result<(), Box<dyn std::error::Error>> {
+    let log = Log::start();
+    println!(
+        "1. A stand-in for the platform's log listens on {}.",
+        log.address
+    );
+    let mut daemons: Vec<Daemon> = Vec::new();
+    for domain in DOMAINS {
+        let seeds: Vec<_> = daemons
+            .first()
+            .map(|first| first.listen.peers)
+            .into_iter()
+            .collect();
+        let settings: Settings =
+            serde_json::from_value(settings(&format!("{domain}-1"), domain, &log.url(), &seeds))?;
+        daemons.push(Daemon::start(settings)?);
+    }
+    let runtime = tokio::runtime::Runtime::new()?;
+    runtime.block_on(tour(&daemons))?;
+    daemons.into_iter().for_each(Daemon::stop);
+    println!("7. All daemons left in good order.");
+    Ok(())
+}
+
+async fn tour(daemons: &[Daemon]) -> Result<(), Box<dyn std::error::Error>> {
+    for daemon in daemons {
+        ready(&daemon.listen).await;
+        knows(&daemon.listen, daemons.len()).await;
+    }
+    println!(
+        "2. Daemons of {} found each other; each holds a complete view.",
+        DOMAINS.join(", ")
+    );
+
+    let at = daemons[0].listen.operators;
+    let version = publish(at, "quickstart", mesh_ops()).await;
+    everywhere(daemons, version).await;
+    println!("3. Version {version} is in force everywhere: balance lookups may go to all domains.");
+
+    let all: Vec<_> = daemons.iter().map(|daemon| &daemon.listen).collect();
+    for (domain, daemon) in DOMAINS.iter().zip(daemons) {
+        let target = Target::start(&format!("target-{domain}"), "balance");
+        attach(&target, &daemon.listen, &all).await;
+    }
+    println!("4. A target in each domain announced itself to the node on its host.");
+    println!(
+        "5. {CALLS} requests at each daemon went to: {}",
+        calls(daemons).await?
+    );
+
+    let key = "domain/messina".parse()?;
+    let set = BTreeMap::from([("jurisdiction".to_owned(), "other".to_owned())]);
+    let version = publish(
+        at,
+        "label",
+        vec![Op::Label {
+            key,
+            set,
+            remove: Vec::new(),
+        }],
+    )
+    .await;
+    everywhere(daemons, version).await;
+    println!("6. The label of one failure domain changed (version {version}): requests go to");
+    println!("   {}", calls(daemons).await?);
+    Ok(())
+}
+
+fn mesh_ops() -> Vec<Op> {
+    let domain =
+        |name: &str| json!({"kind": "domain", "name": name, "labels": {"jurisdiction": "sicily"}});
+    let mut resources: Vec<_> = DOMAINS.into_iter().map(domain).collect();
+    resources.extend([
+        json!({"kind": "policy", "name": "lookups", "timeout": "2s", "slots": 12, "queue": 24,
+               "class": "normal", "repeat": "by-method"}),
+        json!({"kind": "service", "name": "balance", "labels": {"data": "cards"}, "policy": "lookups"}),
+        json!({"kind": "boundary", "name": "cards-stay",
+               "services": {"match_labels": {"data": "cards"}},
+               "to": {"match_labels": {"jurisdiction": "sicily"}}}),
+        json!({"kind": "route", "name": "balance", "path": "/balance", "service": "balance"}),
+    ]);
+    ops(&resources)
+}
+
+async fn everywhere(daemons: &[Daemon], version: Version) {
+    for daemon in daemons {
+        reached(&daemon.listen, version).await;
+    }
+}
+
+/// Sends requests to every daemon; returns where they were served.
+async fn calls(daemons: &[Daemon]) -> Result<String, reqwest::Error> {
+    let client = support::client();
+    let mut served: BTreeMap<String, usize> = BTreeMap::new();
+    for daemon in daemons {
+        for _ in 0..CALLS {
+            let url = format!("http://{}/balance/card/7", daemon.listen.callers);
+            let response = client.get(url).send().await?;
+            let by = response
+                .headers()
+                .get("x-target")
+                .and_then(|name| name.to_str().ok());
+            *served.entry(by.unwrap_or("nobody").to_owned()).or_default() += 1;
+        }
+    }
+    let counts: Vec<String> = served
+        .iter()
+        .map(|(name, count)| format!("{name} {count}"))
+        .collect();
+    Ok(counts.join(", "))
+}
--- /dev/null
+++ b/src/bin/rilltrack.rs
@@ -0,0 +1,7 @@
+//! The operators' command-line tool.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    rilltrack::tool::run(argh::from_env())
+}
--- /dev/null
+++ b/src/coordination/mod.rs
@@ -0,0 +1,62 @@
+//! Coordination: how nodes act together, and what each decides on requests.
+//!
+//! Duties, each with its own thread:
+//!
+//! * [`apply`]: applies records and puts views in force;
+//! * [`gossip`]: keeps the table of members;
+//! * [`follow`]: reads the log for the failure domain and spreads records;
+//!
+//! and what they and the request path are made of:
+//!
+//! * [`node`]: what all duties of one daemon share;
+//! * [`link`]: the ways out to peers and the log, as closures;
+//! * [`rank`]: who reads, relays and writes;
+//! * [`scatter`]: one message to many nodes, with their count back;
+//! * [`catchup`]: how a node that is behind gets ahead;
+//! * [`pick`], [`health`], [`budget`]: where a request goes, and again;
+//! * [`admit`], [`door`], [`once`]: what a target is given, and at most once.
+//!
+//! This layer opens no sockets. It is handed closures, so that the tests put
+//! small fakes in their place.
+
+pub mod admit;
+pub mod apply;
+pub mod budget;
+pub mod catchup;
+pub mod door;
+pub mod follow;
+pub mod gossip;
+pub mod health;
+pub mod link;
+pub mod node;
+pub mod once;
+pub mod pick;
+pub mod publish;
+pub mod rank;
+pub mod scatter;
+pub mod snapshot;
+
+use crate::{protocol, state};
+
+/// An error of this layer.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// A peer or the log can't be reached; nothing was delivered.
+    #[error("{0} can't be reached")]
+    Unreachable(String),
+    /// No answer came; what was sent may have taken effect.
+    #[error("{0} did not answer")]
+    NoAnswer(String),
+    /// The answer was of a kind that does not fit.
+    #[error("unexpected answer from {0}")]
+    Unexpected(String),
+    /// A message could not be decoded.
+    #[error(transparent)]
+    Protocol(#[from] protocol::Error),
+    /// The state refused something.
+    #[error(transparent)]
+    State(#[from] state::Error),
+    /// The daemon is ending.
+    #[error("the daemon is ending")]
+    Ending,
+}
--- /dev/null
+++ b/src/coordination/node.rs
@@ -0,0 +1,215 @@
+//! What all duties of one daemon share.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    time::Instant,
+};
+
+use arc_swap::ArcSwapOption;
+use parking_lot::{Mutex, RwLock};
+
+use crate::{
+    coordination::{apply::Applier, gossip::Rumors},
+    event::{Event, Journal},
+    id::Incarnation,
+    metrics::Metrics,
+    settings::Settings,
+    state::{
+        member::{Member, Status, Table, Target},
+        version::Version,
+        view::View,
+    },
+};
+
+/// One daemon, as its duties and its request path see it.
+pub struct Node {
+    /// The settings.
+    pub settings: Settings,
+    /// This life of the process.
+    pub incarnation: Incarnation,
+    /// Where peers reach it for control.
+    pub peers: SocketAddr,
+    /// Log lines.
+    pub journal: Journal,
+    /// Counters.
+    pub metrics: Metrics,
+    /// The view in force; none until it is complete.
+    pub view: ArcSwapOption<View>,
+    /// All members known.
+    pub table: RwLock<Table>,
+    /// Members that are news to others.
+    pub rumors: Mutex<Rumors>,
+    /// The duty that applies records.
+    pub applier: Applier,
+    /// What keeps the node from following the log.
+    pub trouble: Mutex<Option<String>>,
+    /// Set when the daemon takes no new work.
+    pub stopping: AtomicBool,
+    /// Set once peers were asked for a view, so that the log may be read.
+    pub joined: AtomicBool,
+    /// The newest version that a reader spread to this node.
+    pub heard: Mutex<Version>,
+    me: Mutex<Member>,
+    started: Instant,
+    current_at: AtomicU64,
+}
+
+impl Node {
+    /// Returns a node that knows only itself.
+    pub fn new(settings: Settings, me: Member, journal: Journal, applier: Applier) -> Self {
+        let mut table = Table::default();
+        table.merge(me.clone());
+        Self {
+            incarnation: me.incarnation,
+            peers: me.peers,
+            journal,
+            metrics: Metrics::new(),
+            view: ArcSwapOption::empty(),
+            table: RwLock::new(table),
+            rumors: Mutex::new(Rumors::new(&me)),
+            applier,
+            trouble: Mutex::new(None),
+            stopping: AtomicBool::new(false),
+            joined: AtomicBool::new(false),
+            heard: Mutex::new(Version::default()),
+            me: Mutex::new(me),
+            started: Instant::now(),
+            current_at: AtomicU64::new(0),
+            settings,
+        }
+    }
+
+    /// Returns the version in force, or the empty one before there is any.
+    pub fn version(&self) -> Version {
+        self.view
+            .load()
+            .as_ref()
+            .map(|view| view.version)
+            .unwrap_or_default()
+    }
+
+    /// Returns whether the node holds a complete view.
+    pub fn is_ready(&self) -> bool {
+        self.view.load().is_some() && !self.is_stopping()
+    }
+
+    /// Returns whether the daemon takes no new work.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+
+    /// Returns milliseconds since this life began. Never steps.
+    pub fn uptime_ms(&self) -> u64 {
+        self.started.elapsed().as_millis() as u64
+    }
+
+    /// Notes that the view in force was just seen to be the newest.
+    pub fn touch(&self) {
+        self.current_at.store(self.uptime_ms(), Ordering::Relaxed);
+    }
+
+    /// Returns milliseconds since the view was last seen to be the newest.
+    pub fn age_ms(&self) -> u64 {
+        self.uptime_ms() - self.current_at.load(Ordering::Relaxed)
+    }
+
+    /// Returns what this node says about itself.
+    pub fn me(&self) -> Member {
+        self.me.lock().clone()
+    }
+
+    /// Changes what this node says about itself, and spreads it.
+    pub fn update(&self, change: impl FnOnce(&mut Member)) {
+        let mut me = self.me.lock();
+        change(&mut me);
+        me.sequence += 1;
+        self.table.write().merge(me.clone());
+        self.rumors.lock().add(me.clone());
+    }
+
+    /// Makes what this node says about itself newer than `claim`.
+    pub fn refute(&self, claim: &Member) {
+        self.update(|me| me.sequence = me.sequence.max(claim.sequence));
+        let details = format_args!("claim={:?} sequence={}", claim.status, claim.sequence);
+        self.journal.write(Event::Refuted, details);
+    }
+
+    /// Says that this node is leaving.
+    pub fn leave(&self) {
+        self.stopping.store(true, Ordering::Relaxed);
+        self.update(|me| {
+            me.status = Status::Leaving;
+            me.targets
+                .iter_mut()
+                .for_each(|target| target.draining = true);
+        });
+    }
+
+    /// Replaces the targets on this host; returns whether that was news.
+    pub fn set_targets(&self, targets: Vec<Target>) -> bool {
+        if self.me.lock().targets == targets {
+            return false;
+        }
+        let details = targets
+            .iter()
+            .map(|t| format!("{}@{} draining={}", t.service, t.address, t.draining));
+        let details = details.collect::<Vec<_>>().join(" ");
+        self.journal
+            .write(Event::TargetChanged, format_args!("targets=[{details}]"));
+        self.update(|me| me.targets = targets);
+        true
+    }
+
+    /// Takes in what another node said about members; returns those that were
+    /// news here.
+    pub fn absorb(&self, members: Vec<Member>) -> usize {
+        let mut news = 0;
+        for member in members {
+            news += usize::from(self.absorb_one(member));
+        }
+        self.metrics.members.set(self.table.read().len() as i64);
+        news
+    }
+
+    fn absorb_one(&self, member: Member) -> bool {
+        let me = self.me();
+        if member.node == me.node {
+            // Only this node speaks for its own life; others may hold an
+            // older one, which its own entry outdates.
+            if member.incarnation == me.incarnation && member.stamp() > me.stamp() {
+                self.refute(&member);
+            }
+            return false;
+        }
+        let old = self.table.read().get(&member.node).map(|held| held.status);
+        if !self.table.write().merge(member.clone()) {
+            return false;
+        }
+        if old != Some(member.status) {
+            let (node, status, domain) = (&member.node, member.status, &member.domain);
+            let details =
+                format_args!("member={node} domain={domain} status={status:?} was={old:?}");
+            self.journal.write(Event::MemberChanged, details);
+        }
+        self.rumors.lock().add(member);
+        true
+    }
+
+    /// Says what keeps the node from following the log; returns whether that
+    /// is a change.
+    pub fn set_trouble(&self, trouble: Option<String>) -> bool {
+        let mut held = self.trouble.lock();
+        let changed = held.is_some() != trouble.is_some();
+        *held = trouble;
+        changed
+    }
+
+    /// Returns a handle that several duties can hold.
+    pub fn shared(self) -> Arc<Self> {
+        Arc::new(self)
+    }
+}
--- /dev/null
+++ b/src/coordination/snapshot.rs
@@ -0,0 +1,121 @@
+//! Snapshots in the log, so that what must last outlives its retention.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+
+use crate::{
+    coordination::{Error, catchup::jitter, link::Log, node::Node, rank},
+    event::Event,
+    protocol::{
+        log::{Assembly, Part, split},
+        wire,
+    },
+    state::version::Version,
+    unit::Span,
+};
+
+/// Bytes of a record that a part's own fields may take.
+const OVERHEAD: u64 = 256;
+
+/// How often the duty looks whether a snapshot is due.
+const LOOK: Span = Span::from_millis(500);
+
+/// Returns the newest complete snapshot in the log.
+///
+/// # Errors
+///
+/// If the log can't be read.
+pub async fn read(node: &Arc<Node>, log: &Log) -> Result<Option<(Version, Bytes)>, Error> {
+    let newest = Version {
+        epoch: u32::MAX,
+        offset: u64::MAX,
+    };
+    read_until(node, log, newest).await
+}
+
+/// Returns the newest complete snapshot in the log up to `until`.
+///
+/// # Errors
+///
+/// If the log can't be read.
+pub async fn read_until(
+    node: &Arc<Node>,
+    log: &Log,
+    until: Version,
+) -> Result<Option<(Version, Bytes)>, Error> {
+    let stream = node.settings.log.snapshot_stream.clone();
+    let mut assembly = Assembly::default();
+    let mut from = 0;
+    loop {
+        node.metrics.log_reads.inc();
+        let batch = (log.read)(stream.clone(), from, Span::default()).await?;
+        if batch.first > from {
+            from = batch.first;
+            continue;
+        }
+        if batch.records.is_empty() {
+            return Ok(assembly.into_newest());
+        }
+        from += batch.records.len() as u64;
+        for record in &batch.records {
+            // What is no part of a snapshot is a stranger's; passed over.
+            if let Some(part) = wire::decode::<Part>(record)
+                .ok()
+                .filter(|part| part.version <= until)
+            {
+                assembly.add(part);
+            }
+        }
+    }
+}
+
+/// Writes the state held to the log.
+///
+/// Returns its version.
+///
+/// # Errors
+///
+/// If the log does not take all parts; what it took is passed over by readers.
+pub async fn write(node: &Arc<Node>, log: &Log) -> Result<Version, Error> {
+    let (version, bytes) = node
+        .applier
+        .look(|machine| (machine.version(), machine.snapshot()))
+        .await?;
+    let settings = &node.settings.log;
+    let max = settings.max_record.as_bytes() - OVERHEAD;
+    for part in split(&bytes, version, fastrand::u64(..), max as usize) {
+        node.metrics.log_appends.inc();
+        (log.append)(settings.snapshot_stream.clone(), wire::encode(&part)).await?;
+    }
+    let size = bytes.len();
+    node.journal.write(
+        Event::SnapshotWritten,
+        format_args!("version={version} bytes={size}"),
+    );
+    Ok(version)
+}
+
+/// Writes a snapshot every so often while this node is the writer; never
+/// returns.
+pub async fn keep_written(node: Arc<Node>, log: Log) {
+    let every = node.settings.log.snapshot_every;
+    let mut due = node.uptime_ms() + jitter(every).as_millis() / 2;
+    loop {
+        tokio::time::sleep(LOOK.duration()).await;
+        let is_writer = rank::writer(&node.table.read(), &node.settings.node) == 0;
+        let is_due = node.uptime_ms() >= due;
+        if !is_writer || !is_due || !node.is_ready() || node.version().is_empty() {
+            continue;
+        }
+        let pause = match write(&node, &log).await {
+            Ok(_) => every,
+            Err(error) => {
+                node.journal
+                    .write(Event::SnapshotFailed, format_args!("error={error}"));
+                jitter(Span::from_secs(5))
+            }
+        };
+        due = node.uptime_ms() + pause.as_millis();
+    }
+}
--- /dev/null
+++ b/src/event.rs
@@ -0,0 +1,217 @@
+//! Numbered log events, and the journal that writes them.
+//!
+//! Operators filter and alert by number; docs/EVENTS.md is their catalogue and
+//! a test holds it equal to this list.
+
+use std::{
+    fmt::Arguments,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    thread,
+    time::Duration,
+};
+
+use crossbeam_queue::ArrayQueue;
+
+macro_rules! events {
+    ($($code:literal $level:ident $name:ident: $meaning:literal;)*) => {
+        /// Something worth a log line.
+        #[derive(Clone, Copy, Debug, Eq, PartialEq)]
+        pub enum Event {
+            $(#[doc = $meaning] $name,)*
+        }
+
+        impl Event {
+            /// All events in the order of their numbers.
+            pub const ALL: &[Self] = &[$(Self::$name,)*];
+
+            /// Returns the number.
+            pub const fn code(self) -> u16 {
+                match self { $(Self::$name => $code,)* }
+            }
+
+            /// Returns the name.
+            pub const fn name(self) -> &'static str {
+                match self { $(Self::$name => stringify!($name),)* }
+            }
+
+            /// Returns the level it is logged at.
+            pub const fn level(self) -> log::Level {
+                match self { $(Self::$name => log::Level::$level,)* }
+            }
+
+            /// Returns what it means, in a sentence.
+            pub const fn meaning(self) -> &'static str {
+                match self { $(Self::$name => $meaning,)* }
+            }
+        }
+    };
+}
+
+events! {
+    100 Info  Started: "The daemon has its addresses and starts its duties.";
+    101 Info  Stopping: "The daemon was told to stop: it refuses new work and finishes what it has.";
+    102 Info  Stopped: "The daemon has finished its work and ends.";
+    103 Info  Ready: "The daemon holds a complete view and takes requests.";
+    104 Warn  LinesLost: "Log lines were dropped because they came faster than they were written.";
+    200 Info  InForce: "A version is in force on this proxy.";
+    201 Warn  ChangeRejected: "A record of the log was decided against, as on every node.";
+    202 Info  SnapshotTaken: "A whole snapshot was taken in, from a peer or the log.";
+    203 Error SnapshotBad: "A snapshot was damaged or too new and was not used.";
+    204 Error RulesUnknown: "A record needs a newer program; the node keeps what it holds.";
+    210 Info  ReaderChanged: "This node began or ceased to read the log for its failure domain.";
+    211 Warn  LogDown: "The log does not answer; the node serves on with what it holds.";
+    212 Info  LogUp: "The log answers again.";
+    213 Error LogWentBack: "The log ends before the version held; nothing is taken from it until an operator recovers it.";
+    214 Warn  LogGap: "The records that come next have expired; the node looks for a snapshot.";
+    215 Info  SnapshotWritten: "A snapshot was written to the log's snapshot stream.";
+    216 Warn  SnapshotFailed: "Writing a snapshot to the log failed and will be tried again.";
+    217 Info  Spread: "Records were passed on, with how many nodes have them in force.";
+    218 Info  CaughtUp: "Records or a snapshot were fetched from a peer that was ahead.";
+    219 Info  EpochBegan: "An operator's recovery of the log began a new epoch.";
+    300 Info  MemberChanged: "A member joined, left, fell silent or came back.";
+    301 Warn  Refuted: "Others took this node for gone and it refuted that.";
+    302 Info  TargetChanged: "A target announced itself, drains or let its lease lapse.";
+    400 Info  Routed: "A request was routed: to which target, and why there.";
+    401 Info  NoRoute: "No route matches a request.";
+    402 Warn  NoTarget: "No allowed target is there for a request.";
+    403 Info  Retried: "An attempt was not run and goes to another target.";
+    404 Info  Refused: "A request got its final answer from the proxy itself.";
+    405 Info  Hedged: "A second copy of a repeatable request was sent.";
+    406 Warn  Ejected: "A target is passed over for a while because its requests fail.";
+    407 Info  Returned: "An ejected target gets requests again.";
+    410 Info  Admitted: "A request was passed to the target on this host.";
+    411 Info  Shed: "A request was refused before the target saw it.";
+    412 Warn  Misplaced: "A request came that this node's view doesn't allow here; it was refused.";
+    413 Warn  CutShort: "A target ended midway through an answer; the caller is told by a broken body.";
+    420 Info  KeyIssued: "Idempotency keys were issued.";
+    421 Info  Replayed: "A keyed request came again and got the recorded answer.";
+    422 Warn  KeyRefused: "A keyed request could not be run or replayed.";
+}
+
+/// Lines that wait to be written; more are dropped and counted.
+const RING: usize = 16_384;
+
+/// How long the writer sleeps when there is nothing to write.
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// Takes log lines off the request path.
+///
+/// Lines go through a bounded ring to a thread of their own. When the ring is
+/// full a line is lost rather than a request delayed, and losses are counted.
+///
+/// # Example
+///
+/// ```
+/// use rilltrack::event::{Event, Journal};
+///
+/// let journal = Journal::start("a1");
+/// journal.write(Event::Ready, format_args!("version=0.12"));
+/// assert_eq!(journal.lost(), 0);
+/// journal.stop();
+/// ```
+#[derive(Clone, Debug)]
+pub struct Journal {
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    node: String,
+    ring: ArrayQueue<Line>,
+    lost: AtomicU64,
+    stopped: std::sync::atomic::AtomicBool,
+}
+
+#[derive(Debug)]
+struct Line {
+    event: Event,
+    text: String,
+}
+
+impl Journal {
+    /// Starts the writer's thread and returns a journal for `node`.
+    ///
+    /// # Panics
+    ///
+    /// If the system can't start a thread.
+    pub fn start(node: &str) -> Self {
+        let shared = Arc::new(Shared {
+            node: node.into(),
+            ring: ArrayQueue::new(RING),
+            lost: AtomicU64::new(0),
+            stopped: false.into(),
+        });
+        let writer = shared.clone();
+        thread::Builder::new()
+            .name("journal".into())
+            .spawn(move || writer.run())
+            .expect("a thread can be started");
+        Self { shared }
+    }
+
+    /// Writes a line about `event`, without waiting.
+    pub fn write(&self, event: Event, details: Arguments<'_>) {
+        if !log::log_enabled!(target: "rilltrack", event.level()) {
+            return;
+        }
+        let line = Line {
+            event,
+            text: details.to_string(),
+        };
+        if self.shared.ring.push(line).is_err() {
+            self.shared.lost.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
+    /// Returns the number of lines lost so far.
+    pub fn lost(&self) -> u64 {
+        self.shared.lost.load(Ordering::Relaxed)
+    }
+
+    /// Writes what waits and ends the writer.
+    pub fn stop(&self) {
+        self.shared.stopped.store(true, Ordering::Relaxed);
+        self.shared.drain();
+        log::logger().flush();
+    }
+}
+
+impl Shared {
+    fn run(&self) {
+        let mut reported = 0;
+        while !self.stopped.load(Ordering::Relaxed) {
+            self.drain();
+            let lost = self.lost.load(Ordering::Relaxed);
+            if lost > reported {
+                let text = format!("lines={}", lost - reported);
+                self.emit(&Line {
+                    event: Event::LinesLost,
+                    text,
+                });
+                reported = lost;
+            }
+            thread::sleep(PAUSE);
+        }
+    }
+
+    fn drain(&self) {
+        while let Some(line) = self.ring.pop() {
+            self.emit(&line);
+        }
+    }
+
+    fn emit(&self, line: &Line) {
+        let (event, text) = (line.event, &line.text);
+        log::log!(
+            target: "rilltrack",
+            event.level(),
+            "E{:03} {} node={} {text}",
+            event.code(),
+            event.name(),
+            self.node
+        );
+    }
+}
--- /dev/null
+++ b/src/state/member.rs
@@ -0,0 +1,198 @@
+//! The nodes of the mesh and the targets beside them.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    sync::Arc,
+};
+
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::{
+    id::{Incarnation, Name, Node},
+    state::selector::Labels,
+};
+
+/// Groups into which members fall for comparing two tables.
+pub const BUCKETS: usize = 128;
+
+/// What is known about one node.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Member {
+    /// The node.
+    pub node: Node,
+    /// Its current life.
+    pub incarnation: Incarnation,
+    /// Counts what the node says about itself within one life.
+    pub sequence: u64,
+    /// Whether it is there.
+    pub status: Status,
+    /// The failure domain it is in.
+    pub domain: Name,
+    /// Where other nodes reach it for control.
+    pub peers: SocketAddr,
+    /// Where other nodes send requests for its targets.
+    pub inbound: SocketAddr,
+    /// The proxy's labels.
+    pub labels: Labels,
+    /// The targets announced to it.
+    pub targets: Vec<Target>,
+}
+
+/// Whether a member is there. The order decides between two claims about the
+/// same life: the later one wins.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
+pub enum Status {
+    /// In service.
+    Alive,
+    /// Did not answer; may still refute it.
+    Suspect,
+    /// Leaving of its own will: gets no new work.
+    Leaving,
+    /// Gone.
+    Gone,
+}
+
+/// A target beside a node.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Target {
+    /// The service it offers.
+    pub service: Name,
+    /// Where the node reaches it.
+    pub address: SocketAddr,
+    /// Whether it is leaving and gets no new work.
+    pub draining: bool,
+}
+
+impl Member {
+    /// Returns what decides which of two claims about a node is newer.
+    pub fn stamp(&self) -> (Incarnation, u64, Status) {
+        (self.incarnation, self.sequence, self.status)
+    }
+
+    fn mark(&self) -> u64 {
+        let (incarnation, sequence, status) = self.stamp();
+        xxh3_64(format!("{} {incarnation} {sequence} {status:?}", self.node).as_bytes())
+    }
+
+    /// Returns whether the member may be asked for anything.
+    pub fn is_present(&self) -> bool {
+        matches!(
+            self.status,
+            Status::Alive | Status::Suspect | Status::Leaving
+        )
+    }
+}
+
+/// Returns the bucket a node falls into.
+pub fn bucket(node: &Node) -> usize {
+    xxh3_64(node.as_str().as_bytes()) as usize % BUCKETS
+}
+
+/// All members known, indexed by service.
+#[derive(Clone, Debug)]
+pub struct Table {
+    members: HashMap<Node, Arc<Member>>,
+    offers: BTreeMap<Name, Vec<Arc<Member>>>,
+    marks: Vec<u64>,
+}
+
+impl Default for Table {
+    fn default() -> Self {
+        Self {
+            members: HashMap::new(),
+            offers: BTreeMap::new(),
+            marks: vec![0; BUCKETS],
+        }
+    }
+}
+
+impl Table {
+    /// Takes `member` in if it is newer than what is held.
+    ///
+    /// Returns whether it was.
+    pub fn merge(&mut self, member: Member) -> bool {
+        let held = self.members.get(&member.node);
+        if held.is_some_and(|held| held.stamp() >= member.stamp()) {
+            return false;
+        }
+        if let Some(old) = held.cloned() {
+            self.unindex(&old);
+        }
+        self.index(Arc::new(member));
+        true
+    }
+
+    /// Forgets a member that has been gone for long.
+    pub fn forget(&mut self, node: &Node) {
+        if let Some(old) = self.members.remove(node) {
+            self.unindex(&old);
+        }
+    }
+
+    fn index(&mut self, member: Arc<Member>) {
+        self.marks[bucket(&member.node)] ^= member.mark();
+        if member.is_present() {
+            for target in &member.targets {
+                let offers = self.offers.entry(target.service.clone()).or_default();
+                if !offers.iter().any(|other| other.node == member.node) {
+                    offers.push(member.clone());
+                }
+            }
+        }
+        self.members.insert(member.node.clone(), member);
+    }
+
+    fn unindex(&mut self, old: &Member) {
+        self.marks[bucket(&old.node)] ^= old.mark();
+        for target in &old.targets {
+            if let Some(offers) = self.offers.get_mut(&target.service) {
+                offers.retain(|other| other.node != old.node);
+            }
+        }
+    }
+
+    /// Returns a member.
+    pub fn get(&self, node: &Node) -> Option<&Arc<Member>> {
+        self.members.get(node)
+    }
+
+    /// Returns all members, in no order.
+    pub fn iter(&self) -> impl Iterator<Item = &Arc<Member>> {
+        self.members.values()
+    }
+
+    /// Returns the number of members.
+    pub fn len(&self) -> usize {
+        self.members.len()
+    }
+
+    /// Returns whether there are no members.
+    pub fn is_empty(&self) -> bool {
+        self.members.is_empty()
+    }
+
+    /// Returns the members beside which a target of `service` runs.
+    pub fn offers(&self, service: &Name) -> &[Arc<Member>] {
+        self.offers.get(service).map_or(&[], Vec::as_slice)
+    }
+
+    /// Returns one mark per bucket; two tables hold the same where the marks
+    /// are equal.
+    pub fn marks(&self) -> &[u64] {
+        &self.marks
+    }
+
+    /// Returns the members in the buckets whose mark differs from `marks`.
+    pub fn differing(&self, marks: &[u64]) -> Vec<&Arc<Member>> {
+        let differs = |node: &Node| {
+            let bucket = bucket(node);
+            marks.get(bucket) != Some(&self.marks[bucket])
+        };
+        self.members
+            .values()
+            .filter(|member| differs(&member.node))
+            .collect()
+    }
+}
--- /dev/null
+++ b/src/tool/show.rs
@@ -0,0 +1,228 @@
+//! What the tool prints.
+
+use indicatif::{ProgressBar, ProgressDrawTarget, ProgressStyle};
+use serde::Serialize;
+
+use crate::{
+    files::{Difference, Files},
+    id,
+    protocol::operator::{Convergence, Explanation, History, Published, Report},
+    state::{machine::Verdict, member::Target, resource::Key, version::Version},
+    tool::{Code, Done},
+};
+
+fn print_json(value: &impl Serialize) {
+    println!(
+        "{}",
+        serde_json::to_string(value).expect("plain data always encodes")
+    );
+}
+
+fn list(keys: &[Key]) -> String {
+    keys.iter()
+        .map(ToString::to_string)
+        .collect::<Vec<_>>()
+        .join(", ")
+}
+
+pub fn status(report: &Report, json: bool) -> Done {
+    if json {
+        print_json(report);
+        return Ok(Code::Accepted);
+    }
+    println!(
+        "node {} in {}: {} at version {}, current {} ms ago, last accepted change {}",
+        report.node,
+        report.domain,
+        if report.ready { "ready" } else { "not ready" },
+        report.anchor.version,
+        report.age_ms,
+        report.accepted
+    );
+    if let Some(trouble) = &report.trouble {
+        println!("trouble: {trouble}");
+    }
+    for row in &report.members {
+        let target = |t: &Target| {
+            format!(
+                "{}{}",
+                t.service,
+                if t.draining { " (draining)" } else { "" }
+            )
+        };
+        let targets: Vec<String> = row.targets.iter().map(target).collect();
+        println!(
+            "  {:<16} {:<16} {:<8?} {}",
+            row.domain,
+            row.node,
+            row.status,
+            targets.join(", ")
+        );
+    }
+    Ok(Code::Accepted)
+}
+
+pub fn targets(targets: &[Target], json: bool) -> Done {
+    if json {
+        print_json(&targets);
+    } else {
+        for target in targets {
+            println!(
+                "{} at {}: draining {}",
+                target.service, target.address, target.draining
+            );
+        }
+    }
+    Ok(Code::Accepted)
+}
+
+pub fn history(history: &History, json: bool) -> Done {
+    if json {
+        print_json(history);
+        return Ok(Code::Accepted);
+    }
+    for outcome in &history.outcomes {
+        let id = outcome.id.as_ref().map_or("-", |id| id.as_str());
+        println!(
+            "{:<10} {id} by {}: {}",
+            outcome.version,
+            outcome.author,
+            list(&outcome.keys)
+        );
+        if !outcome.note.is_empty() {
+            println!("           {}", outcome.note);
+        }
+        if !outcome.verdict.is_accepted() {
+            println!("           {}", verdict(&outcome.verdict, None));
+        }
+    }
+    Ok(Code::Accepted)
+}
+
+pub fn difference(difference: &Difference, version: Version, json: bool) -> Done {
+    if json {
+        let Difference {
+            added,
+            changed,
+            removed,
+        } = difference;
+        print_json(&serde_json::json!({
+            "version": version, "added": added, "changed": changed, "removed": removed
+        }));
+        return Ok(Code::Accepted);
+    }
+    println!("against version {version}:");
+    for (sign, keys) in [
+        ('+', &difference.added),
+        ('~', &difference.changed),
+        ('-', &difference.removed),
+    ] {
+        keys.iter().for_each(|key| println!("{sign} {key}"));
+    }
+    if difference.is_empty() {
+        println!("no difference");
+    }
+    Ok(Code::Accepted)
+}
+
+fn verdict(verdict: &Verdict, files: Option<&Files>) -> String {
+    match verdict {
+        Verdict::Accepted => "accepted".into(),
+        Verdict::Repeated(version) => format!("was decided before, at {version}"),
+        Verdict::Conflict(keys) => format!("conflict: another change came first to {}", list(keys)),
+        Verdict::Invalid(problems) => {
+            let place = |p| {
+                files
+                    .and_then(|files| files.place(p))
+                    .map_or_else(|| format!("{p}"), |f| f.to_string())
+            };
+            let lines: Vec<String> = problems.iter().map(place).collect();
+            format!("rejected:\n  {}", lines.join("\n  "))
+        }
+        Verdict::Foreign => {
+            "rejected: made against another history of the log, or too long ago".into()
+        }
+        Verdict::Unreadable => "rejected: not readable".into(),
+    }
+}
+
+pub fn published(published: &Published, id: &id::Change, files: Option<&Files>, json: bool) {
+    if json {
+        print_json(published);
+        return;
+    }
+    match published {
+        Published::Decided(outcome) => {
+            println!(
+                "change {id} at version {}: {}",
+                outcome.version,
+                verdict(&outcome.verdict, files)
+            );
+        }
+        Published::Refused(refused) => println!("change {id}: {}", verdict(refused, files)),
+        Published::NotAccepted(what) => println!("change {id}: not accepted: {what}"),
+        Published::Unknown(what) => println!("change {id}: outcome unknown: {what} (--id {id})"),
+    }
+}
+
+pub fn progress(json: bool) -> ProgressBar {
+    let target = if json {
+        ProgressDrawTarget::hidden()
+    } else {
+        ProgressDrawTarget::stderr()
+    };
+    let bar = ProgressBar::with_draw_target(Some(0), target);
+    let style = ProgressStyle::with_template("in force on {pos} of {len} {bar:30} {elapsed}");
+    bar.with_style(style.unwrap_or_else(|_| ProgressStyle::default_bar()))
+}
+
+pub fn in_force(found: &Convergence, json: bool) {
+    if json {
+        print_json(found);
+    } else {
+        println!(
+            "version {} is in force on all {} nodes",
+            found.version, found.census.current
+        );
+    }
+}
+
+pub fn lagging(found: &Convergence, json: bool) {
+    if json {
+        print_json(found);
+        return;
+    }
+    let census = &found.census;
+    println!(
+        "version {} is in force on {} nodes, not on {}, and {} do not answer",
+        found.version, census.current, census.behind, census.silent
+    );
+    census
+        .named
+        .iter()
+        .for_each(|node| println!("  lagging: {node}"));
+}
+
+pub fn explanation(explanation: &Explanation, json: bool) -> Done {
+    if json {
+        print_json(explanation);
+        return Ok(Code::Accepted);
+    }
+    match &explanation.route {
+        None => println!("no route matches, at version {}", explanation.version),
+        Some((route, service)) => {
+            println!(
+                "route/{route} leads to service/{service}, at version {}",
+                explanation.version
+            );
+        }
+    }
+    for target in &explanation.targets {
+        let sign = if target.allowed { "yes" } else { "no " };
+        println!(
+            "  {sign} {:<16} {:<16} {}",
+            target.domain, target.node, target.why
+        );
+    }
+    Ok(Code::Accepted)
+}
--- /dev/null
+++ b/src/transport/http.rs
@@ -0,0 +1,248 @@
+//! What clients and servers have in common.
+
+use std::{pin::Pin, time::Duration};
+
+use bytes::Bytes;
+use futures_util::{Stream, StreamExt, TryStreamExt};
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
+use http_body_util::BodyDataStream;
+use salvo::{
+    Response,
+    http::{ReqBody, ResBody},
+};
+
+use crate::{
+    protocol::answer::{self, Refusal},
+    unit::{Size, Span},
+};
+
+/// A body in pieces.
+pub type Pieces = Pin<Box<dyn Stream<Item = Result<Bytes, std::io::Error>> + Send>>;
+
+/// How long a connection may take to come about; within one failure domain it
+/// takes about a millisecond.
+pub const CONNECT: Duration = Duration::from_secs(1);
+
+/// How long an unused connection is kept.
+const KEEP: Duration = Duration::from_secs(20);
+
+/// Unused connections kept for each node.
+const KEPT: usize = 64;
+
+/// Returns a builder for clients: nothing is redirected, retried or proxied
+/// behind our back.
+pub fn client() -> reqwest::ClientBuilder {
+    // Fails only if a provider is there already, which serves as well.
+    let _ = rustls::crypto::ring::default_provider().install_default();
+    reqwest::Client::builder()
+        .no_proxy()
+        .redirect(reqwest::redirect::Policy::none())
+        .retry(reqwest::retry::never())
+        .http1_only()
+        .tcp_nodelay(true)
+        .connect_timeout(CONNECT)
+        .pool_idle_timeout(KEEP)
+        .pool_max_idle_per_host(KEPT)
+}
+
+/// Headers that speak of one connection and are not passed on.
+const HOP_BY_HOP: [&str; 9] = [
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Returns `headers` without those of one connection and of the system.
+pub fn passed_on(headers: &HeaderMap) -> HeaderMap {
+    let named: Vec<String> = headers
+        .get_all("connection")
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect();
+    let stays = |name: &HeaderName| {
+        let name = name.as_str();
+        let hop = HOP_BY_HOP.contains(&name) || named.iter().any(|n| n == name);
+        !hop && !name.starts_with(answer::PREFIX)
+    };
+    let mut passed = HeaderMap::with_capacity(headers.len());
+    for (name, value) in headers.iter().filter(|(name, _)| stays(name)) {
+        passed.append(name.clone(), value.clone());
+    }
+    passed
+}
+
+/// Sets a header of the system.
+pub fn set(headers: &mut HeaderMap, name: &'static str, value: impl ToString) {
+    // Names and numbers are always valid header values.
+    if let Ok(value) = HeaderValue::from_str(&value.to_string()) {
+        headers.insert(HeaderName::from_static(name), value);
+    }
+}
+
+/// Returns a header as text.
+pub fn get<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+/// Returns a header decoded.
+pub fn parse<T: std::str::FromStr>(headers: &HeaderMap, name: &str) -> Option<T> {
+    get(headers, name)?.parse().ok()
+}
+
+/// Writes a refusal as the answer.
+pub fn refuse(res: &mut Response, refusal: &Refusal) {
+    res.status_code(StatusCode::from_u16(refusal.status).unwrap_or(StatusCode::BAD_GATEWAY));
+    let headers = res.headers_mut();
+    set(headers, answer::OUTCOME, refusal.outcome);
+    set(headers, answer::REASON, &refusal.reason);
+    if let Some(later) = refusal.retry_after {
+        set(headers, "retry-after", later.as_millis().div_ceil(1000));
+    }
+    let text = format!("{}: {}\n", refusal.outcome, refusal.reason);
+    set(headers, "content-type", "text/plain; charset=utf-8");
+    res.replace_body(ResBody::Once(text.into()));
+}
+
+/// Returns the refusal that another node answered with, if it is one.
+pub fn refusal(response: &reqwest::Response) -> Option<Refusal> {
+    let headers = response.headers();
+    let outcome = parse(headers, answer::OUTCOME)?;
+    if !matches!(outcome, answer::Outcome::NotRun | answer::Outcome::Unknown) {
+        return None;
+    }
+    Some(Refusal {
+        outcome,
+        status: response.status().as_u16(),
+        reason: get(headers, answer::REASON)
+            .unwrap_or("no reason given")
+            .into(),
+        retry_after: parse(headers, "retry-after").map(Span::from_secs),
+    })
+}
+
+/// Returns the body of a request in pieces, each within `idle`, `max` bytes
+/// at most.
+pub fn request_pieces(body: ReqBody, max: Size, idle: Span) -> Pieces {
+    let mut left = max.as_bytes();
+    let limited = BodyDataStream::new(body).map(move |piece| {
+        let piece = piece.map_err(std::io::Error::other)?;
+        left = left
+            .checked_sub(piece.len() as u64)
+            .ok_or_else(|| std::io::Error::other("request body is larger than allowed"))?;
+        Ok(piece)
+    });
+    timed(limited.boxed(), idle)
+}
+
+/// Returns the body of an answer in pieces, each within `idle`.
+pub fn response_pieces(response: reqwest::Response, idle: Span) -> Pieces {
+    timed(
+        response
+            .bytes_stream()
+            .map_err(std::io::Error::other)
+            .boxed(),
+        idle,
+    )
+}
+
+/// Ends `pieces` with an error when one takes longer than `idle`.
+fn timed(pieces: Pieces, idle: Span) -> Pieces {
+    let next = move |mut pieces: Pieces| async move {
+        let piece = tokio::time::timeout(idle.duration(), pieces.next()).await;
+        match piece {
+            Ok(piece) => Some((piece?, pieces)),
+            Err(_) => Some((Err(std::io::Error::other("body stood still")), pieces)),
+        }
+    };
+    futures_util::stream::unfold(pieces, next).boxed()
+}
+
+/// Reads a whole body of at most `max` bytes.
+///
+/// # Errors
+///
+/// If it breaks off or is larger.
+pub async fn whole(mut pieces: Pieces, max: usize) -> Result<Bytes, std::io::Error> {
+    let mut body = Vec::new();
+    while let Some(piece) = pieces.next().await {
+        body.extend(piece?);
+        if body.len() > max {
+            return Err(std::io::Error::other("body is larger than allowed"));
+        }
+    }
+    Ok(body.into())
+}
+
+/// Puts a body in pieces into an answer.
+pub fn stream(res: &mut Response, pieces: Pieces) {
+    res.stream(pieces);
+}
+
+/// What is sent on to a node or target.
+pub struct Outgoing {
+    /// The method.
+    pub method: http::Method,
+    /// Where to.
+    pub url: String,
+    /// The headers.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: reqwest::Body,
+    /// When the head of the answer must be there.
+    pub deadline: std::time::Instant,
+}
+
+/// Why no answer came.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Failure {
+    /// No connection came about, so nothing was sent.
+    NotSent,
+    /// The connection broke after something may have been sent.
+    Broken,
+    /// The deadline passed after something may have been sent.
+    TimedOut,
+}
+
+impl Failure {
+    /// Returns the refusal that tells a caller of this failure at `whom`.
+    pub fn refusal(&self, whom: &str) -> Refusal {
+        match self {
+            Self::NotSent => {
+                Refusal::not_run(format!("{whom} can't be reached"), Span::from_secs(1))
+            }
+            Self::Broken => Refusal::unknown(502, format!("{whom} broke off")),
+            Self::TimedOut => Refusal::unknown(504, format!("{whom} did not answer in time")),
+        }
+    }
+}
+
+/// Sends a request and returns the head of its answer.
+///
+/// # Errors
+///
+/// Why no answer came. A timeout is never taken for "not sent": the
+/// connection may just have come about.
+pub async fn forward(
+    client: &reqwest::Client,
+    out: Outgoing,
+) -> Result<reqwest::Response, Failure> {
+    let request = client
+        .request(out.method, out.url)
+        .headers(out.headers)
+        .body(out.body)
+        .send();
+    match tokio::time::timeout_at(out.deadline.into(), request).await {
+        Ok(Ok(response)) => Ok(response),
+        Ok(Err(error)) if error.is_connect() => Err(Failure::NotSent),
+        Ok(Err(_)) => Err(Failure::Broken),
+        Err(_) => Err(Failure::TimedOut),
+    }
+}
--- /dev/null
+++ b/src/transport/keyed.rs
@@ -0,0 +1,260 @@
+//! Keyed requests at the inbound proxy: issued keys, and at most one run.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use parking_lot::Mutex;
+use salvo::{Request, Response, http::ResBody};
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    coordination::once::{Answer, Begin, Key, Ledger, MAX_ANSWER, Record},
+    event::Event,
+    protocol::answer::{self, Outcome, Refusal},
+    settings,
+    transport::{
+        http,
+        inbound::{Inbound, Onward, Visit},
+        targets,
+    },
+    unit::{Size, Span},
+};
+
+/// Where callers get keys, at any node, and nodes from each other.
+pub const PATH: &str = "/rilltrack/keys";
+
+/// The largest body of a keyed request, which is held whole to compare
+/// repeats.
+pub const MAX_BODY: usize = 1 << 20;
+
+/// Keys given out at a time.
+const MAX_COUNT: usize = 1000;
+
+/// The keys of one life of one node.
+pub struct Keys {
+    ledger: Mutex<Ledger>,
+    life: Span,
+}
+
+/// The answer to a request for keys, as JSON.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Issued {
+    /// The keys, each for one request.
+    pub keys: Vec<String>,
+    /// How long they last.
+    pub expires_after: Span,
+}
+
+impl Keys {
+    /// Returns an empty set within the limits of `settings`.
+    pub fn new(settings: &settings::Requests) -> Self {
+        Self {
+            ledger: Mutex::new(Ledger::new(settings.keys, settings.key_life)),
+            life: settings.key_life,
+        }
+    }
+}
+
+/// Issues keys that are good at this node.
+///
+/// # Errors
+///
+/// The refusal, if no target of the service is here or there is no room.
+pub fn issue(inbound: &Inbound, req: &mut Request, res: &mut Response) -> Result<(), Refusal> {
+    inbound.receive(req.headers())?;
+    let count = req.query::<usize>("count").unwrap_or(1).clamp(1, MAX_COUNT);
+    let now = inbound.node.uptime_ms();
+    let mut ledger = inbound.keys.ledger.lock();
+    let mut keys = Vec::with_capacity(count);
+    for _ in 0..count {
+        let secret = fastrand::u128(..);
+        if !ledger.issue(secret, now) {
+            break;
+        }
+        let node = inbound.node.settings.node.clone();
+        keys.push(
+            Key {
+                node,
+                incarnation: inbound.node.incarnation,
+                secret,
+            }
+            .to_string(),
+        );
+    }
+    drop(ledger);
+    if keys.is_empty() {
+        return Err(Refusal::not_run(
+            "no room for more keys",
+            Span::from_secs(10),
+        ));
+    }
+    inbound
+        .node
+        .journal
+        .write(Event::KeyIssued, format_args!("count={}", keys.len()));
+    targets::json(
+        res,
+        &Issued {
+            keys,
+            expires_after: inbound.keys.life,
+        },
+    );
+    inbound.mark(res.headers_mut(), Outcome::Answered);
+    Ok(())
+}
+
+/// Runs a keyed request, or answers it from the record.
+///
+/// # Errors
+///
+/// The refusal, which says whether the request under this key ran.
+pub async fn serve(
+    inbound: &Arc<Inbound>,
+    req: &mut Request,
+    res: &mut Response,
+) -> Result<(), Refusal> {
+    let key = http::parse::<Key>(req.headers(), answer::KEY)
+        .ok_or_else(|| Refusal::rejected(400, "the idempotency key is none of this system"))?;
+    if key.node != inbound.node.settings.node || key.incarnation != inbound.node.incarnation {
+        let reason =
+            "the process that held the key is gone; what became of its request is not known";
+        return Err(refused(inbound, Refusal::unknown(410, reason)));
+    }
+    let onward = Onward::of(req);
+    let service = http::get(req.headers(), answer::SERVICE)
+        .unwrap_or_default()
+        .to_owned();
+    let idle = inbound.node.settings.requests.idle_timeout;
+    let pieces = http::request_pieces(req.take_body(), Size::from_bytes(MAX_BODY as u64), idle);
+    let body = http::whole(pieces, MAX_BODY).await;
+    let body = body.map_err(|_| {
+        Refusal::rejected(400, "the body of the keyed request did not arrive whole")
+    })?;
+    let digest = digest(&service, &onward, &body);
+    let begin = inbound
+        .keys
+        .ledger
+        .lock()
+        .begin(key.secret, digest, inbound.node.uptime_ms());
+    let record = match begin {
+        Begin::Ended(record) => record,
+        Begin::Refuse(refusal) => return Err(refused(inbound, refusal)),
+        Begin::Join(mut end) => {
+            let ended = tokio::time::timeout(wait(req), end.wait_for(Option::is_some)).await;
+            let record = ended.ok().and_then(|ended| ended.ok()?.clone());
+            record.ok_or_else(|| Refusal::unknown(504, "the request under this key still runs"))?
+        }
+        Begin::Run => return run(inbound, req, res, key, onward, body).await,
+    };
+    inbound
+        .node
+        .journal
+        .write(Event::Replayed, format_args!("key={key}"));
+    write(inbound, record, Outcome::Recorded, res)
+}
+
+fn wait(req: &Request) -> Duration {
+    Duration::from_millis(http::parse(req.headers(), answer::DEADLINE).unwrap_or(1000))
+}
+
+/// Runs the request in a task of its own: should the caller go away, the run
+/// goes on to its end, so that a repeat finds the answer.
+async fn run(
+    inbound: &Arc<Inbound>,
+    req: &mut Request,
+    res: &mut Response,
+    key: Key,
+    onward: Onward,
+    body: Bytes,
+) -> Result<(), Refusal> {
+    let visit = inbound.receive(req.headers());
+    let task = {
+        let inbound = inbound.clone();
+        async move {
+            let record = match visit {
+                Ok(visit) => attempt(&inbound, &visit, onward, body).await,
+                Err(refusal) => Record::NotRun(refusal),
+            };
+            inbound.keys.ledger.lock().end(key.secret, record.clone());
+            record
+        }
+    };
+    let record = tokio::spawn(task).await;
+    let record = record.map_err(|_| Refusal::unknown(500, "the run was broken off"))?;
+    write(inbound, record, Outcome::Answered, res)
+}
+
+async fn attempt(inbound: &Inbound, visit: &Visit, onward: Onward, body: Bytes) -> Record {
+    let _permit = match inbound.admit(visit).await {
+        Ok(permit) => permit,
+        Err(refusal) => return Record::NotRun(refusal),
+    };
+    let response = match inbound.run(visit, onward, body.into()).await {
+        Ok(response) => response,
+        Err(http::Failure::NotSent) => {
+            return Record::NotRun(http::Failure::NotSent.refusal("target"));
+        }
+        Err(_) => return Record::Unknown,
+    };
+    let (status, headers) = (
+        response.status().as_u16(),
+        http::passed_on(response.headers()),
+    );
+    let length = response.content_length();
+    if length.is_some_and(|length| length > MAX_ANSWER as u64) {
+        return Record::TooLarge;
+    }
+    let idle = inbound.node.settings.requests.idle_timeout;
+    match http::whole(http::response_pieces(response, idle), MAX_ANSWER).await {
+        Ok(body) => Record::Answered(Arc::new(Answer {
+            status,
+            headers,
+            body,
+        })),
+        Err(_) => Record::Unknown,
+    }
+}
+
+fn write(
+    inbound: &Inbound,
+    record: Record,
+    outcome: Outcome,
+    res: &mut Response,
+) -> Result<(), Refusal> {
+    let answer = match record {
+        Record::Answered(answer) => answer,
+        Record::NotRun(refusal) => return Err(refusal),
+        Record::Unknown => {
+            let reason = "the request may have run; its answer was lost";
+            return Err(refused(inbound, Refusal::unknown(502, reason)));
+        }
+        Record::TooLarge => {
+            let reason = "the request ran; its answer is too large to be kept";
+            return Err(refused(inbound, Refusal::unknown(502, reason)));
+        }
+    };
+    res.status_code(::http::StatusCode::from_u16(answer.status).unwrap_or_default());
+    *res.headers_mut() = answer.headers.clone();
+    inbound.mark(res.headers_mut(), outcome);
+    res.replace_body(ResBody::Once(answer.body.clone()));
+    Ok(())
+}
+
+fn refused(inbound: &Inbound, refusal: Refusal) -> Refusal {
+    inbound
+        .node
+        .journal
+        .write(Event::KeyRefused, format_args!("reason={}", refusal.reason));
+    refusal
+}
+
+/// Returns what tells one request under a key from another.
+fn digest(service: &str, onward: &Onward, body: &[u8]) -> u64 {
+    let mut hasher = xxhash_rust::xxh3::Xxh3::new();
+    for part in [service, onward.method.as_str(), &onward.path] {
+        hasher.update(&(part.len() as u64).to_be_bytes());
+        hasher.update(part.as_bytes());
+    }
+    hasher.update(body);
+    hasher.digest()
+}
--- /dev/null
+++ b/src/transport/log.rs
@@ -0,0 +1,100 @@
+//! The platform's log over HTTP; see docs/PLATFORM.md.
+
+use std::sync::Arc;
+
+use ::http::StatusCode;
+use bytes::Bytes;
+use futures_util::FutureExt;
+
+use crate::{
+    coordination::{
+        Error,
+        link::{Append, Log, Read},
+    },
+    id::Name,
+    protocol::{
+        self,
+        log::{Appended, Batch},
+        wire,
+    },
+    settings,
+    transport::{http, peers::classify},
+    unit::Span,
+};
+
+/// Records asked for at a time.
+const BATCH: usize = 500;
+
+/// Returns the way to the log.
+///
+/// # Errors
+///
+/// If the HTTP client can't be made.
+pub fn link(settings: &settings::Log) -> Result<Log, super::Error> {
+    let client = http::client().build()?;
+    let base = settings.url.trim_end_matches('/').to_owned();
+    let timeout = settings.timeout;
+    Ok(Log {
+        read: read(client.clone(), base.clone(), timeout),
+        append: append(client, base, timeout),
+    })
+}
+
+fn read(client: reqwest::Client, base: String, timeout: Span) -> Read {
+    Arc::new(move |stream: Name, from: u64, wait: Span| {
+        let client = client.clone();
+        let wait_ms = wait.as_millis();
+        let url =
+            format!("{base}/streams/{stream}/records?from={from}&limit={BATCH}&wait_ms={wait_ms}");
+        let patience = timeout.duration() + wait.duration();
+        async move {
+            let sent = client.get(&url).timeout(patience).send().await;
+            let response = sent.map_err(|error| classify(&error, "the log"))?;
+            // 410 says that `from` has expired; it carries the bounds.
+            let known = response.status().is_success() || response.status() == StatusCode::GONE;
+            if !known {
+                return Err(Error::Unexpected("the log".into()));
+            }
+            let body = response
+                .bytes()
+                .await
+                .map_err(|error| classify(&error, "the log"))?;
+            Ok(wire::decode::<Batch>(&body)?)
+        }
+        .boxed()
+    })
+}
+
+fn append(client: reqwest::Client, base: String, timeout: Span) -> Append {
+    Arc::new(move |stream: Name, record: Bytes| {
+        let client = client.clone();
+        let url = format!("{base}/streams/{stream}/records");
+        async move {
+            let sent = client
+                .post(&url)
+                .timeout(timeout.duration())
+                .body(record)
+                .send()
+                .await;
+            let response = sent.map_err(|error| classify(&error, "the log"))?;
+            match response.status() {
+                status if status.is_success() => {}
+                // The log says that it did not take the record.
+                StatusCode::SERVICE_UNAVAILABLE
+                | StatusCode::TOO_MANY_REQUESTS
+                | StatusCode::PAYLOAD_TOO_LARGE => {
+                    return Err(Error::Unreachable("the log refused the record and".into()));
+                }
+                _ => return Err(Error::NoAnswer("the log".into())),
+            }
+            let body = response
+                .bytes()
+                .await
+                .map_err(|error| classify(&error, "the log"))?;
+            let appended: Appended = serde_json::from_slice(&body)
+                .map_err(|source| protocol::Error::new("append answer", source))?;
+            Ok(appended.offset)
+        }
+        .boxed()
+    })
+}
--- /dev/null
+++ b/src/transport/mod.rs
@@ -0,0 +1,42 @@
+//! Transport: HTTP servers and clients, by library.
+//!
+//! A request enters through [`outbound`] (from a caller) and [`inbound`]
+//! (from another node); [`peers`] carries frames between nodes, [`log`] the
+//! platform's log, [`operators`] the command-line tool and [`targets`] the
+//! announcements. [`http`] and [`server`] hold what they have in common.
+
+pub mod http;
+pub mod inbound;
+pub mod keyed;
+pub mod log;
+pub mod operators;
+pub mod outbound;
+pub mod peers;
+pub mod server;
+pub mod targets;
+pub mod tls;
+
+/// An error of this layer.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// An address can't be listened on.
+    #[error("cannot listen on {address}")]
+    Listen {
+        /// The address.
+        address: std::net::SocketAddr,
+        /// The system's error.
+        #[source]
+        source: std::io::Error,
+    },
+    /// A key or certificate can't be used.
+    #[error("cannot use {path}: {what}")]
+    Tls {
+        /// The file.
+        path: std::path::PathBuf,
+        /// What is wrong with it.
+        what: String,
+    },
+    /// The HTTP client can't be made.
+    #[error("cannot make an HTTP client")]
+    Client(#[from] reqwest::Error),
+}
--- /dev/null
+++ b/src/transport/operators.rs
@@ -0,0 +1,337 @@
+//! What the command-line tool asks of a daemon; health and metrics.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use futures_util::{FutureExt, future::BoxFuture};
+use salvo::{Depot, FlowCtrl, Handler, Request, Response, Router, http::ResBody};
+
+use crate::{
+    coordination::{
+        link::{Call, Log},
+        node::Node,
+        publish, scatter,
+    },
+    id::Name,
+    protocol::{
+        operator::{
+            Checked, Convergence, Drain, Explanation, History, Judgement, Question, Report,
+            Resources, Row,
+        },
+        wire::{Census, Load},
+    },
+    state::{
+        change::Change,
+        member::{Member, Status},
+        version::Version,
+        view::View,
+    },
+    transport::{
+        http,
+        targets::{Targets, json},
+    },
+    unit::{Size, Span},
+};
+
+/// The largest request of the tool.
+const MAX: usize = 16 << 20;
+
+/// What the routes need.
+pub struct Desk {
+    /// The node that answers.
+    pub node: Arc<Node>,
+    /// The way to its peers.
+    pub call: Call,
+    /// The way to the log.
+    pub log: Log,
+    /// The targets on its host.
+    pub targets: Arc<Targets>,
+}
+
+type Answer<'a> = BoxFuture<'a, Result<(), String>>;
+type Serve = for<'a> fn(&'a Desk, &'a mut Request, &'a mut Response) -> Answer<'a>;
+
+struct Route(Arc<Desk>, Serve);
+
+#[salvo::async_trait]
+impl Handler for Route {
+    async fn handle(&self, req: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
+        if let Err(what) = (self.1)(&self.0, req, res).await {
+            res.status_code(::http::StatusCode::BAD_REQUEST);
+            res.replace_body(ResBody::Once(format!("{what}\n").into()));
+        }
+    }
+}
+
+/// Returns the routes for operators.
+pub fn router(desk: Arc<Desk>) -> Router {
+    let get = |path: &str, serve: Serve| Router::with_path(path).get(Route(desk.clone(), serve));
+    let post = |path: &str, serve: Serve| Router::with_path(path).post(Route(desk.clone(), serve));
+    Router::new()
+        .push(get("health", health))
+        .push(get("ready", ready))
+        .push(get("metrics", metrics))
+        .push(get("status", status))
+        .push(get("resources", resources))
+        .push(get("history", history))
+        .push(get("census", census))
+        .push(post("changes", changes))
+        .push(post("check", check))
+        .push(post("explain", explain))
+        .push(post("drain", drain))
+        .push(post("recover", recover))
+}
+
+fn health<'a>(_: &'a Desk, _: &'a mut Request, res: &'a mut Response) -> Answer<'a> {
+    res.replace_body(ResBody::Once("alive\n".into()));
+    async { Ok(()) }.boxed()
+}
+
+fn ready<'a>(desk: &'a Desk, _: &'a mut Request, res: &'a mut Response) -> Answer<'a> {
+    let text = if desk.node.is_ready() {
+        format!(
+            "ready version={} age_ms={}\n",
+            desk.node.version(),
+            desk.node.age_ms()
+        )
+    } else {
+        res.status_code(::http::StatusCode::SERVICE_UNAVAILABLE);
+        "not ready\n".into()
+    };
+    res.replace_body(ResBody::Once(text.into()));
+    async { Ok(()) }.boxed()
+}
+
+fn metrics<'a>(desk: &'a Desk, _: &'a mut Request, res: &'a mut Response) -> Answer<'a> {
+    desk.node
+        .metrics
+        .lines_lost
+        .set(desk.node.journal.lost() as i64);
+    res.replace_body(ResBody::Once(desk.node.metrics.text().into()));
+    async { Ok(()) }.boxed()
+}
+
+fn status<'a>(desk: &'a Desk, _: &'a mut Request, res: &'a mut Response) -> Answer<'a> {
+    async move {
+        let node = &desk.node;
+        let (anchor, accepted) = node
+            .applier
+            .look(|m| (m.anchor(), m.accepted()))
+            .await
+            .map_err(|error| error.to_string())?;
+        let me = node.me();
+        let mut members: Vec<Row> = node.table.read().iter().map(|member| row(member)).collect();
+        members.sort_by(|a, b| (&a.domain, &a.node).cmp(&(&b.domain, &b.node)));
+        let report = Report {
+            node: me.node,
+            incarnation: me.incarnation,
+            domain: me.domain,
+            ready: node.is_ready(),
+            anchor,
+            accepted,
+            age_ms: node.age_ms(),
+            trouble: node.trouble.lock().clone(),
+            members,
+        };
+        json(res, &report);
+        Ok(())
+    }
+    .boxed()
+}
+
+fn row(member: &Member) -> Row {
+    Row {
+        node: member.node.clone(),
+        domain: member.domain.clone(),
+        status: member.status,
+        peers: member.peers,
+        targets: member.targets.clone(),
+    }
+}
+
+fn resources<'a>(desk: &'a Desk, req: &'a mut Request, res: &'a mut Response) -> Answer<'a> {
+    async move {
+        let found = match req.query::<String>("at") {
+            None => {
+                desk.node
+                    .applier
+                    .look(|m| (m.anchor(), m.set().clone()))
+                    .await
+            }
+            Some(at) => {
+                let at = at.parse().map_err(|error| format!("{error}"))?;
+                publish::state_at(&desk.node, &desk.log, at).await
+            }
+        };
+        let (anchor, set) = found.map_err(|error| error.to_string())?;
+        json(
+            res,
+            &Resources {
+                anchor,
+                held: set.iter().cloned().collect(),
+            },
+        );
+        Ok(())
+    }
+    .boxed()
+}
+
+fn history<'a>(desk: &'a Desk, _: &'a mut Request, res: &'a mut Response) -> Answer<'a> {
+    async move {
+        let outcomes = desk
+            .node
+            .applier
+            .look(|m| m.history().rev().cloned().collect())
+            .await;
+        json(
+            res,
+            &History {
+                outcomes: outcomes.map_err(|error| error.to_string())?,
+            },
+        );
+        Ok(())
+    }
+    .boxed()
+}
+
+fn census<'a>(desk: &'a Desk, req: &'a mut Request, res: &'a mut Response) -> Answer<'a> {
+    async move {
+        let version = req.query::<String>("version").ok_or("version is missing")?;
+        let version: Version = version.parse().map_err(|error| format!("{error}"))?;
+        let census = count(desk, version).await;
+        json(res, &Convergence { version, census });
+        Ok(())
+    }
+    .boxed()
+}
+
+/// Counts who has `version` in force, over all members that are present.
+async fn count(desk: &Desk, version: Version) -> Census {
+    let node = &desk.node;
+    let slice: Vec<SocketAddr> = {
+        let table = node.table.read();
+        let others = table
+            .iter()
+            .filter(|m| m.node != node.settings.node && m.status != Status::Gone);
+        others.map(|m| m.peers).collect()
+    };
+    let mut census = scatter::scatter(
+        desk.call.clone(),
+        node.peers,
+        Load::Count { version },
+        slice,
+    )
+    .await;
+    if node.version() >= version {
+        census.current += 1;
+    } else {
+        census.behind += 1;
+        census.name(node.peers);
+    }
+    census
+}
+
+async fn body<T: serde::de::DeserializeOwned>(req: &mut Request) -> Result<T, String> {
+    let max = Size::from_bytes(MAX as u64);
+    let pieces = http::request_pieces(req.take_body(), max, Span::from_secs(5));
+    let body = http::whole(pieces, MAX)
+        .await
+        .map_err(|error| error.to_string())?;
+    serde_json::from_slice(&body).map_err(|error| error.to_string())
+}
+
+fn changes<'a>(desk: &'a Desk, req: &'a mut Request, res: &'a mut Response) -> Answer<'a> {
+    async move {
+        let change: Change = body(req).await?;
+        let published = publish::publish(&desk.node, &desk.log, change).await;
+        json(res, &published.map_err(|error| error.to_string())?);
+        Ok(())
+    }
+    .boxed()
+}
+
+fn check<'a>(desk: &'a Desk, req: &'a mut Request, res: &'a mut Response) -> Answer<'a> {
+    async move {
+        let change: Change = body(req).await?;
+        let problems = publish::check(&desk.node, &change)
+            .await
+            .map_err(|error| error.to_string())?;
+        json(res, &Checked { problems });
+        Ok(())
+    }
+    .boxed()
+}
+
+fn explain<'a>(desk: &'a Desk, req: &'a mut Request, res: &'a mut Response) -> Answer<'a> {
+    async move {
+        let question: Question = body(req).await?;
+        let view = desk.node.view.load_full().ok_or("no complete view yet")?;
+        json(res, &explanation(&desk.node, &view, &question));
+        Ok(())
+    }
+    .boxed()
+}
+
+fn explanation(node: &Node, view: &View, question: &Question) -> Explanation {
+    let route = view.route(question.host.as_deref(), &question.path, &question.method);
+    let service = route.and_then(|route| view.service(&route.service));
+    let targets = service.map_or_else(Vec::new, |service| {
+        let table = node.table.read();
+        table
+            .offers(&service.name)
+            .iter()
+            .map(|m| judgement(m, &service.name, &service.allowed))
+            .collect()
+    });
+    let route = route.map(|route| (route.name.clone(), route.service.clone()));
+    Explanation {
+        version: view.version,
+        route,
+        targets,
+    }
+}
+
+fn judgement(
+    member: &Member,
+    service: &Name,
+    allowed: &std::collections::BTreeSet<Name>,
+) -> Judgement {
+    let draining = member
+        .targets
+        .iter()
+        .any(|t| t.service == *service && t.draining);
+    let (ok, why) = match member.status {
+        _ if !allowed.contains(&member.domain) => {
+            (false, "no boundary lets requests go to its failure domain")
+        }
+        Status::Leaving | Status::Gone => (false, "its node is leaving or gone"),
+        _ if draining => (false, "it is draining"),
+        Status::Suspect => (true, "allowed; its node has not answered lately"),
+        Status::Alive => (true, "allowed"),
+    };
+    Judgement {
+        node: member.node.clone(),
+        domain: member.domain.clone(),
+        allowed: ok,
+        why: why.into(),
+    }
+}
+
+fn drain<'a>(desk: &'a Desk, req: &'a mut Request, res: &'a mut Response) -> Answer<'a> {
+    async move {
+        let drain: Drain = body(req).await?;
+        desk.targets.drain(drain.service.as_ref()).await;
+        json(res, &desk.node.me().targets);
+        Ok(())
+    }
+    .boxed()
+}
+
+fn recover<'a>(desk: &'a Desk, req: &'a mut Request, res: &'a mut Response) -> Answer<'a> {
+    async move {
+        let author = req.query::<String>("author").unwrap_or_default();
+        let version = publish::recover(&desk.node, &desk.log, author).await;
+        json(res, &version.map_err(|error| error.to_string())?);
+        Ok(())
+    }
+    .boxed()
+}
--- /dev/null
+++ b/src/transport/targets.rs
@@ -0,0 +1,144 @@
+//! Announcements of the targets on this host.
+
+use std::{collections::HashMap, sync::Arc, time::Instant};
+
+use parking_lot::Mutex;
+use salvo::{Depot, FlowCtrl, Handler, Request, Response, Router, http::ResBody};
+
+use crate::{
+    coordination::{gossip, link::Call, node::Node},
+    id::Name,
+    protocol::announce::{Announcement, Lease, PATH},
+    state::member::Target,
+    transport::http,
+    unit::{Size, Span},
+};
+
+/// The largest announcement.
+const MAX: usize = 4096;
+
+/// Members told at once when a target drains.
+const TOLD: usize = 8;
+
+/// The targets on this host and until when each is believed.
+pub struct Targets {
+    node: Arc<Node>,
+    call: Call,
+    held: Mutex<HashMap<Name, (Target, Instant)>>,
+}
+
+impl Targets {
+    /// Returns an empty list for `node`.
+    pub fn new(node: Arc<Node>, call: Call) -> Arc<Self> {
+        Arc::new(Self {
+            node,
+            call,
+            held: Mutex::new(HashMap::new()),
+        })
+    }
+
+    /// Takes an announcement in.
+    pub async fn announce(&self, announcement: Announcement) -> Lease {
+        let Announcement {
+            service,
+            address,
+            draining,
+        } = announcement;
+        let lease = self.node.settings.membership.lease;
+        let until = Instant::now() + lease.duration();
+        {
+            let mut held = self.held.lock();
+            // A drain ordered by an operator is not undone by a heartbeat.
+            let ordered = held
+                .get(&service)
+                .is_some_and(|(t, _)| t.draining && t.address == address);
+            let draining = draining || ordered;
+            held.insert(
+                service.clone(),
+                (
+                    Target {
+                        service,
+                        address,
+                        draining,
+                    },
+                    until,
+                ),
+            );
+        }
+        self.publish().await;
+        Lease {
+            expires_after: lease,
+        }
+    }
+
+    /// Makes targets leave: the one of `service`, or all.
+    pub async fn drain(&self, service: Option<&Name>) {
+        for (target, _) in self.held.lock().values_mut() {
+            target.draining |= service.is_none_or(|wanted| target.service == *wanted);
+        }
+        self.publish().await;
+    }
+
+    /// Forgets targets whose lease has lapsed, every second; never returns.
+    pub async fn expire(self: Arc<Self>) {
+        loop {
+            tokio::time::sleep(Span::from_secs(1).duration()).await;
+            self.held
+                .lock()
+                .retain(|_, (_, until)| Instant::now() < *until);
+            self.publish().await;
+        }
+    }
+
+    async fn publish(&self) {
+        let mut targets: Vec<Target> = self
+            .held
+            .lock()
+            .values()
+            .map(|(target, _)| target.clone())
+            .collect();
+        targets.sort_by(|a, b| a.service.cmp(&b.service));
+        let stopping = self.node.is_stopping();
+        targets
+            .iter_mut()
+            .for_each(|target| target.draining |= stopping);
+        if self.node.set_targets(targets) {
+            gossip::tell_at_once(&self.node, &self.call, TOLD).await;
+        }
+    }
+}
+
+/// Returns the routes on which targets announce themselves.
+pub fn router(targets: Arc<Targets>) -> Router {
+    Router::with_path(PATH.trim_start_matches('/')).post(Announce(targets))
+}
+
+struct Announce(Arc<Targets>);
+
+#[salvo::async_trait]
+impl Handler for Announce {
+    async fn handle(&self, req: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
+        let max = Size::from_bytes(MAX as u64);
+        let pieces = http::request_pieces(req.take_body(), max, Span::from_secs(2));
+        let body = http::whole(pieces, MAX).await.unwrap_or_default();
+        match serde_json::from_slice(&body) {
+            Ok(announcement) => {
+                let lease = self.0.announce(announcement).await;
+                json(res, &lease);
+            }
+            Err(error) => {
+                res.status_code(::http::StatusCode::BAD_REQUEST);
+                res.replace_body(ResBody::Once(
+                    format!("not an announcement: {error}\n").into(),
+                ));
+            }
+        }
+    }
+}
+
+/// Writes `value` as the answer, as JSON.
+pub fn json<T: serde::Serialize>(res: &mut Response, value: &T) {
+    let body = serde_json::to_vec(value).expect("plain data always encodes");
+    http::set(res.headers_mut(), "content-type", "application/json");
+    res.replace_body(ResBody::Once(body.into()));
+}
--- /dev/null
+++ b/tests/support/log.rs
@@ -0,0 +1,248 @@
+//! A stand-in for the platform's log: offsets, limited retention, outages.
+
+use std::{
+    collections::HashMap,
+    net::{SocketAddr, TcpListener},
+    sync::Arc,
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use parking_lot::Mutex;
+use rilltrack::protocol::log::Batch;
+use salvo::{
+    Depot, FlowCtrl, Handler, Request, Response, Router, Server,
+    conn::tcp::TcpAcceptor,
+    http::{ResBody, StatusCode},
+};
+use tokio::sync::Notify;
+
+/// How the log behaves.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum Mood {
+    /// As it should.
+    #[default]
+    Well,
+    /// Every call is refused at once.
+    Down,
+    /// Every call hangs until the caller gives up.
+    Hanging,
+    /// Appends take effect, but their answers are lost.
+    LosingAnswers,
+}
+
+#[derive(Default)]
+struct Stream {
+    first: u64,
+    records: Vec<Bytes>,
+}
+
+impl Stream {
+    fn next(&self) -> u64 {
+        self.first + self.records.len() as u64
+    }
+}
+
+#[derive(Default)]
+struct State {
+    streams: HashMap<String, Stream>,
+    mood: Mood,
+    reads: u64,
+    appends: u64,
+    read_bytes: u64,
+}
+
+/// The stand-in; clones share one log.
+#[derive(Clone)]
+pub struct Log {
+    pub address: SocketAddr,
+    state: Arc<Mutex<State>>,
+    changed: Arc<Notify>,
+}
+
+impl Log {
+    /// Starts a log on a free port, in a thread of its own.
+    pub fn start() -> Self {
+        let socket = TcpListener::bind("127.0.0.1:0").unwrap();
+        socket.set_nonblocking(true).unwrap();
+        let address = socket.local_addr().unwrap();
+        let log = Self {
+            address,
+            state: Arc::default(),
+            changed: Arc::default(),
+        };
+        let served = log.clone();
+        std::thread::spawn(move || {
+            let runtime = tokio::runtime::Builder::new_current_thread()
+                .enable_all()
+                .build()
+                .unwrap();
+            runtime.block_on(async move {
+                let socket = tokio::net::TcpListener::from_std(socket).unwrap();
+                let router = Router::with_path("streams/{stream}/records")
+                    .get(Read(served.clone()))
+                    .post(Append(served));
+                Server::new(TcpAcceptor::try_from(socket).unwrap())
+                    .serve(router)
+                    .await;
+            });
+        });
+        log
+    }
+
+    pub fn url(&self) -> String {
+        format!("http://{}", self.address)
+    }
+
+    pub fn set_mood(&self, mood: Mood) {
+        self.state.lock().mood = mood;
+        self.changed.notify_waiters();
+    }
+
+    /// Forgets records before `offset`, as retention does.
+    pub fn expire(&self, stream: &str, offset: u64) {
+        let mut state = self.state.lock();
+        let stream = state.streams.entry(stream.into()).or_default();
+        let gone = (offset.saturating_sub(stream.first) as usize).min(stream.records.len());
+        stream.records.drain(..gone);
+        stream.first = offset.max(stream.first);
+    }
+
+    /// Loses records from `offset` on, as a broken log does.
+    pub fn truncate(&self, stream: &str, offset: u64) {
+        let mut state = self.state.lock();
+        let stream = state.streams.entry(stream.into()).or_default();
+        stream.first = stream.first.min(offset);
+        stream.records.truncate((offset - stream.first) as usize);
+    }
+
+    /// Appends a record past all checks.
+    pub fn append(&self, stream: &str, record: Bytes) -> u64 {
+        let mut state = self.state.lock();
+        state.appends += 1;
+        let stream = state.streams.entry(stream.into()).or_default();
+        let offset = stream.next();
+        stream.records.push(record);
+        drop(state);
+        self.changed.notify_waiters();
+        offset
+    }
+
+    pub fn next(&self, stream: &str) -> u64 {
+        self.state
+            .lock()
+            .streams
+            .get(stream)
+            .map_or(0, Stream::next)
+    }
+
+    pub fn records(&self, stream: &str) -> Vec<Bytes> {
+        self.state
+            .lock()
+            .streams
+            .get(stream)
+            .map_or_else(Vec::new, |s| s.records.clone())
+    }
+
+    /// Calls so far: reads and appends.
+    pub fn calls(&self) -> (u64, u64) {
+        let state = self.state.lock();
+        (state.reads, state.appends)
+    }
+
+    fn read(&self, stream: &str, from: u64, limit: usize) -> Batch {
+        let mut state = self.state.lock();
+        let stream = state.streams.entry(stream.into()).or_default();
+        let (first, next) = (stream.first, stream.next());
+        let skip = from.saturating_sub(first) as usize;
+        let records = if from < first {
+            Vec::new()
+        } else {
+            stream
+                .records
+                .iter()
+                .skip(skip)
+                .take(limit)
+                .cloned()
+                .collect()
+        };
+        Batch {
+            first,
+            next,
+            records,
+        }
+    }
+
+    async fn suffer(&self, res: &mut Response) -> bool {
+        let mood = self.state.lock().mood;
+        match mood {
+            Mood::Well | Mood::LosingAnswers => return false,
+            Mood::Down => {
+                res.status_code(StatusCode::SERVICE_UNAVAILABLE);
+            }
+            Mood::Hanging => tokio::time::sleep(Duration::from_secs(3600)).await,
+        }
+        true
+    }
+}
+
+struct Read(Log);
+
+#[salvo::async_trait]
+impl Handler for Read {
+    async fn handle(&self, req: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
+        let log = &self.0;
+        log.state.lock().reads += 1;
+        if log.suffer(res).await {
+            return;
+        }
+        let stream = req.param::<String>("stream").unwrap_or_default();
+        let from = req.query::<u64>("from").unwrap_or(0);
+        let limit = req.query::<usize>("limit").unwrap_or(100);
+        let wait = Duration::from_millis(req.query::<u64>("wait_ms").unwrap_or(0));
+        let until = tokio::time::Instant::now() + wait;
+        let batch = loop {
+            let changed = log.changed.notified();
+            let batch = log.read(&stream, from, limit);
+            let has_news = !batch.records.is_empty() || batch.first > from || batch.next < from;
+            if has_news || tokio::time::timeout_at(until, changed).await.is_err() {
+                break batch;
+            }
+            if log.suffer(res).await {
+                return;
+            }
+        };
+        if from < batch.first {
+            res.status_code(StatusCode::GONE);
+        }
+        let body = rmp_serde::to_vec(&batch).unwrap();
+        log.state.lock().read_bytes += body.len() as u64;
+        res.replace_body(ResBody::Once(body.into()));
+    }
+}
+
+struct Append(Log);
+
+#[salvo::async_trait]
+impl Handler for Append {
+    async fn handle(&self, req: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
+        let log = &self.0;
+        if log.suffer(res).await {
+            return;
+        }
+        let stream = req.param::<String>("stream").unwrap_or_default();
+        let record = req
+            .take_body()
+            .collect()
+            .await
+            .map(|body| body.to_bytes())
+            .unwrap_or_default();
+        let offset = log.append(&stream, record);
+        if log.state.lock().mood == Mood::LosingAnswers {
+            res.status_code(StatusCode::GATEWAY_TIMEOUT);
+            return;
+        }
+        res.replace_body(ResBody::Once(format!("{{\"offset\":{offset}}}").into()));
+    }
+}
--- /dev/null
+++ b/tests/support/mod.rs
@@ -0,0 +1,32 @@
+//! Small stand-ins and helpers for tests and examples.
+#![allow(dead_code, reason = "every test file uses its own part of this")]
+
+pub mod log;
+pub mod mesh;
+pub mod target;
+
+use std::time::{Duration, Instant};
+
+/// Waits until `check` holds. The limit only ends a test that hangs: it is far
+/// beyond what any step takes, so no verdict depends on timing.
+pub async fn until<F, T>(what: &str, mut check: impl FnMut() -> F) -> T
+where
+    F: Future<Output = Option<T>>,
+{
+    let since = Instant::now();
+    loop {
+        if let Some(found) = check().await {
+            return found;
+        }
+        assert!(
+            since.elapsed() < Duration::from_secs(60),
+            "never came: {what}"
+        );
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// Returns an HTTP client that does nothing behind the test's back.
+pub fn client() -> reqwest::Client {
+    rilltrack::transport::http::client().build().unwrap()
+}
