--- a/src/coordination/gossip.rs
+++ b/src/coordination/gossip.rs
@@ -29,7 +29,7 @@
 };
 
 /// Members carried by one ping.
-const NEWS: usize = 6;
+const NEWS: usize = 16;
 
 /// Members asked to try a silent one.
 const HELPERS: usize = 2;
@@ -72,7 +72,7 @@
 
     /// Returns the next few to be told, in a mesh of `members`.
     pub fn take(&mut self, members: usize) -> Vec<Member> {
-        let times = 3 * (usize::BITS - members.leading_zeros()) + 2;
+        let times = usize::BITS - members.leading_zeros() + 4;
         let count = self.waiting.len().min(NEWS);
         let mut told = Vec::with_capacity(count);
         for _ in 0..count {
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -25,6 +25,9 @@
     },
 };
 
+/// The most members in one message that are told on to others.
+const TOLD_ON: usize = 16;
+
 /// One daemon, as its duties and its request path see it.
 pub struct Node {
     /// The settings.
@@ -164,18 +167,23 @@
         true
     }
 
-    /// Takes in what another node said about members; returns those that were
-    /// news here.
+    /// Takes in what another node said about members; returns how much of it
+    /// was news here.
+    ///
+    /// Little news is told on. Much at once is a whole table, of a join or
+    /// after a cut; others compare tables too, and telling all of it on would
+    /// keep every node busy for minutes.
     pub fn absorb(&self, members: Vec<Member>) -> usize {
+        let told_on = members.len() <= TOLD_ON;
         let mut news = 0;
         for member in members {
-            news += usize::from(self.absorb_one(member));
+            news += usize::from(self.absorb_one(member, told_on));
         }
         self.metrics.members.set(self.table.read().len() as i64);
         news
     }
 
-    fn absorb_one(&self, member: Member) -> bool {
+    fn absorb_one(&self, member: Member, told_on: bool) -> bool {
         let me = self.me();
         if member.node == me.node {
             // Only this node speaks for its own life; others may hold an
@@ -195,7 +203,9 @@
                 format_args!("member={node} domain={domain} status={status:?} was={old:?}");
             self.journal.write(Event::MemberChanged, details);
         }
-        self.rumors.lock().add(member);
+        if told_on {
+            self.rumors.lock().add(member);
+        }
         true
     }
 
--- a/src/event.rs
+++ b/src/event.rs
@@ -10,7 +10,7 @@
         atomic::{AtomicU64, Ordering},
     },
     thread,
-    time::Duration,
+    time::{Duration, SystemTime},
 };
 
 use crossbeam_queue::ArrayQueue;
@@ -127,6 +127,7 @@
 
 #[derive(Debug)]
 struct Line {
+    at: SystemTime,
     event: Event,
     text: String,
 }
@@ -157,10 +158,7 @@
         if !log::log_enabled!(target: "rilltrack", event.level()) {
             return;
         }
-        let line = Line {
-            event,
-            text: details.to_string(),
-        };
+        let line = Line::new(event, details.to_string());
         if self.shared.ring.push(line).is_err() {
             self.shared.lost.fetch_add(1, Ordering::Relaxed);
         }
@@ -179,6 +177,16 @@
     }
 }
 
+impl Line {
+    fn new(event: Event, text: String) -> Self {
+        Self {
+            at: SystemTime::now(),
+            event,
+            text,
+        }
+    }
+}
+
 impl Shared {
     fn run(&self) {
         let mut reported = 0;
@@ -187,10 +195,7 @@
             let lost = self.lost.load(Ordering::Relaxed);
             if lost > reported {
                 let text = format!("lines={}", lost - reported);
-                self.emit(&Line {
-                    event: Event::LinesLost,
-                    text,
-                });
+                self.emit(&Line::new(Event::LinesLost, text));
                 reported = lost;
             }
             thread::sleep(PAUSE);
@@ -208,10 +213,18 @@
         log::log!(
             target: "rilltrack",
             event.level(),
-            "E{:03} {} node={} {text}",
+            // When it happened, not when the writer came to it.
+            "{} E{:03} {} node={} {text}",
+            unix_ms(line.at),
             event.code(),
             event.name(),
             self.node
         );
     }
 }
+
+fn unix_ms(at: SystemTime) -> u128 {
+    at.duration_since(SystemTime::UNIX_EPOCH)
+        .unwrap_or_default()
+        .as_millis()
+}
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -12,7 +12,7 @@
     encode::pattern::PatternEncoder,
 };
 
-const PATTERN: &str = "{d(%Y-%m-%dT%H:%M:%S%.3f)(utc)} {l} {m}{n}";
+const PATTERN: &str = "{d(%Y-%m-%dT%H:%M:%S)(utc)} {l} {m}{n}";
 
 /// Sends log lines to `file`, or to standard error.
 ///
--- a/src/protocol/wire.rs
+++ b/src/protocol/wire.rs
@@ -32,7 +32,7 @@
     /// Is this third node there? I can't reach it.
     PingFor(SocketAddr),
     /// My table of members, by one mark per bucket.
-    Sync(Vec<u64>),
+    Sync(Vec<u32>),
     /// Members you may lack.
     Tell(Vec<Member>),
     /// The configuration from this version on.
@@ -132,7 +132,7 @@
     /// To [`Frame::Sync`]: the marks here and the members that differ.
     Members {
         /// The marks of the answering node.
-        marks: Vec<u64>,
+        marks: Vec<u32>,
         /// Its members in the buckets that differ.
         members: Vec<Member>,
     },
--- a/src/state/member.rs
+++ b/src/state/member.rs
@@ -71,9 +71,9 @@
         (self.incarnation, self.sequence, self.status)
     }
 
-    fn mark(&self) -> u64 {
+    fn mark(&self) -> u32 {
         let (incarnation, sequence, status) = self.stamp();
-        xxh3_64(format!("{} {incarnation} {sequence} {status:?}", self.node).as_bytes())
+        xxh3_64(format!("{} {incarnation} {sequence} {status:?}", self.node).as_bytes()) as u32
     }
 
     /// Returns whether the member may be asked for anything.
@@ -95,7 +95,7 @@
 pub struct Table {
     members: HashMap<Node, Arc<Member>>,
     offers: BTreeMap<Name, Vec<Arc<Member>>>,
-    marks: Vec<u64>,
+    marks: Vec<u32>,
 }
 
 impl Default for Table {
@@ -180,12 +180,12 @@
 
     /// Returns one mark per bucket; two tables hold the same where the marks
     /// are equal.
-    pub fn marks(&self) -> &[u64] {
+    pub fn marks(&self) -> &[u32] {
         &self.marks
     }
 
     /// Returns the members in the buckets whose mark differs from `marks`.
-    pub fn differing(&self, marks: &[u64]) -> Vec<&Arc<Member>> {
+    pub fn differing(&self, marks: &[u32]) -> Vec<&Arc<Member>> {
         let differs = |node: &Node| {
             let bucket = bucket(node);
             marks.get(bucket) != Some(&self.marks[bucket])
--- a/src/transport/peers.rs
+++ b/src/transport/peers.rs
@@ -129,7 +129,7 @@
         }
     }
 
-    fn compare(&self, marks: &[u64]) -> Reply {
+    fn compare(&self, marks: &[u32]) -> Reply {
         let table = self.node.table.read();
         let members = table
             .differing(marks)
