Scripted failures over real processes: log loss, outages, herds, cuts

Adds a small scenario language run against daemons in processes of their own, a log stand-in that can expire, truncate, hang and lose answers, and relays that cut failure domains from each other and from the platform. Every scenario ends by reading each process's own log: versions in force only ever grow.

Found by it, each failing first: * log_went_back: after `recover` through one node another kept refusing publishes ("the log ends at 2 but 0.3 is in force"): the trouble outlived the epoch it was about. Trouble is typed now and ends with its epoch. * the same scenario, through a node that reads no log: a change appended behind the lost end was told as unknown though it can never be in force; now "not accepted".

--- a/src/coordination/follow.rs
+++ b/src/coordination/follow.rs
@@ -16,7 +16,7 @@
     coordination::{
         Error, catchup, gossip,
         link::{Call, Log},
-        node::Node,
+        node::{Node, Trouble},
         rank, scatter, snapshot,
     },
     event::Event,
@@ -116,7 +116,8 @@
                 .write(Event::LogDown, format_args!("error={error}"));
         }
         self.failures += 1;
-        self.node.set_trouble(Some(error.to_string()));
+        self.node
+            .set_trouble(Some(Trouble::LogDown(error.to_string())));
         let (first, longest) = BACKOFF;
         let doubled = first.as_millis() << self.failures.min(10);
         let pause = Span::from_millis(doubled.min(longest.as_millis()));
@@ -250,8 +251,11 @@
     /// log. The state held stays in force; only an operator's restore goes on
     /// from here.
     async fn went_back(&mut self, held: Version, batch: &Batch) -> Result<(), Error> {
-        let what = format!("the log ends at {} but {held} is in force", batch.next);
-        if self.node.set_trouble(Some(what.clone())) {
+        let next = batch.next;
+        if self
+            .node
+            .set_trouble(Some(Trouble::LogWentBack { held, next }))
+        {
             self.node.journal.write(
                 Event::LogWentBack,
                 format_args!("held={held} log_next={}", batch.next),
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -49,7 +49,7 @@
     /// The duty that applies records.
     pub applier: Applier,
     /// What keeps the node from following the log.
-    pub trouble: Mutex<Option<String>>,
+    pub trouble: Mutex<Option<Trouble>>,
     /// Set when the daemon takes no new work.
     pub stopping: AtomicBool,
     /// Set once peers were asked for a view, so that the log may be read.
@@ -61,6 +61,22 @@
     current_at: AtomicU64,
 }
 
+/// What keeps a node from following the log.
+#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+pub enum Trouble {
+    /// It does not answer, or not as it should.
+    #[error("{0}")]
+    LogDown(String),
+    /// It lost its end, or is another log.
+    #[error("the log ends at {next} but {held} is in force; see `rilltrack recover`")]
+    LogWentBack {
+        /// The version in force when it was found.
+        held: Version,
+        /// Where the log ends.
+        next: u64,
+    },
+}
+
 impl Node {
     /// Returns a node that knows only itself.
     pub fn new(settings: Settings, me: Member, journal: Journal, applier: Applier) -> Self {
@@ -211,13 +227,23 @@
 
     /// Says what keeps the node from following the log; returns whether that
     /// is a change.
-    pub fn set_trouble(&self, trouble: Option<String>) -> bool {
+    pub fn set_trouble(&self, trouble: Option<Trouble>) -> bool {
         let mut held = self.trouble.lock();
         let changed = held.is_some() != trouble.is_some();
         *held = trouble;
         changed
     }
 
+    /// Returns what keeps the node from following the log, unless the mesh
+    /// has moved on since.
+    pub fn trouble(&self) -> Option<Trouble> {
+        let trouble = self.trouble.lock().clone();
+        trouble.filter(|trouble| match trouble {
+            Trouble::LogDown(_) => true,
+            Trouble::LogWentBack { held, .. } => held.epoch == self.version().epoch,
+        })
+    }
+
     /// Returns a handle that several duties can hold.
     pub fn shared(self) -> Arc<Self> {
         Arc::new(self)
--- a/src/coordination/publish.rs
+++ b/src/coordination/publish.rs
@@ -5,7 +5,12 @@
 use tokio::time::timeout;
 
 use crate::{
-    coordination::{Error, link::Log, node::Node, snapshot},
+    coordination::{
+        Error,
+        link::Log,
+        node::{Node, Trouble},
+        snapshot,
+    },
     protocol::operator::Published,
     state::{
         change::{Anchor, Change, Entry, Restore},
@@ -37,10 +42,17 @@
         )));
     }
     let stream = node.settings.log.config_stream.clone();
+    // Taken before the append: the record may be in force before its answer.
+    let held = node.version();
     node.metrics.log_appends.inc();
     match (log.append)(stream, record).await {
+        // Nobody reads there again: a recovery begins behind it.
+        Ok(next) if next < held.offset => {
+            let trouble = Trouble::LogWentBack { held, next };
+            Ok(Published::NotAccepted(trouble.to_string()))
+        }
         Ok(offset) => {
-            let version = node.version().after(offset);
+            let version = held.after(offset);
             decided(node, &id, Some(version), DECISION).await
         }
         Err(Error::Unreachable(what)) => {
@@ -59,11 +71,8 @@
             "this node holds no complete view yet".into(),
         )));
     }
-    let trouble = node.trouble.lock().clone();
-    if let Some(what) = trouble.filter(|what| what.contains("in force")) {
-        return Ok(Some(Published::NotAccepted(format!(
-            "{what}; see `rilltrack recover`"
-        ))));
+    if let Some(trouble @ Trouble::LogWentBack { .. }) = node.trouble() {
+        return Ok(Some(Published::NotAccepted(trouble.to_string())));
     }
     let id = change.id.clone();
     if let Some(first) = node.applier.look(move |m| m.outcome(&id).cloned()).await? {
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -95,8 +95,8 @@
             Event::Started,
             format_args!("incarnation={} listen={listen:?}", node.incarnation),
         );
-        let call = peers::call(&node.settings.security, node.clone())?;
-        let log = transport::log::link(&node.settings.log)?;
+        let call = peers::call(node.clone())?;
+        let log = transport::log::link(&node.settings)?;
         let targets = Targets::new(node.clone(), call.clone());
         let desk = Arc::new(Desk {
             node: node.clone(),
@@ -152,14 +152,18 @@
 
 fn myself(settings: &Settings, listen: &Listen) -> Member {
     let since = SystemTime::UNIX_EPOCH.elapsed().unwrap_or_default();
+    let (peers, inbound) = match &settings.advertise {
+        Some(advertise) => (advertise.peers, advertise.inbound),
+        None => (listen.peers, listen.inbound),
+    };
     Member {
         node: settings.node.clone(),
         incarnation: Incarnation(since.as_nanos() as u64),
         sequence: 1,
         status: Status::Alive,
         domain: settings.domain.clone(),
-        peers: listen.peers,
-        inbound: listen.inbound,
+        peers,
+        inbound,
         labels: settings.labels.clone(),
         targets: Vec::new(),
     }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -27,6 +27,9 @@
     pub labels: Labels,
     /// Where it listens.
     pub listen: Listen,
+    /// Where other nodes reach it, if that is not where it listens.
+    #[serde(default)]
+    pub advertise: Option<Advertise>,
     /// Control addresses of some other nodes, to find the rest.
     #[serde(default)]
     pub seeds: Vec<SocketAddr>,
@@ -61,6 +64,16 @@
     pub operators: SocketAddr,
 }
 
+/// Addresses that other nodes use, as behind a forwarder.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Advertise {
+    /// For requests.
+    pub inbound: SocketAddr,
+    /// For control messages.
+    pub peers: SocketAddr,
+}
+
 /// How to reach the platform's log.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/src/transport/http.rs
+++ b/src/transport/http.rs
@@ -13,6 +13,7 @@
 
 use crate::{
     protocol::answer::{self, Refusal},
+    settings::Settings,
     unit::{Size, Span},
 };
 
@@ -45,6 +46,13 @@
         .pool_max_idle_per_host(KEPT)
 }
 
+/// Returns a builder for clients that reach other hosts of the mesh: their
+/// connections come from the address that the node listens on, so that a host
+/// with several is always seen under the same one.
+pub fn mesh_client(settings: &Settings) -> reqwest::ClientBuilder {
+    client().local_address(settings.listen.peers.ip())
+}
+
 /// Headers that speak of one connection and are not passed on.
 const HOP_BY_HOP: [&str; 9] = [
     "connection",
--- a/src/transport/log.rs
+++ b/src/transport/log.rs
@@ -17,7 +17,7 @@
         log::{Appended, Batch},
         wire,
     },
-    settings,
+    settings::Settings,
     transport::{http, peers::classify},
     unit::Span,
 };
@@ -30,8 +30,9 @@
 /// # Errors
 ///
 /// If the HTTP client can't be made.
-pub fn link(settings: &settings::Log) -> Result<Log, super::Error> {
-    let client = http::client().build()?;
+pub fn link(settings: &Settings) -> Result<Log, super::Error> {
+    let client = http::mesh_client(settings).build()?;
+    let settings = &settings.log;
     let base = settings.url.trim_end_matches('/').to_owned();
     let timeout = settings.timeout;
     Ok(Log {
--- a/src/transport/operators.rs
+++ b/src/transport/operators.rs
@@ -129,7 +129,7 @@
             anchor,
             accepted,
             age_ms: node.age_ms(),
-            trouble: node.trouble.lock().clone(),
+            trouble: node.trouble().map(|trouble| trouble.to_string()),
             members,
         };
         json(res, &report);
--- a/src/transport/outbound.rs
+++ b/src/transport/outbound.rs
@@ -84,7 +84,7 @@
     ///
     /// If keys or certificates can't be used.
     pub fn new(node: Arc<Node>) -> Result<Arc<Self>, super::Error> {
-        let client = tls::client(&node.settings.security, http::client())?;
+        let client = tls::client(&node.settings)?;
         let health = Mutex::new(Health::default());
         Ok(Arc::new(Self {
             node,
--- a/src/transport/peers.rs
+++ b/src/transport/peers.rs
@@ -9,7 +9,6 @@
     coordination::{Error, catchup, follow, gossip, link::Call, node::Node},
     metrics::{Metrics, RECEIVED, SENT},
     protocol::wire::{self, Frame, Reply},
-    settings::Security,
     transport::{http, tls},
     unit::{Size, Span},
 };
@@ -19,11 +18,11 @@
 /// # Errors
 ///
 /// If the keys or certificates can't be used.
-pub fn call(security: &Security, metrics: Arc<Node>) -> Result<Call, super::Error> {
-    let client = tls::client(security, http::client())?;
-    let scheme = tls::scheme(security);
+pub fn call(node: Arc<Node>) -> Result<Call, super::Error> {
+    let client = tls::client(&node.settings)?;
+    let scheme = tls::scheme(&node.settings.security);
     let call = move |peer: SocketAddr, frame: Frame, patience: Span| {
-        let (client, node) = (client.clone(), metrics.clone());
+        let (client, node) = (client.clone(), node.clone());
         let url = format!("{scheme}://{peer}{}", wire::PATH);
         async move { send(&client, &url, &frame, patience, &node.metrics).await }.boxed()
     };
--- a/src/transport/tls.rs
+++ b/src/transport/tls.rs
@@ -9,8 +9,8 @@
 use salvo::conn::rustls::{Keycert, RustlsConfig};
 
 use crate::{
-    settings::{Security, Tls},
-    transport::Error,
+    settings::{Security, Settings, Tls},
+    transport::{Error, http},
 };
 
 /// Returns the scheme of URLs between nodes.
@@ -26,8 +26,9 @@
 /// # Errors
 ///
 /// If a key or certificate can't be used.
-pub fn client(security: &Security, base: reqwest::ClientBuilder) -> Result<reqwest::Client, Error> {
-    let Security::Tls(tls) = security else {
+pub fn client(settings: &Settings) -> Result<reqwest::Client, Error> {
+    let base = http::mesh_client(settings);
+    let Security::Tls(tls) = &settings.security else {
         return Ok(base.build()?);
     };
     let mut roots = RootCertStore::empty();
--- /dev/null
+++ b/tests/scenarios.rs
@@ -0,0 +1,30 @@
+//! Scripted failures over real processes; see `support::scenario` for the
+//! language and tests/scenarios/ for the scripts.
+
+mod support;
+
+use std::path::Path;
+
+/// Names a test after each script.
+macro_rules! scenarios {
+    ($($name:ident)*) => {
+        $(
+            #[tokio::test(flavor = "multi_thread")]
+            async fn $name() {
+                let script = include_str!(concat!("scenarios/", stringify!($name), ".scenario"));
+                support::scenario::run(Path::new(env!("CARGO_BIN_EXE_rilltrackd")), script).await;
+            }
+        )*
+    };
+}
+
+scenarios! {
+    bad_among_good
+    cut_domain
+    herds
+    log_expired_and_empty
+    log_outage
+    log_went_back
+    lost_append_answer
+    narrowed
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -1,8 +1,10 @@
 //! Small stand-ins and helpers for tests and examples.
 #![allow(dead_code, reason = "every test file uses its own part of this")]
 
+pub mod link;
 pub mod log;
 pub mod mesh;
+pub mod scenario;
 pub mod target;
 
 use std::time::{Duration, Instant};
