Requests under failure: at most once, whole answers, drains, bad input

Found, failing first: drain_sends_new_and_queued_work_elsewhere. A drain ordered by an operator spread at once, but requests already queued at the target's door still ran there (2 hits, 1 expected). Doors belong to the node now; a draining target's door refuses what waits, not run, and a request granted just then is checked again before it runs. Ruled out: the outbound side (it did send new work elsewhere).

--- a/src/coordination/door.rs
+++ b/src/coordination/door.rs
@@ -11,6 +11,7 @@
 
 use crate::{
     coordination::admit::{Arrival, Gate, Ticket},
+    id::Name,
     protocol::answer::Refusal,
     state::resource::{Class, Policy},
     unit::Span,
@@ -27,6 +28,48 @@
     inner: Arc<Mutex<Inner>>,
 }
 
+/// The doors to all targets on one host.
+#[derive(Debug, Default)]
+pub struct Doors {
+    doors: Mutex<HashMap<Name, Door>>,
+}
+
+impl Doors {
+    /// Returns the door to the target of `service`, with the limits of
+    /// `policy`.
+    pub fn get(&self, service: &Name, policy: &Policy) -> Door {
+        let mut doors = self.doors.lock();
+        let door = doors
+            .entry(service.clone())
+            .or_insert_with(|| Door::new(policy));
+        door.resize(policy);
+        door.clone()
+    }
+
+    /// Refuses what waits for the target of `service`.
+    pub fn close(&self, service: &Name) {
+        let door = self.doors.lock().get(service).cloned();
+        if let Some(door) = door {
+            door.close();
+        }
+    }
+
+    /// Refuses what waits for any target.
+    pub fn close_all(&self) {
+        self.doors.lock().values().for_each(Door::close);
+    }
+
+    /// Returns the load of the fullest target, in hundredths of its slots.
+    pub fn load(&self) -> u32 {
+        self.doors
+            .lock()
+            .values()
+            .map(Door::load)
+            .max()
+            .unwrap_or(0)
+    }
+}
+
 #[derive(Debug)]
 struct Inner {
     gate: Gate,
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -13,7 +13,7 @@
 use parking_lot::{Mutex, RwLock};
 
 use crate::{
-    coordination::{apply::Applier, gossip::Rumors},
+    coordination::{apply::Applier, door::Doors, gossip::Rumors},
     event::{Event, Journal},
     id::Incarnation,
     metrics::Metrics,
@@ -46,6 +46,8 @@
     pub table: RwLock<Table>,
     /// Members that are news to others.
     pub rumors: Mutex<Rumors>,
+    /// The doors to the targets on this host.
+    pub doors: Doors,
     /// The duty that applies records.
     pub applier: Applier,
     /// What keeps the node from following the log.
@@ -90,6 +92,7 @@
             view: ArcSwapOption::empty(),
             table: RwLock::new(table),
             rumors: Mutex::new(Rumors::new(&me)),
+            doors: Doors::default(),
             applier,
             trouble: Mutex::new(None),
             stopping: AtomicBool::new(false),
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -222,6 +222,7 @@
     let inbound = Inbound::new(node.clone())?;
     let security = node.settings.security.clone();
     let drain = node.settings.requests.drain.duration();
+    let leaving = node.clone();
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(node.settings.requests.threads)
         .thread_name("requests")
@@ -237,7 +238,7 @@
             return;
         };
         until_stopped(stopped).await;
-        inbound.close();
+        leaving.doors.close_all();
         tokio::time::sleep(GOODBYE).await;
         tokio::join!(callers.stop(drain), nodes.stop(drain));
     };
--- a/src/transport/inbound.rs
+++ b/src/transport/inbound.rs
@@ -3,16 +3,15 @@
 //! The inbound proxy is the one who knows what its targets were given, so it
 //! alone can say "not run" with certainty.
 
-use std::{collections::HashMap, sync::Arc, time::Instant};
+use std::{sync::Arc, time::Instant};
 
 use ::http::HeaderMap;
 use futures_util::StreamExt;
-use parking_lot::Mutex;
 use salvo::{Depot, FlowCtrl, Handler, Request, Response};
 
 use crate::{
     coordination::{
-        door::{Door, LEAVING, Permit},
+        door::{LEAVING, Permit},
         node::Node,
     },
     event::Event,
@@ -41,7 +40,6 @@
     /// The idempotency keys of this life.
     pub keys: Keys,
     client: reqwest::Client,
-    doors: Mutex<HashMap<Name, Door>>,
 }
 
 /// A request that is allowed here, with what it needs to run.
@@ -65,36 +63,7 @@
     pub fn new(node: Arc<Node>) -> Result<Arc<Self>, super::Error> {
         let client = http::client().build()?;
         let keys = Keys::new(&node.settings.requests);
-        Ok(Arc::new(Self {
-            node,
-            keys,
-            client,
-            doors: Mutex::new(HashMap::new()),
-        }))
-    }
-
-    /// Refuses what waits: the targets are leaving.
-    pub fn close(&self) {
-        self.doors.lock().values().for_each(Door::close);
-    }
-
-    /// Returns the load of the fullest target, in hundredths of its slots.
-    fn load(&self) -> u32 {
-        self.doors
-            .lock()
-            .values()
-            .map(Door::load)
-            .max()
-            .unwrap_or(0)
-    }
-
-    fn door(&self, visit: &Visit) -> Door {
-        let mut doors = self.doors.lock();
-        let door = doors
-            .entry(visit.target.service.clone())
-            .or_insert_with(|| Door::new(&visit.policy));
-        door.resize(&visit.policy);
-        door.clone()
+        Ok(Arc::new(Self { node, keys, client }))
     }
 
     /// Decides whether a request may run here at all.
@@ -174,8 +143,10 @@
     ///
     /// The refusal; the request has not run.
     pub async fn admit(&self, visit: &Visit) -> Result<Permit, Refusal> {
-        let door = self.door(visit);
+        let door = self.node.doors.get(&visit.target.service, &visit.policy);
         let permit = door.enter(visit.class, visit.deadline).await;
+        // The target may have begun to leave while the request waited.
+        let permit = permit.and_then(|permit| self.target(&visit.target.service).map(|_| permit));
         let service = &visit.target.service;
         match &permit {
             Ok(_) => {
@@ -232,7 +203,7 @@
         http::set(headers, answer::OUTCOME, outcome);
         http::set(headers, answer::NODE, &self.node.settings.node);
         http::set(headers, answer::VERSION, self.node.version());
-        http::set(headers, answer::LOAD, self.load());
+        http::set(headers, answer::LOAD, self.node.doors.load());
     }
 
     async fn serve(&self, req: &mut Request, res: &mut Response) -> Result<(), Refusal> {
--- a/src/transport/targets.rs
+++ b/src/transport/targets.rs
@@ -102,6 +102,9 @@
         targets
             .iter_mut()
             .for_each(|target| target.draining |= stopping);
+        for target in targets.iter().filter(|target| target.draining) {
+            self.node.doors.close(&target.service);
+        }
         if self.node.set_targets(targets) {
             gossip::tell_at_once(&self.node, &self.call, TOLD).await;
         }
--- /dev/null
+++ b/tests/requests.rs
@@ -0,0 +1,370 @@
+//! What callers feel when targets, nodes and links fail.
+
+mod support;
+
+use std::{path::Path, sync::atomic::Ordering, time::Duration};
+
+use futures_util::future::join_all;
+use reqwest::Response;
+use serde_json::{Value, json};
+use support::{
+    client,
+    local::{Mesh, resources},
+    log::Log,
+    mesh::{self, attach, ops, processes, publish, reached},
+    raw,
+    target::Target,
+    until,
+};
+
+const DOMAINS: [&str; 2] = ["palermo", "catania"];
+
+async fn two_nodes(policy: Value) -> Mesh {
+    Mesh::start(&DOMAINS, &resources(&DOMAINS, "s", policy)).await
+}
+
+fn outcome(response: &Response) -> &str {
+    response
+        .headers()
+        .get("rilltrack-outcome")
+        .map_or("", |value| value.to_str().unwrap())
+}
+
+/// Names each case, as a test in a runtime of its own.
+macro_rules! cases {
+    ($($name:ident => $body:block)*) => {
+        $(#[tokio::test(flavor = "multi_thread")] async fn $name() $body)*
+    };
+}
+
+cases! {
+    answer_cut_short_is_never_passed_on_as_whole => {
+        let answers: [&[u8]; 2] = [
+            b"HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\nhalf",
+            b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+        ];
+        for answer in answers {
+            let mesh = two_nodes(json!({})).await;
+            let (address, _) = raw::target(move |_| Some(answer.to_vec())).await;
+            mesh.announce(1, "s", address).await;
+            let response = client().get(mesh.url(0, "/s")).send().await;
+            if let Ok(response) = response {
+                assert!(response.bytes().await.is_err(), "a broken answer must not look whole");
+            }
+        }
+    }
+
+    debit_on_a_dying_kept_connection_is_sent_once => {
+        let mesh = two_nodes(json!({})).await;
+        let ok = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok".to_vec();
+        let (address, hits) = raw::target(move |number| (number == 0).then(|| ok.clone())).await;
+        mesh.announce(1, "s", address).await;
+        let first = client().post(mesh.url(0, "/s")).body("debit 1").send().await.unwrap();
+        assert_eq!((first.status().as_u16(), outcome(&first)), (200, "answered"));
+        first.bytes().await.unwrap();
+        let second = client().post(mesh.url(0, "/s")).body("debit 2").send().await.unwrap();
+        assert_eq!((second.status().as_u16(), outcome(&second)), (502, "unknown"));
+        assert_eq!(hits.load(Ordering::SeqCst), 2);
+    }
+
+    target_that_refuses_connections_is_not_run => {
+        let mesh = two_nodes(json!({})).await;
+        let closed = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+        mesh.announce(1, "s", closed).await;
+        let response = client().post(mesh.url(0, "/s")).body("debit").send().await.unwrap();
+        assert_eq!((response.status().as_u16(), outcome(&response)), (503, "not-run"));
+        assert!(response.headers().contains_key("retry-after"));
+        // With another target the same request, not run, goes there.
+        let target = mesh.target(0, "s").await;
+        let response = client().post(mesh.url(0, "/s")).body("debit").send().await.unwrap();
+        assert_eq!(outcome(&response), "answered");
+        assert_eq!(target.hits(), 1);
+    }
+
+    streamed_body_is_not_sent_again => {
+        let mesh = two_nodes(json!({"repeat": "always"})).await;
+        let (address, hits) = raw::target(|_| None).await;
+        mesh.announce(0, "s", address).await;
+        mesh.announce(1, "s", address).await;
+        let pieces = (0..4).map(|_| Ok::<_, std::io::Error>(vec![7u8; 40_000]));
+        let body = reqwest::Body::wrap_stream(futures_util::stream::iter(pieces));
+        let response = client().put(mesh.url(0, "/s")).body(body).send().await.unwrap();
+        assert_eq!(outcome(&response), "unknown");
+        assert!(hits.load(Ordering::SeqCst) <= 1);
+    }
+
+    doubt_of_an_earlier_attempt_is_kept => {
+        // First attempt: may have run. Second: certainly not. Together: unknown.
+        let mesh = two_nodes(json!({"repeat": "always"})).await;
+        let (breaking, _) = raw::target(|_| None).await;
+        let closed = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+        mesh.announce(0, "s", breaking).await;
+        mesh.announce(1, "s", closed).await;
+        let response = client().get(mesh.url(0, "/s")).send().await.unwrap();
+        assert_eq!(outcome(&response), "unknown");
+    }
+
+    callers_get_their_own_answers_though_others_give_up => {
+        let mesh = two_nodes(json!({"slots": 64, "queue": 64})).await;
+        let target = mesh.target(1, "s").await;
+        target.delay_ms.store(20, Ordering::SeqCst);
+        let client = client();
+        let mut rng = fastrand::Rng::with_seed(3);
+        let calls = (0..200).map(|i| {
+            let (client, url, gives_up) = (client.clone(), mesh.url(0, "/s/echo"), rng.u32(..3) == 0);
+            async move {
+                let body = format!("request {i} ").repeat(50);
+                let call = client.post(url).body(body.clone()).send();
+                let patience = Duration::from_millis(if gives_up { 15 } else { 20_000 });
+                let Ok(Ok(response)) = tokio::time::timeout(patience, call).await else { return 0 };
+                if outcome(&response) != "answered" {
+                    return 0;
+                }
+                assert_eq!(response.text().await.unwrap(), body);
+                1
+            }
+        });
+        let answered: usize = join_all(calls).await.into_iter().sum();
+        assert!(answered > 50, "only {answered} answers to compare");
+    }
+
+    one_key_runs_once_at_two_nodes_at_once => {
+        let mesh = two_nodes(json!({"repeat": "never"})).await;
+        let target = mesh.target(1, "s").await;
+        target.delay_ms.store(100, Ordering::SeqCst);
+        let key = mesh.key(0, "s").await;
+        let send = |i: usize, body: &'static str| {
+            client().post(mesh.url(i, "/s")).header("idempotency-key", &key).body(body).send()
+        };
+        let both = join_all([send(0, "debit"), send(1, "debit"), send(0, "debit")]).await;
+        let mut outcomes = Vec::new();
+        for response in both {
+            let response = response.unwrap();
+            outcomes.push(outcome(&response).to_owned());
+            assert_eq!(response.text().await.unwrap(), "t1 /s debit");
+        }
+        outcomes.sort();
+        assert_eq!(outcomes, ["answered", "recorded", "recorded"]);
+        let again = send(1, "debit").await.unwrap();
+        assert_eq!(outcome(&again), "recorded");
+        let other = send(1, "another debit").await.unwrap();
+        assert_eq!((other.status().as_u16(), outcome(&other)), (422, "not-run"));
+        assert_eq!(target.hits(), 1);
+    }
+
+    key_of_a_gone_process_is_unknown_not_run_elsewhere => {
+        let mut mesh = two_nodes(json!({"repeat": "never"})).await;
+        let gone = mesh.target(1, "s").await;
+        let key = mesh.key(0, "s").await;
+        let send = || client().post(mesh.url(0, "/s")).header("idempotency-key", &key).body("debit").send();
+        assert_eq!(outcome(&send().await.unwrap()), "answered");
+        mesh.stop(1).await;
+        let other = mesh.target(0, "s").await;
+        let send = || client().post(mesh.url(0, "/s")).header("idempotency-key", &key).body("debit").send();
+        assert_eq!(outcome(&send().await.unwrap()), "unknown");
+        assert_eq!((gone.hits(), other.hits()), (1, 0));
+        // A new key is for a new request, and goes to whoever is there.
+        let key = mesh.key(0, "s").await;
+        let fresh = client().post(mesh.url(0, "/s")).header("idempotency-key", key).body("debit").send();
+        assert_eq!(outcome(&fresh.await.unwrap()), "answered");
+    }
+
+    lost_answer_to_a_keyed_request_is_recorded => {
+        let mesh = two_nodes(json!({"repeat": "never"})).await;
+        let target = mesh.target(1, "s").await;
+        target.delay_ms.store(300, Ordering::SeqCst);
+        let key = mesh.key(0, "s").await;
+        let send = |i: usize| client().post(mesh.url(i, "/s")).header("idempotency-key", &key).body("debit").send();
+        // The caller goes away while the request runs, and asks elsewhere.
+        assert!(tokio::time::timeout(Duration::from_millis(100), send(0)).await.is_err());
+        let response = until("the record", || async {
+            let response = send(1).await.ok()?;
+            (outcome(&response) == "recorded").then_some(response)
+        })
+        .await;
+        assert_eq!(response.text().await.unwrap(), "t1 /s debit");
+        assert_eq!(target.hits(), 1);
+    }
+
+    key_not_issued_here_is_refused => {
+        let mesh = two_nodes(json!({"repeat": "never"})).await;
+        let target = mesh.target(1, "s").await;
+        let forged = format!("n1.{}.{:032x}", mesh.daemons[1].node.incarnation, 5);
+        for (key, status, said) in [("a-key-of-mine", 400, "not-run"), (forged.as_str(), 410, "unknown")] {
+            let sent = client().post(mesh.url(0, "/s")).header("idempotency-key", key).body("debit").send();
+            let response = sent.await.unwrap();
+            assert_eq!((response.status().as_u16(), outcome(&response)), (status, said));
+        }
+        assert_eq!(target.hits(), 0);
+    }
+
+    drain_sends_new_and_queued_work_elsewhere => {
+        let mesh = two_nodes(json!({"slots": 1, "queue": 8})).await;
+        let leaving = mesh.target(0, "s").await;
+        let staying = mesh.target(1, "s").await;
+        leaving.delay_ms.store(400, Ordering::SeqCst);
+        let calls = (0..3).map(|i| client().post(mesh.url(0, "/s")).body(format!("{i}")).send());
+        let calls = tokio::spawn(join_all(calls));
+        until("one runs there", || async { (leaving.hits() == 1).then_some(()) }).await;
+        let at = mesh.daemons[0].listen.operators;
+        let left: Vec<Value> = mesh::post(at, "drain", &json!({"service": "s"})).await.unwrap();
+        assert_eq!(left[0]["draining"], true);
+        let hits = leaving.hits();
+        for response in calls.await.unwrap() {
+            assert_eq!(outcome(&response.unwrap()), "answered");
+        }
+        for _ in 0..5 {
+            let response = client().post(mesh.url(1, "/s")).body("new").send().await.unwrap();
+            assert_eq!(response.headers()["x-target"], "t1");
+        }
+        // What waited at the drain was refused there, not run, and went on.
+        assert_eq!(leaving.hits(), hits);
+        assert!(staying.hits() >= 5);
+    }
+
+    deadline_passes_through_and_is_told_as_unknown => {
+        let mesh = two_nodes(json!({"repeat": "never"})).await;
+        let target = mesh.target(1, "s").await;
+        target.delay_ms.store(5_000, Ordering::SeqCst);
+        let sent = client().post(mesh.url(0, "/s")).header("rilltrack-deadline-ms", "200").body("x").send();
+        let response = sent.await.unwrap();
+        assert_eq!((response.status().as_u16(), outcome(&response)), (504, "unknown"));
+        let sent = client().post(mesh.url(0, "/s")).header("rilltrack-deadline-ms", "0").body("x").send();
+        assert_eq!(outcome(&sent.await.unwrap()), "not-run");
+        assert_eq!(target.hits(), 1);
+    }
+
+    slow_lookup_is_hedged => {
+        let mesh = two_nodes(json!({"hedge_after": "50ms"})).await;
+        let slow = mesh.target(0, "s").await;
+        let quick = mesh.target(1, "s").await;
+        slow.delay_ms.store(3_000, Ordering::SeqCst);
+        let response = client().get(mesh.url(0, "/s")).send().await.unwrap();
+        assert_eq!(response.headers()["x-target"], "t1");
+        assert_eq!((slow.hits(), quick.hits()), (1, 1));
+    }
+
+    failing_target_is_ejected_but_never_the_last_one => {
+        let mesh = two_nodes(json!({})).await;
+        let failing = mesh.target(0, "s").await;
+        failing.status.store(500, Ordering::SeqCst);
+        for _ in 0..8 {
+            // The target's own fault is its answer, and passed on as such.
+            let response = client().get(mesh.url(0, "/s")).send().await.unwrap();
+            assert_eq!((response.status().as_u16(), outcome(&response)), (500, "answered"));
+        }
+        assert_eq!(failing.hits(), 8);
+        let healthy = mesh.target(1, "s").await;
+        for _ in 0..8 {
+            let response = client().get(mesh.url(0, "/s")).send().await.unwrap();
+            assert_eq!(response.status().as_u16(), 200);
+        }
+        assert_eq!((failing.hits(), healthy.hits()), (8, 8));
+    }
+
+    stale_sender_is_refused_by_the_stricter_view => {
+        let mesh = two_nodes(json!({})).await;
+        let target = mesh.target(1, "s").await;
+        let boundary = json!({"kind": "boundary", "name": "stay", "services": {"all": true},
+            "from": {"match_labels": {"name": "palermo"}}, "to": {"match_labels": {"name": "palermo"}}});
+        let inbound = mesh.daemons[1].listen.inbound;
+        let send = |domain: &'static str| {
+            let sent = client().get(format!("http://{inbound}/s"));
+            sent.header("rilltrack-service", "s").header("rilltrack-domain", domain).send()
+        };
+        assert_eq!(outcome(&send("palermo").await.unwrap()), "answered");
+        mesh.publish("narrow", ops(&[boundary])).await;
+        let response = send("palermo").await.unwrap();
+        assert_eq!((response.status().as_u16(), outcome(&response)), (503, "not-run"));
+        assert_eq!(outcome(&send("catania").await.unwrap()), "answered");
+        assert_eq!(outcome(&client().get(format!("http://{inbound}/s")).send().await.unwrap()), "not-run");
+        assert_eq!(target.hits(), 2);
+    }
+
+    bad_input_is_refused_before_any_target => {
+        let mesh = two_nodes(json!({"max_body": "1KiB"})).await;
+        let target = mesh.target(1, "s").await;
+        let callers = mesh.daemons[0].listen.callers;
+        let long = format!("GET /s HTTP/1.1\r\nhost: h\r\nx-long: {}\r\n\r\n", "a".repeat(1 << 20));
+        let raw_inputs = [
+            "POST /s HTTP/1.1\r\nhost: h\r\ncontent-length: 3\r\ncontent-length: 5\r\n\r\nabcde",
+            "POST /s HTTP/1.1\r\nhost: h\r\ncontent-length: nan\r\n\r\nabc",
+            "GET /s HTTP/1.1\r\nhost: h\r\nbad header\r\n\r\n",
+            "\u{0}\u{1}\u{2}\r\n\r\n",
+            &long,
+        ];
+        for input in raw_inputs {
+            let answer = raw::exchange(callers, input.as_bytes()).await;
+            let refused = answer.is_empty() || answer.starts_with("HTTP/1.1 4");
+            assert!(refused, "{:?} got {answer:?}", &input[..40.min(input.len())]);
+        }
+        let large = client().post(mesh.url(0, "/s")).body(vec![0u8; 2000]).send().await.unwrap();
+        assert_eq!((large.status().as_u16(), outcome(&large)), (413, "not-run"));
+        let unknown = client().get(mesh.url(0, "/nowhere")).send().await.unwrap();
+        assert_eq!((unknown.status().as_u16(), outcome(&unknown)), (404, "not-run"));
+        assert_eq!(target.hits(), 0);
+        assert_eq!(outcome(&client().get(mesh.url(0, "/s")).send().await.unwrap()), "answered");
+    }
+
+    target_cannot_speak_for_the_system => {
+        let mesh = two_nodes(json!({})).await;
+        let lie = b"HTTP/1.1 503 Full\r\nrilltrack-outcome: not-run\r\ncontent-length: 2\r\n\r\nok".to_vec();
+        let (address, hits) = raw::target(move |_| Some(lie.clone())).await;
+        mesh.announce(1, "s", address).await;
+        let response = client().post(mesh.url(0, "/s")).body("debit").send().await.unwrap();
+        assert_eq!((response.status().as_u16(), outcome(&response)), (503, "answered"));
+        assert_eq!(hits.load(Ordering::SeqCst), 1);
+    }
+
+    sigterm_cuts_off_neither_upload_nor_download => {
+        let program = Path::new(env!("CARGO_BIN_EXE_rilltrackd"));
+        let log = Log::start();
+        let mut nodes = processes(program, &log, &[("a1", "palermo"), ("b1", "catania")]).await;
+        let policy = json!({"max_body": "1GiB", "timeout": "30s"});
+        let version = publish(nodes[0].listen.operators, "base", ops(&resources(&DOMAINS, "s", policy))).await;
+        for node in &nodes {
+            reached(&node.listen, version).await;
+        }
+        let target = Target::start("t", "s");
+        let listens = [&nodes[0].listen, &nodes[1].listen];
+        attach(&target, listens[1], &listens).await;
+        // The body goes up and comes down while both nodes are told to end.
+        let (feed, body) = tokio::sync::mpsc::channel::<Result<Vec<u8>, std::io::Error>>(1);
+        let body = futures_util::stream::unfold(body, |mut body| async { Some((body.recv().await?, body)) });
+        let url = format!("http://{}/s/echo", nodes[0].listen.callers);
+        feed.send(Ok(vec![0; 1000])).await.unwrap();
+        let call = tokio::spawn(client().put(url).body(reqwest::Body::wrap_stream(body)).send());
+        until("the request is at the target", || async { (target.hits() == 1).then_some(()) }).await;
+        nodes.iter().for_each(|node| node.signal(libc::SIGTERM));
+        let refused = until("new work is refused", || async {
+            let sent = client().get(format!("http://{}/s", nodes[0].listen.callers)).send().await;
+            match sent {
+                Ok(response) => (outcome(&response) == "not-run").then_some(()),
+                Err(error) => error.is_connect().then_some(()),
+            }
+        });
+        refused.await;
+        for i in 1..50u8 {
+            feed.send(Ok(vec![i; 1000])).await.unwrap();
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        drop(feed);
+        let answer = call.await.unwrap().unwrap().bytes().await.unwrap();
+        assert_eq!(answer.len(), 50_000);
+        for node in &mut nodes {
+            assert_eq!(node.ended().await, Some(0));
+        }
+    }
+
+    large_bodies_pass_whole => {
+        let mesh = two_nodes(json!({"max_body": "1GiB", "timeout": "30s"})).await;
+        mesh.target(1, "s").await;
+        let mut hasher = blake3::Hasher::new();
+        let pieces: Vec<Vec<u8>> = (0..512u32).map(|i| vec![i as u8; 65_536]).collect();
+        pieces.iter().for_each(|piece| { hasher.update(piece); });
+        let body = futures_util::stream::iter(pieces.into_iter().map(Ok::<_, std::io::Error>));
+        let body = reqwest::Body::wrap_stream(body);
+        let response = client().post(mesh.url(0, "/s/digest")).body(body).send().await.unwrap();
+        assert_eq!(response.text().await.unwrap(), hasher.finalize().to_hex().to_string());
+    }
+}
--- /dev/null
+++ b/tests/support/local.rs
@@ -0,0 +1,131 @@
+//! A mesh of daemons within the test's own process.
+
+use std::net::SocketAddr;
+
+use rilltrack::{
+    daemon::Daemon,
+    settings::{Listen, Settings},
+    state::change::Op,
+};
+use serde_json::{Value, json};
+
+use super::{
+    log::Log,
+    mesh::{self, attach, knows, publish, reached, ready},
+    target::{self, Target},
+    until,
+};
+
+pub struct Mesh {
+    pub log: Log,
+    pub daemons: Vec<Daemon>,
+}
+
+impl Mesh {
+    /// Starts daemons `n0`, `n1`, … in these domains, with `resources` in
+    /// force.
+    pub async fn start(domains: &[&str], resources: &[Value]) -> Self {
+        let log = Log::start();
+        let mut daemons: Vec<Daemon> = Vec::new();
+        for (i, domain) in domains.iter().enumerate() {
+            let seeds: Vec<SocketAddr> = daemons
+                .first()
+                .map(|d| d.listen.peers)
+                .into_iter()
+                .collect();
+            let settings = mesh::settings(&format!("n{i}"), domain, &log.url(), &seeds);
+            let settings: Settings = serde_json::from_value(settings).unwrap();
+            daemons.push(
+                tokio::task::spawn_blocking(|| Daemon::start(settings).unwrap())
+                    .await
+                    .unwrap(),
+            );
+        }
+        let mesh = Self { log, daemons };
+        for daemon in &mesh.daemons {
+            ready(&daemon.listen).await;
+            knows(&daemon.listen, domains.len()).await;
+        }
+        mesh.publish("base", mesh::ops(resources)).await;
+        mesh
+    }
+
+    pub async fn publish(&self, id: &str, ops: Vec<Op>) {
+        let version = publish(self.daemons[0].listen.operators, id, ops).await;
+        for daemon in &self.daemons {
+            reached(&daemon.listen, version).await;
+        }
+    }
+
+    pub fn listens(&self) -> Vec<&Listen> {
+        self.daemons.iter().map(|daemon| &daemon.listen).collect()
+    }
+
+    /// Starts a target of `service` beside daemon `i`.
+    pub async fn target(&self, i: usize, service: &str) -> Target {
+        let target = Target::start(&format!("t{i}"), service);
+        attach(&target, &self.daemons[i].listen, &self.listens()).await;
+        target
+    }
+
+    /// Announces any address as a target of `service` beside daemon `i`.
+    pub async fn announce(&self, i: usize, service: &str, address: SocketAddr) {
+        let at = self.daemons[i].listen.targets;
+        target::announce(at, service, address).await;
+        for listen in self.listens() {
+            until("the target is known", || async {
+                let report = mesh::report(listen).await?;
+                report
+                    .members
+                    .iter()
+                    .flat_map(|m| &m.targets)
+                    .any(|t| t.address == address)
+                    .then_some(())
+            })
+            .await;
+        }
+    }
+
+    pub fn url(&self, i: usize, path: &str) -> String {
+        format!("http://{}{path}", self.daemons[i].listen.callers)
+    }
+
+    /// Gets one idempotency key for `service` at daemon `i`.
+    pub async fn key(&self, i: usize, service: &str) -> String {
+        let url = self.url(i, &format!("/rilltrack/keys?service={service}"));
+        let response = super::client().post(url).send().await.unwrap();
+        let issued: Value = serde_json::from_slice(&response.bytes().await.unwrap()).unwrap();
+        issued["keys"][0]
+            .as_str()
+            .expect("a key is issued")
+            .to_owned()
+    }
+
+    /// Stops daemon `i` in good order.
+    pub async fn stop(&mut self, i: usize) {
+        let daemon = self.daemons.remove(i);
+        tokio::task::spawn_blocking(|| daemon.stop()).await.unwrap();
+    }
+}
+
+/// A mesh in which service `name` follows a policy with these fields changed.
+pub fn resources(domains: &[&str], name: &str, changed: Value) -> Vec<Value> {
+    let mut policy = json!({
+        "kind": "policy", "name": "p", "timeout": "5s", "slots": 4, "queue": 8,
+        "class": "normal", "repeat": "by-method"
+    });
+    for (field, value) in changed.as_object().unwrap() {
+        policy[field] = value.clone();
+    }
+    let mut resources: Vec<Value> = domains
+        .iter()
+        .map(|d| json!({"kind": "domain", "name": d, "labels": {"name": d}}))
+        .collect();
+    resources.extend([
+        policy,
+        json!({"kind": "service", "name": name, "policy": "p"}),
+        json!({"kind": "boundary", "name": "anywhere", "services": {"all": true}, "to": {"all": true}}),
+        json!({"kind": "route", "name": name, "path": format!("/{name}"), "service": name}),
+    ]);
+    resources
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -2,8 +2,10 @@
 #![allow(dead_code, reason = "every test file uses its own part of this")]
 
 pub mod link;
+pub mod local;
 pub mod log;
 pub mod mesh;
+pub mod raw;
 pub mod scenario;
 pub mod target;
 
--- /dev/null
+++ b/tests/support/raw.rs
@@ -0,0 +1,83 @@
+//! Targets that misbehave, and callers that do: raw bytes over TCP.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+};
+
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+};
+
+/// Serves each request on each connection by `answer`, which gets the number
+/// of the request; `None` closes the connection without an answer. Returns
+/// the address and the count of requests.
+pub async fn target(
+    answer: impl Fn(u64) -> Option<Vec<u8>> + Send + Sync + 'static,
+) -> (SocketAddr, Arc<AtomicU64>) {
+    let socket = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = socket.local_addr().unwrap();
+    let hits = Arc::new(AtomicU64::new(0));
+    let (answer, counted) = (Arc::new(answer), hits.clone());
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = socket.accept().await {
+            tokio::spawn(serve(stream, answer.clone(), counted.clone()));
+        }
+    });
+    (address, hits)
+}
+
+async fn serve(
+    mut stream: TcpStream,
+    answer: Arc<impl Fn(u64) -> Option<Vec<u8>>>,
+    hits: Arc<AtomicU64>,
+) {
+    while read_request(&mut stream).await.is_some() {
+        let number = hits.fetch_add(1, Ordering::SeqCst);
+        let Some(bytes) = answer(number) else { return };
+        let closes = !bytes.ends_with(b"\r\n\r\nok");
+        if stream.write_all(&bytes).await.is_err() || closes {
+            return;
+        }
+    }
+}
+
+/// Reads the head of a request and as much body as its length says.
+async fn read_request(stream: &mut TcpStream) -> Option<()> {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        head.push(stream.read_u8().await.ok()?);
+    }
+    let head = String::from_utf8_lossy(&head).to_lowercase();
+    let length = head
+        .lines()
+        .find_map(|line| line.strip_prefix("content-length:")?.trim().parse().ok());
+    let mut body = vec![0; length.unwrap_or(0)];
+    stream.read_exact(&mut body).await.ok()?;
+    Some(())
+}
+
+/// Sends `bytes` and returns all that comes back before the connection ends
+/// or stands still.
+pub async fn exchange(to: SocketAddr, bytes: &[u8]) -> String {
+    let mut stream = TcpStream::connect(to).await.unwrap();
+    // A server may answer and close before it has read all.
+    let _ = stream.write_all(bytes).await;
+    let mut answer = Vec::new();
+    let mut piece = [0; 4096];
+    loop {
+        let read = tokio::time::timeout(
+            std::time::Duration::from_millis(700),
+            stream.read(&mut piece),
+        )
+        .await;
+        match read {
+            Ok(Ok(count)) if count > 0 => answer.extend(&piece[..count]),
+            _ => return String::from_utf8_lossy(&answer).into(),
+        }
+    }
+}
