--- a/src/state/check.rs
+++ b/src/state/check.rs
@@ -285,7 +285,7 @@
                 {
                     add(
                         "methods",
-                        "are written in capitals, for example `GET`".into(),
+                        "must be written in capitals, for example `GET`".into(),
                     );
                 }
                 if let Some(what) = route.proxies.problem() {
--- a/src/state/resource.rs
+++ b/src/state/resource.rs
@@ -243,9 +243,12 @@
 /// A text that is not a resource key.
 #[derive(Clone, Debug, thiserror::Error)]
 pub enum Error {
-    /// The kind is unknown or the `/` is missing.
-    #[error("`{0}` does not start with domain/, policy/, service/, boundary/ or route/")]
+    /// The kind is unknown.
+    #[error("`{0}` is not a kind: use domain, policy, service, boundary or route")]
     Kind(String),
+    /// The `/` is missing.
+    #[error("`{0}` is not a key, for example `service/balance`")]
+    Key(String),
     /// The name is not a name.
     #[error(transparent)]
     Name(#[from] id::Error),
@@ -268,7 +271,7 @@
     fn from_str(text: &str) -> Result<Self, Error> {
         let (kind, name) = text
             .split_once('/')
-            .ok_or_else(|| Error::Kind(text.into()))?;
+            .ok_or_else(|| Error::Key(text.into()))?;
         Ok(Self {
             kind: kind.parse()?,
             name: name.parse()?,
--- /dev/null
+++ b/tests/product.rs
@@ -0,0 +1,323 @@
+//! The product around the core: settings, configuration files, the tool and
+//! its exit codes, the event catalogue, TLS.
+
+mod support;
+
+use std::{
+    fs,
+    path::{Path, PathBuf},
+    process::{Command, Output},
+};
+
+use rilltrack::{
+    document::Document,
+    event::Event,
+    files::Files,
+    settings::Settings,
+    unit::{Percent, Size, Span},
+};
+use serde_json::json;
+use support::{
+    client,
+    log::{Log, Mood},
+    mesh::{Process, attach, basic_ops, knows, processes, publish, reached, ready, settings},
+    target::Target,
+};
+use tempfile::TempDir;
+
+const DAEMON: &str = env!("CARGO_BIN_EXE_rilltrackd");
+const TOOL: &str = env!("CARGO_BIN_EXE_rilltrack");
+
+/// Names each case of plain tests.
+macro_rules! cases {
+    ($($name:ident => $body:block)*) => {
+        $(#[test] fn $name() $body)*
+    };
+}
+
+fn faults_of_settings(text: &str) -> String {
+    let document = Document::parse("s.jsonc", text).unwrap();
+    let faults = Settings::from_document(&document).unwrap_err();
+    faults.iter().map(|fault| format!("{fault}\n")).collect()
+}
+
+fn faults_of_files(text: &str) -> String {
+    let document = match Document::parse("f.jsonc", text) {
+        Ok(document) => document,
+        Err(fault) => return format!("{fault}\n"),
+    };
+    let faults = Files::from_documents(vec![document], Vec::new()).unwrap_err();
+    faults.iter().map(|fault| format!("{fault}\n")).collect()
+}
+
+fn example(name: &str) -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR"))
+        .join("examples/config")
+        .join(name)
+}
+
+cases! {
+    example_files_have_no_faults => {
+        for name in ["obliteratori-trinacria.jsonc", "fensterwerk.jsonc"] {
+            let files = Files::read(&[example(name)]).unwrap_or_else(|faults| panic!("{faults:?}"));
+            assert_eq!(files.warnings(), []);
+        }
+        Settings::read(&example("rilltrackd.jsonc")).unwrap();
+    }
+
+    all_contradictions_of_settings_come_at_once_with_their_lines => {
+        let text = fs::read_to_string(example("rilltrackd.jsonc")).unwrap();
+        let text = text
+            .replace("\"period\": \"1s\"", "\"period\": \"100ms\"")
+            .replace("127.0.0.1:7001", "127.0.0.1:7000")
+            .replace("127.0.0.1:7003", "10.0.0.1:7003")
+            .replace("http://", "ftp://");
+        insta::assert_snapshot!(faults_of_settings(&text), @r"
+        s.jsonc:29: `membership.timeout`: must be below `period`, or pings overlap
+        s.jsonc:17: `log.url`: must start with http:// or https://
+        s.jsonc:8: `listen.callers`: is used twice
+        s.jsonc:9: `listen.inbound`: is used twice
+        s.jsonc:11: `listen.targets`: must be a loopback address: only targets on this host may announce
+        ");
+    }
+
+    unknown_setting_is_refused => {
+        let text = fs::read_to_string(example("rilltrackd.jsonc")).unwrap();
+        let text = text.replace("\"drain\": \"30s\"", "\"drian\": \"30s\"");
+        let faults = faults_of_settings(&text);
+        assert!(faults.starts_with("s.jsonc:30: `requests.drian`: unknown field `drian`"), "{faults}");
+    }
+
+    all_faults_of_files_come_at_once_with_their_lines => {
+        let text = r#"[
+  {"kind": "policy", "name": "p", "timeout": "5 seconds", "slots": 1, "queue": 1, "class": "normal", "repeat": "never"},
+  {"kind": "servise", "name": "s", "policy": "p"},
+  {"kind": "service", "name": "t", "policy": "none"},
+  {"kind": "boundary", "name": "b", "services": {}, "to": {"match_label": {"a": "b"}}},
+  {"kind": "boundary", "name": "c", "services": {}, "to": {"all": true}},
+  {"kind": "route", "name": "r", "path": "x", "methods": ["get"], "service": "t"}
+]"#;
+        insta::assert_snapshot!(faults_of_files(text));
+    }
+
+    file_that_is_not_json_names_the_line => {
+        let faults = faults_of_files("[\n  {\"kind\": \"domain\",, }\n]");
+        assert!(faults.starts_with("f.jsonc:2: is not JSON"), "{faults}");
+    }
+
+    quantities_are_written_as_they_are_read => {
+        for text in ["0ms", "250ms", "17s", "10min", "3h", "2d"] {
+            assert_eq!(text.parse::<Span>().unwrap().to_string(), text);
+        }
+        for text in ["1B", "64KiB", "3MiB", "2GiB"] {
+            assert_eq!(text.parse::<Size>().unwrap().to_string(), text);
+        }
+        assert_eq!("10%".parse::<Percent>().unwrap().to_string(), "10%");
+        for text in ["", "5", "5 s", "s", "-1s", "99999999999999999999d"] {
+            assert!(text.parse::<Span>().is_err(), "{text}");
+        }
+        assert!("101%".parse::<Percent>().is_err());
+    }
+
+    catalogue_and_code_list_the_same_events => {
+        let catalogue = fs::read_to_string(Path::new(env!("CARGO_MANIFEST_DIR")).join("docs/EVENTS.md")).unwrap();
+        let listed: Vec<&str> = catalogue.lines().filter(|line| line.starts_with("| E")).collect();
+        let known: Vec<String> = Event::ALL
+            .iter()
+            .map(|e| format!("| E{} | {} | {} | {} |", e.code(), e.level(), e.name(), e.meaning()))
+            .collect();
+        assert_eq!(listed, known);
+    }
+}
+
+fn tool(daemon: &Process, args: &[&str]) -> (i32, String) {
+    let at = daemon.listen.operators.to_string();
+    code(
+        Command::new(TOOL)
+            .args(["--daemon", &at])
+            .args(args)
+            .output()
+            .unwrap(),
+    )
+}
+
+fn code(output: Output) -> (i32, String) {
+    let text = String::from_utf8_lossy(&output.stdout).into_owned()
+        + &String::from_utf8_lossy(&output.stderr);
+    (output.status.code().unwrap(), text)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn tool_tells_outcomes_by_exit_code() {
+    let log = Log::start();
+    let mesh = processes(
+        Path::new(DAEMON),
+        &log,
+        &[("a1", "palermo"), ("b1", "catania")],
+    )
+    .await;
+    let file = example("obliteratori-trinacria.jsonc");
+    let file = file.to_str().unwrap();
+    let dir = TempDir::new().unwrap();
+    let write = |name: &str, text: &str| {
+        let path = dir.path().join(name);
+        fs::write(&path, text).unwrap();
+        path.to_str().unwrap().to_owned()
+    };
+
+    assert_eq!(
+        code(Command::new(TOOL).args(["check", file]).output().unwrap()).0,
+        0
+    );
+    let (accepted, said) = tool(&mesh[0], &["publish", file, "--wait", "20s"]);
+    assert_eq!(accepted, 0, "{said}");
+    assert!(said.contains("is in force on all 2 nodes"), "{said}");
+    assert!(tool(&mesh[1], &["diff", file]).1.contains("no difference"));
+
+    let broken = write(
+        "broken.jsonc",
+        r#"[{"kind": "service", "name": "x", "policy": "none"}]"#,
+    );
+    assert_eq!(tool(&mesh[0], &["publish", &broken]).0, 3);
+    let policy_only = write(
+        "policy.jsonc",
+        r#"[{"kind": "policy", "name": "ledger", "timeout": "1s", "slots": 1,
+        "queue": 1, "class": "normal", "repeat": "never"}]"#,
+    );
+    assert_eq!(tool(&mesh[1], &["publish", &policy_only, "--prune"]).0, 0);
+    let gone = tool(&mesh[0], &["rollback", "0.1", "--wait", "20s"]);
+    assert_eq!(gone.0, 0, "{}", gone.1);
+    assert!(tool(&mesh[1], &["diff", file]).1.contains("no difference"));
+    let expected = tool(
+        &mesh[1],
+        &["label", "domain/palermo", "a=b", "--expect", "0.1"],
+    );
+    assert_eq!(expected.0, 4, "{}", expected.1);
+    assert_eq!(
+        tool(&mesh[1], &["label", "domain/palermo", "jurisdiction=fr"]).0,
+        0
+    );
+    let explained = tool(&mesh[0], &["explain", "/balance/fare-rules"]);
+    assert!(
+        explained
+            .1
+            .contains("route/fare-rules leads to service/balance"),
+        "{}",
+        explained.1
+    );
+    assert!(tool(&mesh[0], &["history"]).1.contains("back to 0.1"));
+    assert!(
+        tool(&mesh[0], &["--json", "status"])
+            .1
+            .contains("\"ready\":true")
+    );
+
+    log.set_mood(Mood::Down);
+    assert_eq!(tool(&mesh[0], &["label", "domain/palermo", "a=b"]).0, 6);
+    log.set_mood(Mood::Hanging);
+    assert_eq!(tool(&mesh[0], &["label", "domain/palermo", "a=b"]).0, 5);
+    log.set_mood(Mood::Well);
+    let at = mesh[1].listen.operators.to_string();
+    drop(mesh);
+    assert_eq!(
+        code(
+            Command::new(TOOL)
+                .args(["--daemon", &at, "status"])
+                .output()
+                .unwrap()
+        )
+        .0,
+        6
+    );
+}
+
+/// An authority and certificates that it signs, for 127.0.0.1.
+struct Authority {
+    issuer: rcgen::Issuer<'static, rcgen::KeyPair>,
+    dir: TempDir,
+}
+
+impl Authority {
+    fn new() -> Self {
+        let mut params = rcgen::CertificateParams::new(Vec::new()).unwrap();
+        params.is_ca = rcgen::IsCa::Ca(rcgen::BasicConstraints::Unconstrained);
+        let key = rcgen::KeyPair::generate().unwrap();
+        let certificate = params.self_signed(&key).unwrap();
+        let dir = TempDir::new().unwrap();
+        fs::write(dir.path().join("authority.pem"), certificate.pem()).unwrap();
+        Self {
+            issuer: rcgen::Issuer::new(params, key),
+            dir,
+        }
+    }
+
+    fn issue(&self, name: &str) -> serde_json::Value {
+        let key = rcgen::KeyPair::generate().unwrap();
+        let params = rcgen::CertificateParams::new(vec!["127.0.0.1".to_owned()]).unwrap();
+        let certificate = params.signed_by(&key, &self.issuer).unwrap();
+        let path = |end: &str| self.dir.path().join(format!("{name}.{end}"));
+        fs::write(path("pem"), certificate.pem()).unwrap();
+        fs::write(path("key"), key.serialize_pem()).unwrap();
+        json!({"tls": {"certificate": path("pem"), "key": path("key"),
+            "authority": self.dir.path().join("authority.pem")}})
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn only_nodes_with_the_authoritys_certificate_are_peers() {
+    let (log, authority, stranger) = (Log::start(), Authority::new(), Authority::new());
+    let start =
+        |name: &str, domain: &str, authority: &Authority, seeds: &[std::net::SocketAddr]| {
+            let mut settings = settings(name, domain, &log.url(), seeds);
+            settings["security"] = authority.issue(name);
+            Process::start(Path::new(DAEMON), &settings)
+        };
+    let a = start("a1", "palermo", &authority, &[]);
+    let b = start("b1", "catania", &authority, &[a.listen.peers]);
+    for node in [&a, &b] {
+        ready(&node.listen).await;
+        knows(&node.listen, 2).await;
+    }
+    let version = publish(
+        a.listen.operators,
+        "base",
+        basic_ops(&["palermo", "catania"], "s"),
+    )
+    .await;
+    reached(&b.listen, version).await;
+    let target = Target::start("t", "s");
+    attach(&target, &b.listen, &[&a.listen, &b.listen]).await;
+    let response = client()
+        .get(format!("http://{}/s", a.listen.callers))
+        .send()
+        .await
+        .unwrap();
+    assert_eq!(response.text().await.unwrap(), "t /s ");
+
+    // A node of another authority, and plain HTTP, get nowhere.
+    let c = start("c1", "palermo", &stranger, &[a.listen.peers]);
+    ready(&c.listen).await;
+    knows(&c.listen, 1).await;
+    knows(&a.listen, 2).await;
+    for address in [a.listen.peers, b.listen.inbound] {
+        let sent = client()
+            .get(format!("http://{address}/s"))
+            .header("rilltrack-service", "s")
+            .send()
+            .await;
+        assert!(sent.is_err() || !sent.unwrap().status().is_success());
+        let insecure = client_without_certificate()
+            .get(format!("https://{address}/s"))
+            .send()
+            .await;
+        assert!(insecure.is_err());
+    }
+    assert_eq!(target.hits(), 1);
+}
+
+fn client_without_certificate() -> reqwest::Client {
+    rilltrack::transport::http::client()
+        .tls_danger_accept_invalid_certs(true)
+        .build()
+        .unwrap()
+}
--- a/tests/support/target.rs
+++ b/tests/support/target.rs
@@ -29,6 +29,9 @@
     pub hits: Arc<AtomicU64>,
     /// Milliseconds each request takes.
     pub delay_ms: Arc<AtomicU64>,
+    /// Requests it runs at a time, 0 for any number; more wait in line.
+    pub slots: Arc<AtomicU64>,
+    line: Arc<parking_lot::Mutex<Arc<tokio::sync::Semaphore>>>,
     /// Bodies digested that arrived whole, and that broke off.
     pub whole: Arc<AtomicU64>,
     pub broken: Arc<AtomicU64>,
@@ -47,6 +50,10 @@
             address: socket.local_addr().unwrap(),
             hits: Arc::default(),
             delay_ms: Arc::default(),
+            slots: Arc::default(),
+            line: Arc::new(parking_lot::Mutex::new(Arc::new(
+                tokio::sync::Semaphore::new(0),
+            ))),
             whole: Arc::default(),
             broken: Arc::default(),
             status: Arc::default(),
@@ -73,6 +80,32 @@
         self.hits.load(Ordering::SeqCst)
     }
 
+    /// Forgets requests that wait in line, as after a restart.
+    pub fn forget_waiting(&self) {
+        let slots = self.slots.load(Ordering::SeqCst) as usize;
+        *self.line.lock() = Arc::new(tokio::sync::Semaphore::new(slots));
+    }
+
+    /// Waits for a slot and takes the time of a request. A target goes on with
+    /// what it began, whether or not the caller still waits.
+    async fn work(&self) {
+        let delay = Duration::from_millis(self.delay_ms.load(Ordering::SeqCst));
+        if delay.is_zero() {
+            // Even an empty sleep lasts until the next millisecond.
+            return;
+        }
+        if self.slots.load(Ordering::SeqCst) == 0 {
+            return tokio::time::sleep(delay).await;
+        }
+        let line = self.line.lock().clone();
+        let work = tokio::spawn(async move {
+            let _slot = line.acquire_owned().await;
+            tokio::time::sleep(delay).await;
+        });
+        // It can't panic and nobody cancels it.
+        let _ = work.await;
+    }
+
     /// Bodies digested that ended, one way or another.
     pub fn ended(&self) -> u64 {
         self.whole.load(Ordering::SeqCst) + self.broken.load(Ordering::SeqCst)
@@ -111,7 +144,7 @@
 impl Handler for Target {
     async fn handle(&self, req: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
         self.hits.fetch_add(1, Ordering::SeqCst);
-        tokio::time::sleep(Duration::from_millis(self.delay_ms.load(Ordering::SeqCst))).await;
+        self.work().await;
         let status = self.status.load(Ordering::SeqCst) as u16;
         if status != 0 {
             res.status_code(StatusCode::from_u16(status).unwrap());
