--- a/examples/capacity.rs
+++ b/examples/capacity.rs
@@ -31,7 +31,7 @@
         member::{Member, Status, Table, Target},
         resource::{Boundary, Class, Domain, Policy, Repeat, Resource, Route, Service},
         selector::{Labels, Selector},
-        view::{Proxy, View},
+        view::{Distance, Proxy, View},
     },
     unit::{Percent, Size, Span},
 };
@@ -357,7 +357,11 @@
             .map(|m| {
                 let (cost, ejected) = health.look(&m.node, m.incarnation, 12, now);
                 Candidate {
-                    near: m.domain == domain,
+                    distance: if m.domain == domain {
+                        Distance::Domain
+                    } else {
+                        Distance::Beyond
+                    },
                     cost,
                     ejected,
                 }
--- a/src/coordination/gossip.rs
+++ b/src/coordination/gossip.rs
@@ -156,8 +156,10 @@
         fastrand::shuffle(&mut peers);
         peers.truncate(SOURCES);
         let first = join_all(peers.iter().map(|peer| self.ping(*peer))).await;
-        for peer in peers.iter().take(1) {
-            self.sync_with(*peer).await;
+        for peer in &peers {
+            if self.sync_with(*peer).await {
+                break;
+            }
         }
         let mut near: Vec<SocketAddr> = self.neighbours().iter().map(|m| m.peers).collect();
         near.retain(|peer| !peers.contains(peer));
@@ -333,13 +335,14 @@
         }
     }
 
-    /// Compares the whole table with that of `peer`, both ways.
-    async fn sync_with(&self, peer: SocketAddr) {
+    /// Compares the whole table with that of `peer`, both ways; returns
+    /// whether it came about.
+    async fn sync_with(&self, peer: SocketAddr) -> bool {
         let mine = self.node.table.read().marks().to_vec();
         let patience = Span::from_secs(2);
         let reply = (self.call)(peer, Frame::Sync(mine), patience).await;
         let Ok(Reply::Members { marks, members }) = reply else {
-            return;
+            return false;
         };
         let lacking: Vec<Member> = {
             let table = self.node.table.read();
@@ -360,6 +363,7 @@
             // If it gets lost, the next comparison finds it again.
             let _ = (self.call)(peer, Frame::Tell(lacking), patience).await;
         }
+        true
     }
 
     async fn ping(&self, peer: SocketAddr) -> Result<News, Error> {
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -11,6 +11,7 @@
 
 use arc_swap::ArcSwapOption;
 use parking_lot::{Mutex, RwLock};
+use tokio::sync::Semaphore;
 
 use crate::{
     coordination::{apply::Applier, door::Doors, gossip::Rumors},
@@ -28,6 +29,11 @@
 /// The most members in one message that are told on to others.
 const TOLD_ON: usize = 16;
 
+/// Large replies (snapshots, whole tables) that are under way at a time. A
+/// failure domain that comes back at once asks for hundreds; they take turns,
+/// or the memory for them would be many times what a node may use.
+const LARGE_REPLIES: usize = 8;
+
 /// One daemon, as its duties and its request path see it.
 pub struct Node {
     /// The settings.
@@ -52,6 +58,8 @@
     pub applier: Applier,
     /// What keeps the node from following the log.
     pub trouble: Mutex<Option<Trouble>>,
+    /// Leave to send a large reply to a peer.
+    pub large_replies: Arc<Semaphore>,
     /// Set when the daemon takes no new work.
     pub stopping: AtomicBool,
     /// Set once peers were asked for a view, so that the log may be read.
@@ -95,6 +103,7 @@
             doors: Doors::default(),
             applier,
             trouble: Mutex::new(None),
+            large_replies: Arc::new(Semaphore::new(LARGE_REPLIES)),
             stopping: AtomicBool::new(false),
             joined: AtomicBool::new(false),
             heard: Mutex::new(Version::default()),
--- a/src/coordination/pick.rs
+++ b/src/coordination/pick.rs
@@ -2,6 +2,8 @@
 
 use fastrand::Rng;
 
+use crate::state::view::Distance;
+
 /// Cost, in hundredths of a target's slots, from which another failure
 /// domain is worth its longer way.
 const SPILL: u32 = 90;
@@ -9,8 +11,8 @@
 /// What the choice looks at, for one target that is allowed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Candidate {
-    /// Whether it is in the failure domain of the proxy.
-    pub near: bool,
+    /// How far it is.
+    pub distance: Distance,
     /// Requests running and waiting over slots, in hundredths.
     pub cost: u32,
     /// Whether it is passed over for now.
@@ -20,50 +22,41 @@
 /// Why a target was chosen.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Reason {
-    /// The cheaper of two in this failure domain.
-    Near,
-    /// Those near are loaded or gone; the cheaper of two elsewhere.
-    Far,
+    /// The cheaper of two, at the nearest distance with room.
+    Room(Distance),
+    /// No distance has room; the cheapest of those drawn.
+    Loaded,
     /// All are ejected; any is better than none.
     LastResort,
 }
 
 /// Returns the index of the target to use among `candidates`, and why.
 ///
-/// Of each tier two are drawn and the cheaper one wins, which spreads load
-/// well without knowing all of it and without all proxies rushing to one.
+/// At each distance two are drawn and the cheaper one counts, which spreads
+/// load well without knowing all of it and without all proxies rushing to one.
+/// The nearest that has room wins.
 pub fn pick(candidates: &[Candidate], rng: &mut Rng) -> Option<(usize, Reason)> {
-    let tier = |near: bool| -> Vec<usize> {
-        let fits = |c: &Candidate| c.near == near && !c.ejected;
-        (0..candidates.len())
+    let mut cheapest: Option<usize> = None;
+    for distance in [Distance::Domain, Distance::Region, Distance::Beyond] {
+        let fits = |c: &Candidate| c.distance == distance && !c.ejected;
+        let tier: Vec<usize> = (0..candidates.len())
             .filter(|i| fits(&candidates[*i]))
-            .collect()
-    };
-    let near = cheaper_of_two(candidates, &tier(true), rng);
-    let Some(near) = near.filter(|i| candidates[*i].cost < SPILL) else {
-        let far = cheaper_of_two(candidates, &tier(false), rng);
-        return beyond(candidates, near, far, rng);
-    };
-    Some((near, Reason::Near))
-}
-
-fn beyond(
-    candidates: &[Candidate],
-    near: Option<usize>,
-    far: Option<usize>,
-    rng: &mut Rng,
-) -> Option<(usize, Reason)> {
-    match (near, far) {
-        (Some(near), Some(far)) if candidates[far].cost < candidates[near].cost => {
-            Some((far, Reason::Far))
+            .collect();
+        let Some(drawn) = cheaper_of_two(candidates, &tier, rng) else {
+            continue;
+        };
+        if candidates[drawn].cost < SPILL {
+            return Some((drawn, Reason::Room(distance)));
         }
-        (Some(near), _) => Some((near, Reason::Near)),
-        (None, Some(far)) => Some((far, Reason::Far)),
-        (None, None) => {
-            let all: Vec<usize> = (0..candidates.len()).collect();
-            cheaper_of_two(candidates, &all, rng).map(|i| (i, Reason::LastResort))
+        if cheapest.is_none_or(|held| candidates[drawn].cost < candidates[held].cost) {
+            cheapest = Some(drawn);
         }
     }
+    if let Some(cheapest) = cheapest {
+        return Some((cheapest, Reason::Loaded));
+    }
+    let all: Vec<usize> = (0..candidates.len()).collect();
+    cheaper_of_two(candidates, &all, rng).map(|i| (i, Reason::LastResort))
 }
 
 fn cheaper_of_two(candidates: &[Candidate], tier: &[usize], rng: &mut Rng) -> Option<usize> {
--- a/src/protocol/wire.rs
+++ b/src/protocol/wire.rs
@@ -19,7 +19,10 @@
 pub const PATH: &str = "/peer/v1";
 
 /// The largest frame a node takes.
-pub const MAX_FRAME: usize = 64 << 20;
+pub const MAX_FRAME: usize = 16 << 20;
+
+/// Bytes from which a reply is large, and needs leave to be sent.
+pub const LARGE: usize = 32 << 10;
 
 /// Laggards named in one [`Census`]; beyond it they are only counted.
 pub const MAX_NAMED: usize = 16;
@@ -144,7 +147,7 @@
     Snapshot(Bytes),
     /// To [`Frame::Fetch`]: nothing newer here.
     Current,
-    /// Too busy, or nothing complete to give yet; come back after this span.
+    /// To any frame: too busy, or nothing complete to give yet; come back after this span.
     Later(Span),
     /// To [`Frame::Scatter`].
     Counted(Census),
--- a/src/state/machine.rs
+++ b/src/state/machine.rs
@@ -5,7 +5,10 @@
 //! log's order is the only thing that has to be agreed, and the platform
 //! keeps it.
 
-use std::{collections::VecDeque, sync::Arc};
+use std::{
+    collections::VecDeque,
+    sync::{Arc, OnceLock},
+};
 
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
@@ -52,6 +55,8 @@
     set: Arc<Set>,
     tail: VecDeque<Bytes>,
     tail_bytes: usize,
+    /// The snapshot of just this version: a herd of nodes asks for the same.
+    encoded: OnceLock<Bytes>,
 }
 
 /// The part of a [`Machine`] that snapshots carry beside the resources.
@@ -130,6 +135,7 @@
             set: Arc::default(),
             tail: VecDeque::new(),
             tail_bytes: 0,
+            encoded: OnceLock::new(),
         }
     }
 
@@ -226,6 +232,7 @@
                 digest: self.core.now.digest,
             };
             self.core.anchors.push_back(self.core.now);
+            self.encoded = OnceLock::new();
             self.tail.clear();
             self.tail_bytes = 0;
         }
@@ -327,6 +334,7 @@
         hasher.update(record);
         let digest = first_word(hasher.finalize().as_bytes());
         self.core.now = Anchor { version, digest };
+        self.encoded = OnceLock::new();
         self.core.anchors.push_back(self.core.now);
         while self.core.anchors.len() > WINDOW {
             self.core.anchors.pop_front();
@@ -346,6 +354,10 @@
 
     /// Returns a snapshot of the whole state, with a checksum.
     pub fn snapshot(&self) -> Bytes {
+        self.encoded.get_or_init(|| self.encode()).clone()
+    }
+
+    fn encode(&self) -> Bytes {
         let body = rmp_serde::to_vec_named(&Snapshot {
             rules: RULES,
             core: self.core.clone(),
--- a/src/state/view.rs
+++ b/src/state/view.rs
@@ -50,10 +50,24 @@
     pub name: Name,
     /// Its policy.
     pub policy: Policy,
-    /// The failure domains this proxy may send to.
-    pub allowed: BTreeSet<Name>,
+    /// The failure domains this proxy may send to, and how far they are.
+    pub allowed: BTreeMap<Name, Distance>,
 }
 
+/// How far a failure domain is from the proxy.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Distance {
+    /// The proxy is in it.
+    Domain,
+    /// It has the same `region` label.
+    Region,
+    /// It is elsewhere.
+    Beyond,
+}
+
+/// The label of failure domains that says which are close to each other.
+pub const REGION: &str = "region";
+
 impl View {
     /// Returns the view of `proxy`, built from nothing.
     pub fn new(version: Version, set: Arc<Set>, proxy: Proxy) -> Self {
@@ -131,6 +145,8 @@
             &self.proxy.domain,
             Some(&self.proxy.labels),
         );
+        let distanced = |domain: Name| (domain.clone(), self.distance(&domain));
+        let allowed = allowed.into_iter().map(distanced).collect();
         Some(Service {
             name: name.clone(),
             policy,
@@ -138,6 +154,16 @@
         })
     }
 
+    fn distance(&self, to: &Name) -> Distance {
+        let region = |name: &Name| self.set.domain(name)?.labels.get(REGION);
+        let here = region(&self.proxy.domain);
+        match *to == self.proxy.domain {
+            true => Distance::Domain,
+            false if here.is_some() && here == region(to) => Distance::Region,
+            false => Distance::Beyond,
+        }
+    }
+
     /// Sorts the routes so that the first that matches is the most specific.
     fn sort(&mut self) {
         self.order = self.routes.values().cloned().collect();
--- a/src/tool/mod.rs
+++ b/src/tool/mod.rs
@@ -409,10 +409,15 @@
     }
 }
 
+/// The first and the longest pause between two looks at the mesh.
+const FIRST_LOOK: Duration = Duration::from_millis(100);
+const LAST_LOOK: Duration = Duration::from_secs(3);
+
 /// Waits until `version` is in force everywhere, with a progress line.
 async fn wait(desk: &Desk, version: Version, patience: Span) -> Done {
     let bar = show::progress(desk.json);
     let since = std::time::Instant::now();
+    let mut pause = FIRST_LOOK;
     loop {
         let found: Convergence = desk.get(&format!("census?version={version}")).await?;
         let census = &found.census;
@@ -429,7 +434,9 @@
             show::lagging(&found, desk.json);
             return Ok(Code::Lagging);
         }
-        tokio::time::sleep(Duration::from_millis(200)).await;
+        // Each look asks every node of the mesh.
+        tokio::time::sleep(pause).await;
+        pause = (pause * 2).min(LAST_LOOK);
     }
 }
 
--- a/src/transport/operators.rs
+++ b/src/transport/operators.rs
@@ -1,6 +1,6 @@
 //! What the command-line tool asks of a daemon; health and metrics.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
 
 use futures_util::{FutureExt, future::BoxFuture};
 use salvo::{Depot, FlowCtrl, Handler, Request, Response, Router, http::ResBody};
@@ -23,7 +23,7 @@
         change::Change,
         member::{Member, Status},
         version::Version,
-        view::View,
+        view::{Distance, View},
     },
     transport::{
         http,
@@ -290,17 +290,13 @@
     }
 }
 
-fn judgement(
-    member: &Member,
-    service: &Name,
-    allowed: &std::collections::BTreeSet<Name>,
-) -> Judgement {
+fn judgement(member: &Member, service: &Name, allowed: &BTreeMap<Name, Distance>) -> Judgement {
     let draining = member
         .targets
         .iter()
         .any(|t| t.service == *service && t.draining);
     let (ok, why) = match member.status {
-        _ if !allowed.contains(&member.domain) => {
+        _ if !allowed.contains_key(&member.domain) => {
             (false, "no boundary lets requests go to its failure domain")
         }
         Status::Leaving | Status::Gone => (false, "its node is leaving or gone"),
--- a/src/transport/outbound.rs
+++ b/src/transport/outbound.rs
@@ -25,7 +25,7 @@
         member::{Member, Status},
         resource::Class,
         version::Version,
-        view,
+        view::{self, Distance},
     },
     transport::{
         http::{self, Outgoing, Pieces},
@@ -57,6 +57,16 @@
     repeatable: bool,
 }
 
+impl Plan {
+    fn distance(&self, domain: &Name) -> Distance {
+        self.service
+            .allowed
+            .get(domain)
+            .copied()
+            .unwrap_or(Distance::Beyond)
+    }
+}
+
 /// A request body: kept whole, or passed on once.
 enum Body {
     Whole(Bytes),
@@ -364,7 +374,7 @@
             let candidate = |member: &Arc<Member>| {
                 let (cost, ejected) = health.look(&member.node, member.incarnation, slots, now);
                 Candidate {
-                    near: member.domain == self.node.settings.domain,
+                    distance: plan.distance(&member.domain),
                     cost,
                     ejected,
                 }
@@ -443,7 +453,7 @@
         let member = member
             .filter(|m| m.incarnation <= key.incarnation)
             .ok_or_else(gone)?;
-        if !plan.service.allowed.contains(&member.domain) {
+        if !plan.service.allowed.contains_key(&member.domain) {
             return Err(Refusal::unknown(
                 409,
                 "the key's node may not be sent to any more",
@@ -456,7 +466,7 @@
             };
             let choice = Choice {
                 member: member.clone(),
-                reason: Reason::Near,
+                reason: Reason::Room(Distance::Domain),
                 cost: 0,
                 candidates: 1,
             };
@@ -544,7 +554,7 @@
             .targets
             .iter()
             .any(|t| t.service == service.name && !t.draining);
-        present && offered && service.allowed.contains(&member.domain)
+        present && offered && service.allowed.contains_key(&member.domain)
     };
     let offers = table.offers(&service.name).iter();
     offers
--- a/src/transport/peers.rs
+++ b/src/transport/peers.rs
@@ -2,7 +2,8 @@
 
 use std::{net::SocketAddr, sync::Arc};
 
-use futures_util::FutureExt;
+use bytes::Bytes;
+use futures_util::{FutureExt, StreamExt, stream};
 use salvo::{Depot, FlowCtrl, Handler, Request, Response, Router, http::ResBody};
 
 use crate::{
@@ -77,6 +78,20 @@
     Router::with_path(wire::PATH.trim_start_matches('/')).post(Take { node, call })
 }
 
+/// How long a peer stays away that asked for a large reply in vain.
+const BUSY: Span = Span::from_millis(300);
+
+/// Bytes of a large reply that are handed to the connection at a time.
+const PIECE: usize = 64 << 10;
+
+/// Splits a body so that leave to send it is held until nearly its end.
+fn pieces(body: Bytes) -> Vec<std::io::Result<Bytes>> {
+    let starts = (0..body.len()).step_by(PIECE);
+    starts
+        .map(|start| Ok(body.slice(start..body.len().min(start + PIECE))))
+        .collect()
+}
+
 struct Take {
     node: Arc<Node>,
     call: Call,
@@ -98,11 +113,7 @@
             Err(error) => Err(error.into()),
         };
         match reply {
-            Ok(reply) => {
-                let body = wire::encode(&reply);
-                bytes.get_or_create(&SENT).inc_by(body.len() as u64);
-                res.replace_body(ResBody::Once(body));
-            }
+            Ok(reply) => self.send(res, &reply),
             Err(_) => {
                 res.status_code(::http::StatusCode::BAD_REQUEST);
             }
@@ -128,6 +139,33 @@
         }
     }
 
+    /// Writes a reply. A large one needs leave until its last byte is sent;
+    /// without leave the peer is told to come back.
+    fn send(&self, res: &mut Response, reply: &Reply) {
+        let sent = &self.node.metrics.control_bytes;
+        let mut body = wire::encode(reply);
+        let mut leave = None;
+        if body.len() >= wire::LARGE {
+            leave = self.node.large_replies.clone().try_acquire_owned().ok();
+            if leave.is_none() {
+                body = wire::encode(&Reply::Later(catchup::jitter(BUSY)));
+            }
+        }
+        sent.get_or_create(&SENT).inc_by(body.len() as u64);
+        match leave {
+            None => {
+                res.replace_body(ResBody::Once(body));
+            }
+            Some(leave) => {
+                http::set(res.headers_mut(), "content-length", body.len());
+                let pieces = stream::iter(pieces(body)).inspect(move |_| {
+                    let _held = &leave;
+                });
+                http::stream(res, pieces.boxed());
+            }
+        }
+    }
+
     fn compare(&self, marks: &[u32]) -> Reply {
         let table = self.node.table.read();
         let members = table
--- a/tests/coordination.rs
+++ b/tests/coordination.rs
@@ -42,6 +42,7 @@
         member::{Member, Status, Table},
         resource::{Class, Domain, Resource},
         version::Version,
+        view::Distance,
     },
     unit::{Percent, Span},
 };
@@ -371,9 +372,12 @@
     }
 
     #[test]
-    fn pick_keeps_its_rules(candidates in vec((any::<bool>(), 0..200u32, any::<bool>()), 0..20), seed in any::<u64>()) {
-        let candidates: Vec<Candidate> =
-            candidates.into_iter().map(|(near, cost, ejected)| Candidate { near, cost, ejected }).collect();
+    fn pick_keeps_its_rules(candidates in vec((0..3usize, 0..200u32, any::<bool>()), 0..20), seed in any::<u64>()) {
+        let distances = [Distance::Domain, Distance::Region, Distance::Beyond];
+        let candidates: Vec<Candidate> = candidates
+            .into_iter()
+            .map(|(d, cost, ejected)| Candidate { distance: distances[d], cost, ejected })
+            .collect();
         let picked = pick(&candidates, &mut fastrand::Rng::with_seed(seed));
         prop_assert_eq!(picked.is_none(), candidates.is_empty());
         let Some((index, reason)) = picked else { return Ok(()) };
@@ -381,16 +385,17 @@
         let open: Vec<&Candidate> = candidates.iter().filter(|c| !c.ejected).collect();
         prop_assert_eq!(chosen.ejected, open.is_empty());
         prop_assert_eq!(reason == Reason::LastResort, open.is_empty());
-        let near: Vec<&&Candidate> = open.iter().filter(|c| c.near).collect();
-        // With room near, nothing goes far; the dearest of several is never taken
-        // while others of its tier are cheaper.
-        if !near.is_empty() && near.iter().all(|c| c.cost < 90) {
-            prop_assert!(chosen.near);
+        let tier = |d: Distance| -> Vec<u32> { open.iter().filter(|c| c.distance == d).map(|c| c.cost).collect() };
+        // No distance is passed over where all have room.
+        for nearer in distances.into_iter().filter(|d| *d < chosen.distance && !chosen.ejected) {
+            prop_assert!(tier(nearer).is_empty() || tier(nearer).iter().any(|cost| *cost >= 90));
         }
-        let tier: Vec<u32> = open.iter().filter(|c| c.near == chosen.near).map(|c| c.cost).collect();
-        let (dearest, dearer) = (tier.iter().max(), tier.iter().filter(|c| Some(*c) == tier.iter().max()).count());
-        if !chosen.ejected && tier.len() > 1 && dearer == 1 {
-            prop_assert!(Some(&chosen.cost) != dearest);
+        // The dearest of a distance is never taken while others are cheaper.
+        let costs = tier(chosen.distance);
+        let dearest = costs.iter().max().copied().unwrap_or(0);
+        let alone = costs.iter().filter(|cost| **cost == dearest).count() == 1;
+        if !chosen.ejected && costs.len() > 1 && alone {
+            prop_assert!(chosen.cost < dearest);
         }
     }
 
--- a/tests/state.rs
+++ b/tests/state.rs
@@ -20,7 +20,7 @@
         resource::{Boundary, Class, Domain, Key, Kind, Policy, Repeat, Resource, Route, Service},
         selector::{Expression, Labels, Operator, Selector},
         version::Version,
-        view::{self, Proxy, View},
+        view::{self, Distance, Proxy, View},
     },
     unit::{Percent, Size, Span},
 };
@@ -196,7 +196,8 @@
             for route in view.routes() {
                 // No route points at a resource that the proxy lacks.
                 let service = view.service(&route.service).expect("the service is in the view");
-                prop_assert_eq!(&service.allowed, &mesh.allowed(&route.service, &proxy.domain, &proxy.labels));
+                let allowed: std::collections::BTreeSet<Name> = service.allowed.keys().cloned().collect();
+                prop_assert_eq!(allowed, mesh.allowed(&route.service, &proxy.domain, &proxy.labels));
             }
         }
     }
@@ -414,6 +415,31 @@
         assert_eq!(apply(&mut machine, next), Verdict::Accepted);
     }
 
+    distance_follows_the_region_label => {
+        let mut machine = started();
+        let mut ops = label("domain/d0", "x");
+        for (name, region) in [("d0", "south"), ("d1", "south"), ("d2", "north")] {
+            let labels = Labels::from([(view::REGION.into(), region.into())]);
+            ops.push(Op::Put(Resource::Domain(Domain { name: name.parse().unwrap(), labels })));
+        }
+        ops.push(Op::Put(Resource::Route(Route {
+            name: "r0".parse().unwrap(),
+            host: None,
+            path: "/".into(),
+            methods: Vec::new(),
+            service: "s0".parse().unwrap(),
+            class: None,
+            proxies: Selector::everything(),
+        })));
+        let add = record(&machine, "regions", None, ops);
+        assert_eq!(apply(&mut machine, add), Verdict::Accepted);
+        let proxy = Proxy { domain: "d0".parse().unwrap(), labels: Labels::new() };
+        let view = View::new(machine.version(), machine.set().clone(), proxy);
+        let service = view.service(&"s0".parse().unwrap()).unwrap();
+        let distances: Vec<Distance> = service.allowed.values().copied().collect();
+        assert_eq!(distances, [Distance::Domain, Distance::Region, Distance::Beyond]);
+    }
+
     path_matches_whole_segments_only => {
         let mut machine = started();
         let route = |name: &str, path: &str| Op::Put(Resource::Route(Route {
--- a/tests/whole_path.rs
+++ b/tests/whole_path.rs
@@ -4,7 +4,13 @@
 
 use std::path::Path;
 
+use rilltrack::{
+    protocol::wire::{self, Frame, Reply},
+    state::version::Version,
+};
+use serde_json::json;
 use support::{
+    local::{Mesh, resources},
     log::Log,
     mesh::{attach, basic_ops, processes, publish, reached},
     target::Target,
@@ -57,3 +63,42 @@
     })
     .await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn large_replies_take_turns() {
+    let domains: Vec<String> = (0..500).map(|i| format!("domain-number-{i}")).collect();
+    let domains: Vec<&str> = domains.iter().map(String::as_str).collect();
+    let mesh = Mesh::start(&["palermo"], &resources(&domains, "s", json!({}))).await;
+    let daemon = &mesh.daemons[0];
+    let url = format!("http://{}{}", daemon.listen.peers, wire::PATH);
+    let fetch = || async {
+        let frame = Frame::Fetch(Version {
+            epoch: 0,
+            offset: 0,
+        });
+        let response = support::client()
+            .post(&url)
+            .body(wire::encode(&frame))
+            .send()
+            .await
+            .unwrap();
+        wire::decode::<Reply>(&response.bytes().await.unwrap()).unwrap()
+    };
+    assert!(matches!(fetch().await, Reply::Records(_)));
+    let all = daemon.node.large_replies.available_permits() as u32;
+    let held = daemon
+        .node
+        .large_replies
+        .clone()
+        .acquire_many_owned(all)
+        .await
+        .unwrap();
+    assert!(matches!(fetch().await, Reply::Later(_)));
+    drop(held);
+    assert!(matches!(fetch().await, Reply::Records(_)));
+    // Leave comes back once the reply is sent.
+    support::until("leave comes back", || async {
+        (daemon.node.large_replies.available_permits() as u32 == all).then_some(())
+    })
+    .await;
+}
