--- a/examples/load.rs
+++ b/examples/load.rs
@@ -306,8 +306,11 @@
         // Connections are made first; both ways are warm.
         load("warm", rate, 1, direct.clone()).await;
         load("warm", rate, 1, through.clone()).await;
-        let direct = load("direct", rate, args.seconds, direct).await;
-        let through = load("through two proxies", rate, args.seconds, through).await;
+        // At the same time, so that both meet the same noise of the machine.
+        let (direct, through) = tokio::join!(
+            load("direct", rate, args.seconds, direct),
+            load("through two proxies", rate, args.seconds, through)
+        );
         show(&direct, &args.out);
         show(&through, &args.out);
         println!(
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -38,8 +38,6 @@
 pub struct Node {
     /// The settings.
     pub settings: Settings,
-    /// This life of the process.
-    pub incarnation: Incarnation,
     /// Where peers reach it for control.
     pub peers: SocketAddr,
     /// Log lines.
@@ -93,7 +91,6 @@
         let mut table = Table::default();
         table.merge(me.clone());
         Self {
-            incarnation: me.incarnation,
             peers: me.peers,
             journal,
             metrics: Metrics::new(),
@@ -153,6 +150,11 @@
         self.me.lock().clone()
     }
 
+    /// Returns this life of the process.
+    pub fn incarnation(&self) -> Incarnation {
+        self.me.lock().incarnation
+    }
+
     /// Changes what this node says about itself, and spreads it.
     pub fn update(&self, change: impl FnOnce(&mut Member)) {
         let mut me = self.me.lock();
@@ -164,7 +166,12 @@
 
     /// Makes what this node says about itself newer than `claim`.
     pub fn refute(&self, claim: &Member) {
-        self.update(|me| me.sequence = me.sequence.max(claim.sequence));
+        self.update(|me| {
+            if claim.incarnation > me.incarnation {
+                me.incarnation = Incarnation(claim.incarnation.0 + 1);
+            }
+            me.sequence = me.sequence.max(claim.sequence);
+        });
         let details = format_args!("claim={:?} sequence={}", claim.status, claim.sequence);
         self.journal.write(Event::Refuted, details);
     }
@@ -214,9 +221,10 @@
     fn absorb_one(&self, member: Member, told_on: bool) -> bool {
         let me = self.me();
         if member.node == me.node {
-            // Only this node speaks for its own life; others may hold an
-            // older one, which its own entry outdates.
-            if member.incarnation == me.incarnation && member.stamp() > me.stamp() {
+            // Only this node speaks for itself. A claim that is newer is of a
+            // doubt about this life, or of an earlier one if the clock was set
+            // back between the two.
+            if member.stamp() > me.stamp() {
                 self.refute(&member);
             }
             return false;
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -93,7 +93,7 @@
         queue.run(node.clone());
         node.journal.write(
             Event::Started,
-            format_args!("incarnation={} listen={listen:?}", node.incarnation),
+            format_args!("incarnation={} listen={listen:?}", node.incarnation()),
         );
         let call = peers::call(node.clone())?;
         let log = transport::log::link(&node.settings)?;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,4 +1,91 @@
-//! rilltrack.
+//! rilltrack distributes configuration to the proxies of a service mesh and
+//! routes their requests by it.
+//!
+//! It is made for meshes with regulated data, where it matters more *where* a
+//! request is served than how fast. One small process runs on each target host.
+//! Operators publish labelled resources to the platform's append-only log;
+//! every process applies the same records with the same function, so there is
+//! nothing else to agree on.
+//!
+//! # Resources
+//!
+//! Operators write resources as JSON with comments. [`files`] reads them and
+//! names every fault at once, with its place:
+//!
+//! ```
+//! use rilltrack::{document::Document, files::Files};
+//!
+//! let text = r#"[
+//!   {"kind": "domain", "name": "palermo", "labels": {"jurisdiction": "it"}},
+//!   {"kind": "policy", "name": "lookup", "timeout": "1s", "slots": 12, "queue": 12,
+//!    "class": "normal", "repeat": "always"},
+//!   {"kind": "service", "name": "balance", "policy": "lokup"}
+//! ]"#;
+//! let document = Document::parse("mesh.jsonc", text)?;
+//! let faults = Files::from_documents(vec![document], Vec::new()).unwrap_err();
+//! assert_eq!(faults[0].to_string(), "mesh.jsonc:5: `2.policy`: service/balance: no policy `lokup`");
+//! # Ok::<(), rilltrack::document::Fault>(())
+//! ```
+//!
+//! # Applying changes
+//!
+//! A change is a record of the log. [`state::machine::Machine`] applies records
+//! one by one and decides on each, alike on every node:
+//!
+//! ```
+//! use std::collections::BTreeMap;
+//!
+//! use rilltrack::state::{
+//!     change::{Change, Entry, Op},
+//!     machine::{Machine, Verdict},
+//!     resource::{Domain, Resource},
+//! };
+//!
+//! let mut machine = Machine::new();
+//! let domain = Domain { name: "palermo".parse()?, labels: BTreeMap::new() };
+//! let change = Change {
+//!     id: "first".parse()?,
+//!     base: machine.anchor(),
+//!     expect: None,
+//!     author: "an operator".into(),
+//!     note: String::new(),
+//!     ops: vec![Op::Put(Resource::Domain(domain))],
+//! };
+//! let record = Entry::Change(change).encode();
+//! assert_eq!(machine.apply(0, record.clone())?.verdict, Verdict::Accepted);
+//! // Published twice, since the first answer got lost: still one change.
+//! assert!(matches!(machine.apply(1, record)?.verdict, Verdict::Repeated(_)));
+//! # Ok::<(), Box<dyn std::error::Error>>(())
+//! ```
+//!
+//! # Running a node
+//!
+//! [`settings`] describes a node and [`daemon`] runs it; `rilltrackd` is little
+//! more than these two:
+//!
+//! ```no_run
+//! use std::path::Path;
+//!
+//! use rilltrack::{daemon::Daemon, settings::Settings};
+//!
+//! let settings = Settings::read(Path::new("rilltrackd.jsonc")).expect("no faults");
+//! let daemon = Daemon::start(settings)?;
+//! println!("{}", daemon.addresses());
+//! daemon.stop();
+//! # Ok::<(), rilltrack::daemon::Error>(())
+//! ```
+//!
+//! # Layers
+//!
+//! * [`transport`]: HTTP servers and clients. A request enters here.
+//! * [`protocol`]: typed messages between processes.
+//! * [`coordination`]: how nodes act together, and where a request goes.
+//! * [`state`]: pure functions over what a node holds.
+//!
+//! Each layer has its own errors and turns those from below.
+
+#![warn(missing_docs)]
+
 pub mod coordination;
 pub mod daemon;
 pub mod document;
--- a/src/transport/keyed.rs
+++ b/src/transport/keyed.rs
@@ -75,7 +75,7 @@
         keys.push(
             Key {
                 node,
-                incarnation: inbound.node.incarnation,
+                incarnation: inbound.node.incarnation(),
                 secret,
             }
             .to_string(),
@@ -115,7 +115,7 @@
 ) -> Result<(), Refusal> {
     let key = http::parse::<Key>(req.headers(), answer::KEY)
         .ok_or_else(|| Refusal::rejected(400, "the idempotency key is none of this system"))?;
-    if key.node != inbound.node.settings.node || key.incarnation != inbound.node.incarnation {
+    if key.node != inbound.node.settings.node || key.incarnation != inbound.node.incarnation() {
         let reason =
             "the process that held the key is gone; what became of its request is not known";
         return Err(refused(inbound, Refusal::unknown(410, reason)));
--- a/tests/coordination.rs
+++ b/tests/coordination.rs
@@ -595,6 +595,21 @@
     );
 }
 
+#[tokio::test]
+async fn clock_set_back_between_two_lives_does_not_shut_a_node_out() {
+    // Others still hold the earlier life, which the clock made the later one.
+    let earlier = Member {
+        incarnation: Incarnation(99),
+        ..member(1, "d", Status::Gone, 7)
+    };
+    let (node, mut others) = (node(1, "d"), Table::default());
+    others.merge(earlier.clone());
+    assert!(!others.merge(node.me()));
+    node.absorb(vec![earlier]);
+    assert!(others.merge(node.me()));
+    assert_eq!(others.get(&node.me().node).unwrap().status, Status::Alive);
+}
+
 #[tokio::test]
 async fn silent_sender_hears_that_it_is_doubted() {
     let node = node(1, "d");
--- a/tests/requests.rs
+++ b/tests/requests.rs
@@ -195,7 +195,7 @@
     key_not_issued_here_is_refused => {
         let mesh = two_nodes(json!({"repeat": "never"})).await;
         let target = mesh.target(1, "s").await;
-        let forged = format!("n1.{}.{:032x}", mesh.daemons[1].node.incarnation, 5);
+        let forged = format!("n1.{}.{:032x}", mesh.daemons[1].node.incarnation(), 5);
         for (key, status, said) in [("a-key-of-mine", 400, "not-run"), (forged.as_str(), 410, "unknown")] {
             let sent = client().post(mesh.url(0, "/s")).header("idempotency-key", key).body("debit").send();
             let response = sent.await.unwrap();
