A hedge's doubt is kept; outbound split by job

Cause: when the first copy of a hedged request broke off (may have run) and the second was certainly not run, the caller was told "not run". Failing first: doubt_of_a_hedge_is_kept (not-run, wanted unknown). Change: of two failures the one that leaves more in doubt is told. An HTTP/2 request without a body counted as a stream, so it was neither tried again nor hedged; the end of its stream is asked now. A keyed request whose answer was lost was asked for again as long as the budget lasted; twice at most now.

--- a/src/coordination/gossip.rs
+++ b/src/coordination/gossip.rs
@@ -1,7 +1,7 @@
 //! Membership: who is there, at constant cost for each node.
 //!
-//! Each period a node pings one member of its own failure domain; if that
-//! does not answer, two others are asked to try before it becomes suspect,
+//! Each period a node pings one of a few partners in its own failure domain,
+//! which stay the same so that connections are kept. If it does not answer, two others are asked to try before it becomes suspect,
 //! and a suspect that does not refute in time is gone. Only a failure domain
 //! judges its own members: when domains are cut off from each other, each
 //! keeps what it last knew of the others instead of declaring them all gone.
@@ -18,7 +18,7 @@
 use futures_util::future::join_all;
 
 use crate::{
-    coordination::{Error, catchup, link::Call, node::Node, rank::neighbours},
+    coordination::{Error, catchup, link::Call, node::Node, rank},
     id,
     protocol::wire::{Frame, News, Reply},
     state::{
@@ -34,7 +34,7 @@
 /// Members asked to try a silent one.
 const HELPERS: usize = 2;
 
-/// Pings out of this many that go to another failure domain.
+/// Every so many periods a partner in another failure domain is pinged too.
 const FAR_EVERY: u64 = 5;
 
 /// Peers a fresh node asks for the newest view before it takes one.
@@ -179,7 +179,12 @@
 
     fn neighbours(&self) -> Vec<Arc<Member>> {
         let me = self.node.me();
-        neighbours(&self.node.table.read(), &me.domain, &me.node)
+        rank::neighbours(&self.node.table.read(), &me.domain, &me.node)
+    }
+
+    fn partners(&self) -> Vec<Arc<Member>> {
+        let settings = &self.node.settings;
+        rank::partners(&self.node.table.read(), &settings.domain, &settings.node)
     }
 
     /// One period's work.
@@ -200,12 +205,11 @@
         }
     }
 
-    /// Returns the next member of this failure domain; each comes once before
+    /// Returns the next partner in this failure domain; each comes once before
     /// any comes again, in an order drawn anew each time.
     fn next_neighbour(&mut self) -> Option<Arc<Member>> {
         if self.round.is_empty() {
-            let mut names: Vec<id::Node> =
-                self.neighbours().iter().map(|m| m.node.clone()).collect();
+            let mut names: Vec<id::Node> = self.partners().iter().map(|m| m.node.clone()).collect();
             fastrand::shuffle(&mut names);
             self.round = names.into();
         }
@@ -313,18 +317,14 @@
     }
 
     fn far(&self) -> Option<SocketAddr> {
-        let domain = &self.node.settings.domain;
-        let table = self.node.table.read();
-        let far: Vec<&Arc<Member>> = table
-            .iter()
-            .filter(|m| m.domain != *domain && m.is_present())
-            .collect();
+        let settings = &self.node.settings;
+        let far = rank::far_partners(&self.node.table.read(), &settings.domain, &settings.node);
         fastrand::choice(far).map(|member| member.peers)
     }
 
     async fn sync(&self) {
         let far = fastrand::u64(0..FAR_EVERY) == 0;
-        let near = || fastrand::choice(self.neighbours()).map(|member| member.peers);
+        let near = || fastrand::choice(self.partners()).map(|member| member.peers);
         let peer = if far {
             self.far().or_else(near)
         } else {
--- a/src/coordination/rank.rs
+++ b/src/coordination/rank.rs
@@ -17,6 +17,17 @@
 /// can die without its domain waiting for anybody to notice.
 pub const READERS: usize = 2;
 
+/// Members of the same failure domain after a node in the ring of all, which it
+/// pings. So each member is pinged by that many others at least.
+const SUCCESSORS: usize = 2;
+
+/// Further members of the same failure domain that a node pings. They make the
+/// ring a random graph, in which news takes a few steps and not hundreds.
+const CHORDS: usize = 4;
+
+/// Members of other failure domains that a node pings.
+const FAR: usize = 3;
+
 fn weight(job: &str, node: &Node) -> u64 {
     xxh3_64(format!("{job}/{node}").as_bytes())
 }
@@ -48,3 +59,32 @@
     let is_neighbour = |m: &&Arc<Member>| m.domain == *domain && m.node != *node && m.is_present();
     table.iter().filter(is_neighbour).cloned().collect()
 }
+
+/// Returns the few members of its failure domain that `node` pings.
+///
+/// They stay the same while nobody comes or goes, so connections to them are
+/// kept. With a random member each time every ping would pay for a new
+/// connection, and under TLS for a handshake.
+pub fn partners(table: &Table, domain: &Name, node: &Node) -> Vec<Arc<Member>> {
+    let mut ring = neighbours(table, domain, node);
+    let me = weight("ring", node);
+    // Distance along the ring from here.
+    ring.sort_by_cached_key(|member| weight("ring", &member.node).wrapping_sub(me));
+    let mut chords = ring.split_off(ring.len().min(SUCCESSORS));
+    chords.sort_by_cached_key(|member| weight(node.as_str(), &member.node));
+    chords.truncate(CHORDS);
+    ring.extend(chords);
+    ring
+}
+
+/// Returns the few members of other failure domains that `node` pings.
+pub fn far_partners(table: &Table, domain: &Name, node: &Node) -> Vec<Arc<Member>> {
+    let is_far = |m: &&Arc<Member>| m.domain != *domain && m.is_present();
+    let mut far: Vec<Arc<Member>> = table.iter().filter(is_far).cloned().collect();
+    let by_weight = |member: &Arc<Member>| weight(node.as_str(), &member.node);
+    if far.len() > FAR {
+        far.select_nth_unstable_by_key(FAR, by_weight);
+        far.truncate(FAR);
+    }
+    far
+}
--- /dev/null
+++ b/src/transport/attempt.rs
@@ -0,0 +1,345 @@
+//! One attempt at one target: choosing it, sending, and what the end says.
+
+use std::{sync::Arc, time::Instant};
+
+use ::http::HeaderMap;
+use futures_util::{FutureExt, future::BoxFuture};
+use parking_lot::Mutex;
+
+use crate::{
+    coordination::{
+        door::LEAVING,
+        health::{End, Health},
+        node::Node,
+        pick::{self, Candidate, Reason},
+    },
+    event::Event,
+    id::{self, Name},
+    protocol::answer::{self, Outcome, Refusal},
+    state::{
+        member::{Member, Status},
+        resource::Class,
+        view,
+    },
+    transport::{
+        http::{self, Outgoing},
+        inbound::MISPLACED,
+        plan::Plan,
+        tls,
+    },
+    unit::Span,
+};
+
+/// Sends requests to other nodes' inbound proxies, and remembers how that went.
+pub struct Sender {
+    node: Arc<Node>,
+    client: reqwest::Client,
+    health: Mutex<Health>,
+}
+
+/// The target chosen for an attempt.
+pub struct Choice {
+    /// The node beside the target.
+    pub member: Arc<Member>,
+    /// Why it was chosen.
+    pub reason: Reason,
+    /// Its cost, in hundredths of its slots.
+    pub cost: u32,
+    /// How many there were to choose from.
+    pub candidates: usize,
+}
+
+/// An attempt that brought no answer.
+pub struct Failed {
+    /// What the caller is told, if this was the last attempt.
+    pub refusal: Refusal,
+    /// The node that was tried.
+    pub node: id::Node,
+    /// Whether anything may have been sent to it.
+    pub was_sent: bool,
+}
+
+impl Failed {
+    /// Returns the one of two that leaves more in doubt: "not run" is said
+    /// only if it holds for both.
+    pub fn or(self, other: Self) -> Self {
+        if self.refusal.outcome == Outcome::NotRun {
+            other
+        } else {
+            self
+        }
+    }
+}
+
+impl Sender {
+    /// Returns the sender of `node`.
+    ///
+    /// # Errors
+    ///
+    /// If keys or certificates can't be used.
+    pub fn new(node: Arc<Node>) -> Result<Self, super::Error> {
+        let client = tls::client(&node.settings)?;
+        Ok(Self {
+            node,
+            client,
+            health: Mutex::new(Health::default()),
+        })
+    }
+
+    /// Forgets what was seen of targets that have left.
+    pub fn tidy(&self) {
+        let table = self.node.table.read();
+        self.health
+            .lock()
+            .retain(|node| table.get(node).is_some_and(|m| m.is_present()));
+    }
+
+    /// Makes one attempt at the target chosen.
+    ///
+    /// # Errors
+    ///
+    /// Why there is no answer of the target's, and whether it may have run.
+    pub fn attempt<'a>(
+        &'a self,
+        plan: &'a Plan,
+        choice: Choice,
+        body: reqwest::Body,
+    ) -> BoxFuture<'a, Result<reqwest::Response, Failed>> {
+        self.attempt_with(plan, choice, self.headers(plan), body)
+    }
+
+    /// The same, with headers of its own.
+    ///
+    /// # Errors
+    ///
+    /// As [`Sender::attempt`].
+    pub fn attempt_with<'a>(
+        &'a self,
+        plan: &'a Plan,
+        choice: Choice,
+        headers: HeaderMap,
+        body: reqwest::Body,
+    ) -> BoxFuture<'a, Result<reqwest::Response, Failed>> {
+        let out = Outgoing {
+            method: plan.onward.method.clone(),
+            url: self.url(&choice.member, &plan.onward.path),
+            headers,
+            body,
+            deadline: plan.deadline,
+        };
+        let node = choice.member.node.clone();
+        async move {
+            let watch = Watch::start(self, &choice.member);
+            let result = http::forward(&self.client, out).await;
+            let (end, result) = judge(result, node);
+            watch.finish(end);
+            result
+        }
+        .boxed()
+    }
+
+    fn url(&self, member: &Member, path: &str) -> String {
+        format!(
+            "{}://{}{path}",
+            tls::scheme(&self.node.settings.security),
+            member.inbound
+        )
+    }
+
+    /// Returns the headers that a request is passed on with.
+    pub fn headers(&self, plan: &Plan) -> HeaderMap {
+        let mut headers = plan.onward.headers.clone();
+        let left = plan.deadline.saturating_duration_since(Instant::now());
+        let class = match plan.class {
+            Class::Critical => "critical",
+            Class::Normal => "normal",
+            Class::Bulk => "bulk",
+        };
+        http::set(&mut headers, answer::DEADLINE, left.as_millis());
+        http::set(&mut headers, answer::CLASS, class);
+        self.sign(&mut headers, &plan.service.name);
+        headers
+    }
+
+    /// Says who sends a request, and for which service.
+    fn sign(&self, headers: &mut HeaderMap, service: &Name) {
+        http::set(headers, answer::SERVICE, service);
+        http::set(headers, answer::NODE, &self.node.settings.node);
+        http::set(headers, answer::DOMAIN, &self.node.settings.domain);
+        http::set(headers, answer::VERSION, self.node.version());
+    }
+
+    /// Chooses a target among those allowed and not `tried` yet.
+    ///
+    /// # Errors
+    ///
+    /// The refusal, if there is none.
+    pub fn choose(&self, plan: &Plan, tried: &[id::Node]) -> Result<Choice, Refusal> {
+        let service = &plan.service;
+        let offers = offers(&self.node, service, tried);
+        let slots = service.policy.slots;
+        let now = Instant::now();
+        let candidates: Vec<Candidate> = {
+            let mut health = self.health.lock();
+            let candidate = |member: &Arc<Member>| {
+                let (cost, ejected) = health.look(&member.node, member.incarnation, slots, now);
+                Candidate {
+                    distance: plan.distance(&member.domain),
+                    cost,
+                    ejected,
+                }
+            };
+            offers.iter().map(candidate).collect()
+        };
+        let picked = pick::pick(&candidates, &mut fastrand::Rng::new());
+        let Some((index, reason)) = picked else {
+            let details = format_args!(
+                "service={} tried={} version={}",
+                service.name,
+                tried.len(),
+                plan.version
+            );
+            self.node.journal.write(Event::NoTarget, details);
+            return Err(Refusal::not_run(
+                "no allowed target is there",
+                Span::from_secs(1),
+            ));
+        };
+        let (cost, candidates) = (candidates[index].cost, candidates.len());
+        Ok(Choice {
+            member: offers[index].clone(),
+            reason,
+            cost,
+            candidates,
+        })
+    }
+
+    /// Logs the decision for a target.
+    pub fn log_choice(&self, plan: &Plan, choice: &Choice, attempt: u32) {
+        let Choice {
+            member,
+            reason,
+            cost,
+            candidates,
+        } = choice;
+        let (node, domain) = (&member.node, &member.domain);
+        let (route, service, version) = (&plan.route, &plan.service.name, plan.version);
+        let details = format_args!(
+            "route={route} service={service} to={node} domain={domain} reason={reason:?} cost={cost} \
+             candidates={candidates} attempt={attempt} version={version}"
+        );
+        self.node.journal.write(Event::Routed, details);
+    }
+}
+
+/// Returns the members that may be sent requests of `service`.
+pub fn offers(node: &Node, service: &view::Service, tried: &[id::Node]) -> Vec<Arc<Member>> {
+    let table = node.table.read();
+    let serves = |member: &Member| {
+        let present = matches!(member.status, Status::Alive | Status::Suspect);
+        let offered = member
+            .targets
+            .iter()
+            .any(|t| t.service == service.name && !t.draining);
+        present && offered && service.allowed.contains_key(&member.domain)
+    };
+    let offers = table.offers(&service.name).iter();
+    offers
+        .filter(|m| serves(m) && !tried.contains(&m.node))
+        .cloned()
+        .collect()
+}
+
+/// Sorts the end of an attempt: what it says of the target, and of the
+/// request.
+fn judge(
+    result: Result<reqwest::Response, http::Failure>,
+    node: id::Node,
+) -> (End, Result<reqwest::Response, Failed>) {
+    let response = match result {
+        Ok(response) => response,
+        Err(failure) => {
+            let refusal = failure.refusal("the target's node");
+            let was_sent = failure != http::Failure::NotSent;
+            return (
+                End::Failed,
+                Err(Failed {
+                    refusal,
+                    node,
+                    was_sent,
+                }),
+            );
+        }
+    };
+    let load = http::parse(response.headers(), answer::LOAD);
+    let Some(refusal) = http::refusal(&response) else {
+        let own_fault = response.status().is_server_error();
+        let end = if own_fault {
+            End::Failed
+        } else {
+            End::Answered(load)
+        };
+        return (end, Ok(response));
+    };
+    let end = match refusal.reason.as_str() {
+        LEAVING => End::Leaving,
+        MISPLACED => End::Abandoned,
+        _ if refusal.outcome == Outcome::NotRun => End::Shed(load),
+        _ => End::Failed,
+    };
+    (
+        end,
+        Err(Failed {
+            refusal,
+            node,
+            was_sent: true,
+        }),
+    )
+}
+
+/// Counts an attempt as outstanding until it ends, however it ends.
+struct Watch<'a> {
+    sender: &'a Sender,
+    node: id::Node,
+    done: bool,
+}
+
+impl<'a> Watch<'a> {
+    fn start(sender: &'a Sender, member: &Member) -> Self {
+        sender
+            .health
+            .lock()
+            .start(&member.node, member.incarnation, Instant::now());
+        Self {
+            sender,
+            node: member.node.clone(),
+            done: false,
+        }
+    }
+
+    fn finish(mut self, end: End) {
+        self.done = true;
+        let ejected = self
+            .sender
+            .health
+            .lock()
+            .finish(&self.node, end, Instant::now());
+        if ejected {
+            self.sender
+                .node
+                .journal
+                .write(Event::Ejected, format_args!("target={}", self.node));
+        }
+    }
+}
+
+impl Drop for Watch<'_> {
+    fn drop(&mut self) {
+        if !self.done {
+            self.sender
+                .health
+                .lock()
+                .finish(&self.node, End::Abandoned, Instant::now());
+        }
+    }
+}
--- a/src/transport/http.rs
+++ b/src/transport/http.rs
@@ -24,8 +24,9 @@
 /// takes about a millisecond.
 pub const CONNECT: Duration = Duration::from_secs(1);
 
-/// How long an unused connection is kept.
-const KEEP: Duration = Duration::from_secs(20);
+/// How long an unused connection is kept; longer than between two pings of one
+/// partner.
+const KEEP: Duration = Duration::from_secs(60);
 
 /// Unused connections kept for each node.
 const KEPT: usize = 64;
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -1,10 +1,11 @@
 //! Transport: HTTP servers and clients, by library.
 //!
-//! A request enters through [`outbound`] (from a caller) and [`inbound`]
+//! A request enters through [`outbound`] (from a caller; [`plan`] and [`attempt`] are its parts) and [`inbound`]
 //! (from another node); [`peers`] carries frames between nodes, [`log`] the
 //! platform's log, [`operators`] the command-line tool and [`targets`] the
 //! announcements. [`http`] and [`server`] hold what they have in common.
 
+pub mod attempt;
 pub mod http;
 pub mod inbound;
 pub mod keyed;
@@ -12,6 +13,7 @@
 pub mod operators;
 pub mod outbound;
 pub mod peers;
+pub mod plan;
 pub mod server;
 pub mod targets;
 pub mod tls;
--- a/src/transport/outbound.rs
+++ b/src/transport/outbound.rs
@@ -2,91 +2,38 @@
 
 use std::{collections::HashMap, sync::Arc, time::Instant};
 
-use ::http::HeaderMap;
 use bytes::Bytes;
-use futures_util::{FutureExt, future::BoxFuture};
 use parking_lot::Mutex;
 use salvo::{Depot, FlowCtrl, Handler, Request, Response};
 
 use crate::{
     coordination::{
         budget::{Budget, MAX_RETRIES},
-        door::LEAVING,
-        health::{End, Health},
         node::Node,
         once::Key,
-        pick::{self, Candidate, Reason},
+        pick::Reason,
     },
     event::Event,
     id::{self, Name},
     metrics::Fate,
     protocol::answer::{self, Outcome, Refusal},
-    state::{
-        member::{Member, Status},
-        resource::Class,
-        version::Version,
-        view::{self, Distance},
-    },
     transport::{
-        http::{self, Outgoing, Pieces},
-        inbound::{MISPLACED, Onward},
-        keyed, tls,
+        attempt::{Choice, Failed, Sender},
+        http,
+        inbound::Onward,
+        keyed,
+        plan::{Body, Plan},
     },
-    unit::{Size, Span},
+    unit::Span,
 };
 
-/// The largest body that is kept to be sent again.
-const KEPT_BODY: u64 = 64 << 10;
-
 /// The outbound proxy.
 pub struct Outbound {
     node: Arc<Node>,
-    client: reqwest::Client,
-    health: Mutex<Health>,
+    sender: Sender,
     budgets: Mutex<HashMap<Name, Budget>>,
 }
 
-/// A request and what the view says about it.
-struct Plan {
-    version: Version,
-    route: Name,
-    service: Arc<view::Service>,
-    class: Class,
-    onward: Onward,
-    deadline: Instant,
-    repeatable: bool,
-}
-
-impl Plan {
-    fn distance(&self, domain: &Name) -> Distance {
-        self.service
-            .allowed
-            .get(domain)
-            .copied()
-            .unwrap_or(Distance::Beyond)
-    }
-}
-
-/// A request body: kept whole, or passed on once.
-enum Body {
-    Whole(Bytes),
-    Once(Option<Pieces>),
-}
-
-/// The target chosen for an attempt.
-struct Choice {
-    member: Arc<Member>,
-    reason: Reason,
-    cost: u32,
-    candidates: usize,
-}
-
-/// An attempt that brought no answer.
-struct Failed {
-    refusal: Refusal,
-    node: id::Node,
-}
-
 impl Outbound {
     /// Returns the outbound proxy of `node`.
     ///
@@ -94,12 +41,10 @@
     ///
     /// If keys or certificates can't be used.
     pub fn new(node: Arc<Node>) -> Result<Arc<Self>, super::Error> {
-        let client = tls::client(&node.settings)?;
-        let health = Mutex::new(Health::default());
+        let sender = Sender::new(node.clone())?;
         Ok(Arc::new(Self {
             node,
-            client,
-            health,
+            sender,
             budgets: Mutex::new(HashMap::new()),
         }))
     }
@@ -109,10 +54,7 @@
     pub async fn tidy(self: Arc<Self>) {
         loop {
             tokio::time::sleep(Span::from_secs(60).duration()).await;
-            let table = self.node.table.read();
-            self.health
-                .lock()
-                .retain(|node| table.get(node).is_some_and(|m| m.is_present()));
+            self.sender.tidy();
         }
     }
 
@@ -123,8 +65,9 @@
         if req.uri().path() == keyed::PATH {
             return self.issue(req).await;
         }
-        let plan = self.plan(req)?;
-        let body = self.body(req, &plan).await?;
+        let plan = Plan::new(&self.node, req)?;
+        let idle = self.node.settings.requests.idle_timeout;
+        let body = Body::of(req, &plan, idle).await?;
         match http::parse::<Key>(&plan.onward.headers, answer::KEY) {
             Some(key) => self.keyed(&plan, key, body).await,
             None if plan.onward.headers.contains_key(answer::KEY) && !plan.repeatable => {
@@ -135,94 +78,6 @@
         }
     }
 
-    /// Finds the route and what its service demands.
-    fn plan(&self, req: &Request) -> Result<Plan, Refusal> {
-        let view = self.node.view.load_full();
-        let view =
-            view.ok_or_else(|| Refusal::not_run("no complete view yet", Span::from_secs(1)))?;
-        let onward = Onward::of(req);
-        let host = host(req);
-        let (path, method) = (req.uri().path(), onward.method.as_str());
-        let Some(route) = view.route(host.as_deref(), path, method) else {
-            let details = format_args!(
-                "host={host:?} path={path} method={method} version={}",
-                view.version
-            );
-            self.node.journal.write(Event::NoRoute, details);
-            return Err(Refusal::rejected(404, "no route matches"));
-        };
-        let Some(service) = view.service(&route.service).cloned() else {
-            // The view guarantees it; were it broken, no request must pass.
-            return Err(Refusal::not_run(
-                "the route's service is not in the view",
-                Span::from_secs(1),
-            ));
-        };
-        let policy = &service.policy;
-        let asked: Option<u64> = http::parse(req.headers(), answer::DEADLINE);
-        let left = asked.map_or(policy.timeout, |ms| {
-            Span::from_millis(ms).min(policy.timeout)
-        });
-        if left.as_millis() == 0 {
-            return Err(Refusal::rejected(504, "the deadline has passed"));
-        }
-        let repeatable = policy.repeat.allows(method);
-        let class = route.class.unwrap_or(policy.class);
-        let deadline = Instant::now() + left.duration();
-        Ok(Plan {
-            version: view.version,
-            route: route.name.clone(),
-            service,
-            class,
-            onward,
-            deadline,
-            repeatable,
-        })
-    }
-
-    /// Takes the body: small ones whole, so that they can be sent again.
-    async fn body(&self, req: &mut Request, plan: &Plan) -> Result<Body, Refusal> {
-        let max = plan.service.policy.max_body;
-        let length: Option<u64> = http::parse(req.headers(), "content-length");
-        let chunked = req.headers().contains_key("transfer-encoding");
-        if length.is_some_and(|length| length > max.as_bytes()) {
-            return Err(Refusal::rejected(
-                413,
-                format!("request body is larger than {max}"),
-            ));
-        }
-        let idle = self.node.settings.requests.idle_timeout;
-        // HTTP/2 need not say a length; the end of the stream does.
-        let is_h2 = req.version() == ::http::Version::HTTP_2;
-        if length.is_none() && !chunked && !is_h2 {
-            return Ok(Body::Whole(Bytes::new()));
-        }
-        let keyed = plan.onward.headers.contains_key(answer::KEY);
-        let kept = if keyed {
-            keyed::MAX_BODY as u64
-        } else {
-            KEPT_BODY
-        };
-        if keyed && length.is_none_or(|length| length > kept) {
-            return Err(Refusal::rejected(
-                413,
-                format!("a keyed request needs a content-length up to {kept}"),
-            ));
-        }
-        if length.is_some_and(|length| length <= kept) {
-            let pieces = http::request_pieces(req.take_body(), Size::from_bytes(kept), idle);
-            let whole = http::whole(pieces, kept as usize).await;
-            let whole = whole
-                .map_err(|_| Refusal::rejected(400, "the request body did not arrive whole"))?;
-            return Ok(Body::Whole(whole));
-        }
-        Ok(Body::Once(Some(http::request_pieces(
-            req.take_body(),
-            max,
-            idle,
-        ))))
-    }
-
     /// Tries targets until one answers, the budget is spent, or nothing more
     /// may be tried without the risk of running the request twice.
     async fn attempts(&self, plan: &Plan, mut body: Body) -> Result<reqwest::Response, Refusal> {
@@ -231,11 +86,11 @@
         let mut tried = Vec::new();
         let mut doubt = None;
         for attempt in 0..=MAX_RETRIES {
-            let choice = match self.choose(plan, &tried) {
+            let choice = match self.sender.choose(plan, &tried) {
                 Ok(choice) => choice,
                 Err(refusal) => return Err(doubt.unwrap_or(refusal)),
             };
-            self.log_choice(plan, &choice, attempt);
+            self.sender.log_choice(plan, &choice, attempt);
             let Some(sent) = body.take() else { break };
             tried.push(choice.member.node.clone());
             let failed = match self
@@ -278,7 +133,7 @@
         again: Option<Bytes>,
         tried: &mut Vec<id::Node>,
     ) -> Result<reqwest::Response, Failed> {
-        let mut first = self.attempt(plan, choice, sent);
+        let mut first = self.sender.attempt(plan, choice, sent);
         let (Some(after), true, Some(bytes)) =
             (plan.service.policy.hedge_after, plan.repeatable, again)
         else {
@@ -288,7 +143,7 @@
             return done;
         }
         let service = &plan.service.name;
-        let Ok(choice) = self.choose(plan, tried) else {
+        let Ok(choice) = self.sender.choose(plan, tried) else {
             return first.await;
         };
         if !self.spend(service) {
@@ -299,125 +154,14 @@
             format_args!("service={service} node={}", choice.member.node),
         );
         tried.push(choice.member.node.clone());
-        let second = self.attempt(plan, choice, bytes.into());
+        let second = self.sender.attempt(plan, choice, bytes.into());
         match futures_util::future::select(first, second)
             .await
             .factor_first()
         {
             (Ok(response), _) => Ok(response),
-            (Err(_), other) => other.await,
-        }
-    }
-
-    fn attempt<'a>(
-        &'a self,
-        plan: &'a Plan,
-        choice: Choice,
-        body: reqwest::Body,
-    ) -> BoxFuture<'a, Result<reqwest::Response, Failed>> {
-        let out = Outgoing {
-            method: plan.onward.method.clone(),
-            url: self.url(&choice.member, &plan.onward.path),
-            headers: self.headers(plan),
-            body,
-            deadline: plan.deadline,
-        };
-        let node = choice.member.node.clone();
-        async move {
-            let watch = Watch::start(self, &choice.member);
-            let result = http::forward(&self.client, out).await;
-            let (end, result) = judge(result, node);
-            watch.finish(end);
-            result
+            (Err(one), other) => other.await.map_err(|two| one.or(two)),
         }
-        .boxed()
-    }
-
-    fn url(&self, member: &Member, path: &str) -> String {
-        format!(
-            "{}://{}{path}",
-            tls::scheme(&self.node.settings.security),
-            member.inbound
-        )
-    }
-
-    fn headers(&self, plan: &Plan) -> HeaderMap {
-        let mut headers = plan.onward.headers.clone();
-        let left = plan.deadline.saturating_duration_since(Instant::now());
-        let class = match plan.class {
-            Class::Critical => "critical",
-            Class::Normal => "normal",
-            Class::Bulk => "bulk",
-        };
-        http::set(&mut headers, answer::DEADLINE, left.as_millis());
-        http::set(&mut headers, answer::CLASS, class);
-        self.sign(&mut headers, &plan.service.name);
-        headers
-    }
-
-    /// Says who sends a request, and for which service.
-    fn sign(&self, headers: &mut HeaderMap, service: &Name) {
-        http::set(headers, answer::SERVICE, service);
-        http::set(headers, answer::NODE, &self.node.settings.node);
-        http::set(headers, answer::DOMAIN, &self.node.settings.domain);
-        http::set(headers, answer::VERSION, self.node.version());
-    }
-
-    /// Chooses a target among those allowed and not `tried` yet.
-    fn choose(&self, plan: &Plan, tried: &[id::Node]) -> Result<Choice, Refusal> {
-        let service = &plan.service;
-        let offers = offers(&self.node, service, tried);
-        let slots = service.policy.slots;
-        let now = Instant::now();
-        let candidates: Vec<Candidate> = {
-            let mut health = self.health.lock();
-            let candidate = |member: &Arc<Member>| {
-                let (cost, ejected) = health.look(&member.node, member.incarnation, slots, now);
-                Candidate {
-                    distance: plan.distance(&member.domain),
-                    cost,
-                    ejected,
-                }
-            };
-            offers.iter().map(candidate).collect()
-        };
-        let picked = pick::pick(&candidates, &mut fastrand::Rng::new());
-        let Some((index, reason)) = picked else {
-            let details = format_args!(
-                "service={} tried={} version={}",
-                service.name,
-                tried.len(),
-                plan.version
-            );
-            self.node.journal.write(Event::NoTarget, details);
-            return Err(Refusal::not_run(
-                "no allowed target is there",
-                Span::from_secs(1),
-            ));
-        };
-        let (cost, candidates) = (candidates[index].cost, candidates.len());
-        Ok(Choice {
-            member: offers[index].clone(),
-            reason,
-            cost,
-            candidates,
-        })
-    }
-
-    fn log_choice(&self, plan: &Plan, choice: &Choice, attempt: u32) {
-        let Choice {
-            member,
-            reason,
-            cost,
-            candidates,
-        } = choice;
-        let (node, domain) = (&member.node, &member.domain);
-        let (route, service, version) = (&plan.route, &plan.service.name, plan.version);
-        let details = format_args!(
-            "route={route} service={service} to={node} domain={domain} reason={reason:?} cost={cost} \
-             candidates={candidates} attempt={attempt} version={version}"
-        );
-        self.node.journal.write(Event::Routed, details);
     }
 
     fn earn(&self, plan: &Plan) {
@@ -460,47 +204,30 @@
             ));
         }
         self.earn(plan);
+        let mut attempt = 0;
         loop {
-            let Some(sent) = body.take() else {
-                return Err(gone());
-            };
             let choice = Choice {
                 member: member.clone(),
-                reason: Reason::Room(Distance::Domain),
+                reason: Reason::Room(plan.distance(&member.domain)),
                 cost: 0,
                 candidates: 1,
             };
-            self.log_choice(plan, &choice, 0);
-            let mut headers = self.headers(plan);
+            self.sender.log_choice(plan, &choice, attempt);
+            let mut headers = self.sender.headers(plan);
             http::set(&mut headers, answer::KEYED, 1);
-            let out = Outgoing {
-                method: plan.onward.method.clone(),
-                url: self.url(&member, &plan.onward.path),
-                headers,
-                body: sent,
-                deadline: plan.deadline,
+            let Some(sent) = body.take() else {
+                return Err(gone());
             };
-            let result = http::forward(&self.client, out).await;
-            let sent_at_all = !matches!(result, Err(http::Failure::NotSent));
-            let (_, result) = judge(result, member.node.clone());
-            let Err(failed) = result else {
-                return result.map_err(|failed| failed.refusal);
+            let result = self.sender.attempt_with(plan, choice, headers, sent).await;
+            let failed = match result {
+                Ok(response) => return Ok(response),
+                Err(failed) => failed,
             };
             // The same key at the same node is safe to repeat.
-            let again =
-                failed.refusal.status == 502 && sent_at_all && self.spend(&plan.service.name);
-            if !again {
-                // An earlier request under the key may have run, so a node
-                // that can't be reached leaves the key's outcome unknown.
-                let lost = Refusal::unknown(
-                    503,
-                    "the key's node can't be reached; ask again with the same key",
-                );
-                let lost = Refusal {
-                    retry_after: Some(Span::from_secs(1)),
-                    ..lost
-                };
-                return Err(if sent_at_all { failed.refusal } else { lost });
+            attempt += 1;
+            let broke_off = failed.refusal.status == 502;
+            if !broke_off || attempt > MAX_RETRIES || !self.spend(&plan.service.name) {
+                return Err(of_key(failed));
             }
         }
     }
@@ -545,132 +272,16 @@
     }
 }
 
-/// Returns the members that may be sent requests of `service`.
-pub fn offers(node: &Node, service: &view::Service, tried: &[id::Node]) -> Vec<Arc<Member>> {
-    let table = node.table.read();
-    let serves = |member: &Member| {
-        let present = matches!(member.status, Status::Alive | Status::Suspect);
-        let offered = member
-            .targets
-            .iter()
-            .any(|t| t.service == service.name && !t.draining);
-        present && offered && service.allowed.contains_key(&member.domain)
-    };
-    let offers = table.offers(&service.name).iter();
-    offers
-        .filter(|m| serves(m) && !tried.contains(&m.node))
-        .cloned()
-        .collect()
-}
-
-/// Returns the `Host` of a request, without its port.
-fn host(req: &Request) -> Option<String> {
-    let host = http::get(req.headers(), "host").or_else(|| req.uri().host())?;
-    let end = host
-        .rfind(':')
-        .filter(|_| !host.ends_with(']'))
-        .unwrap_or(host.len());
-    Some(host[..end].to_ascii_lowercase())
-}
-
-/// Sorts the end of an attempt: what it says of the target, and of the
-/// request.
-fn judge(
-    result: Result<reqwest::Response, http::Failure>,
-    node: id::Node,
-) -> (End, Result<reqwest::Response, Failed>) {
-    let response = match result {
-        Ok(response) => response,
-        Err(failure) => {
-            return (
-                End::Failed,
-                Err(Failed {
-                    refusal: failure.refusal("the target's node"),
-                    node,
-                }),
-            );
-        }
-    };
-    let load = http::parse(response.headers(), answer::LOAD);
-    let Some(refusal) = http::refusal(&response) else {
-        let end = if response.status().is_server_error() {
-            End::Failed
-        } else {
-            End::Answered(load)
-        };
-        return (end, Ok(response));
-    };
-    let end = match refusal.reason.as_str() {
-        LEAVING => End::Leaving,
-        MISPLACED => End::Abandoned,
-        _ if refusal.outcome == Outcome::NotRun => End::Shed(load),
-        _ => End::Failed,
-    };
-    (end, Err(Failed { refusal, node }))
-}
-
-/// Counts an attempt as outstanding until it ends, however it ends.
-struct Watch<'a> {
-    outbound: &'a Outbound,
-    node: id::Node,
-    done: bool,
-}
-
-impl<'a> Watch<'a> {
-    fn start(outbound: &'a Outbound, member: &Member) -> Self {
-        outbound
-            .health
-            .lock()
-            .start(&member.node, member.incarnation, Instant::now());
-        Self {
-            outbound,
-            node: member.node.clone(),
-            done: false,
-        }
-    }
-
-    fn finish(mut self, end: End) {
-        self.done = true;
-        let ejected = self
-            .outbound
-            .health
-            .lock()
-            .finish(&self.node, end, Instant::now());
-        if ejected {
-            self.outbound
-                .node
-                .journal
-                .write(Event::Ejected, format_args!("target={}", self.node));
-        }
-    }
-}
-
-impl Drop for Watch<'_> {
-    fn drop(&mut self) {
-        if !self.done {
-            self.outbound
-                .health
-                .lock()
-                .finish(&self.node, End::Abandoned, Instant::now());
-        }
+/// Returns what the end of an attempt says of a key. An earlier request under
+/// the key may have run, so a node that can't be reached leaves that unknown.
+fn of_key(failed: Failed) -> Refusal {
+    if failed.was_sent {
+        return failed.refusal;
     }
-}
-
-impl Body {
-    /// Returns the body to send, if there is still one.
-    fn take(&mut self) -> Option<reqwest::Body> {
-        match self {
-            Self::Whole(bytes) => Some(bytes.clone().into()),
-            Self::Once(pieces) => pieces.take().map(reqwest::Body::wrap_stream),
-        }
-    }
-
-    /// Returns the whole body, if it can be sent again.
-    fn kept(&self) -> Option<Bytes> {
-        match self {
-            Self::Whole(bytes) => Some(bytes.clone()),
-            Self::Once(_) => None,
-        }
+    let reason = "the key's node can't be reached; ask again with the same key";
+    Refusal {
+        retry_after: Some(Span::from_secs(1)),
+        ..Refusal::unknown(503, reason)
     }
 }
 
--- /dev/null
+++ b/src/transport/plan.rs
@@ -0,0 +1,185 @@
+//! A caller's request, and what the view says about it.
+
+use std::{sync::Arc, time::Instant};
+
+use bytes::Bytes;
+use http_body::Body as _;
+use salvo::Request;
+
+use crate::{
+    coordination::node::Node,
+    event::Event,
+    id::Name,
+    protocol::answer::{self, Refusal},
+    state::{
+        resource::Class,
+        version::Version,
+        view::{self, Distance},
+    },
+    transport::{
+        http::{self, Pieces},
+        inbound::Onward,
+        keyed,
+    },
+    unit::{Size, Span},
+};
+
+/// The largest body that is kept to be sent again.
+const KEPT_BODY: u64 = 64 << 10;
+
+/// A request and what the view says about it.
+pub struct Plan {
+    /// The version of the view.
+    pub version: Version,
+    /// The route that matched.
+    pub route: Name,
+    /// The service it leads to.
+    pub service: Arc<view::Service>,
+    /// The request's class.
+    pub class: Class,
+    /// What is passed on.
+    pub onward: Onward,
+    /// When the answer must have begun.
+    pub deadline: Instant,
+    /// Whether it may run more than once.
+    pub repeatable: bool,
+}
+
+impl Plan {
+    /// Finds the route of a request and what its service demands.
+    ///
+    /// # Errors
+    ///
+    /// The refusal; the request has not run.
+    pub fn new(node: &Node, req: &Request) -> Result<Self, Refusal> {
+        let view = node.view.load_full();
+        let view =
+            view.ok_or_else(|| Refusal::not_run("no complete view yet", Span::from_secs(1)))?;
+        let onward = Onward::of(req);
+        let host = host(req);
+        let (path, method) = (req.uri().path(), onward.method.as_str());
+        let Some(route) = view.route(host.as_deref(), path, method) else {
+            let details = format_args!(
+                "host={host:?} path={path} method={method} version={}",
+                view.version
+            );
+            node.journal.write(Event::NoRoute, details);
+            return Err(Refusal::rejected(404, "no route matches"));
+        };
+        let Some(service) = view.service(&route.service).cloned() else {
+            // The view guarantees it; were it broken, no request must pass.
+            return Err(Refusal::not_run(
+                "the route's service is not in the view",
+                Span::from_secs(1),
+            ));
+        };
+        let policy = &service.policy;
+        let asked: Option<u64> = http::parse(req.headers(), answer::DEADLINE);
+        let left = asked.map_or(policy.timeout, |ms| {
+            Span::from_millis(ms).min(policy.timeout)
+        });
+        if left.as_millis() == 0 {
+            return Err(Refusal::rejected(504, "the deadline has passed"));
+        }
+        let repeatable = policy.repeat.allows(method);
+        let class = route.class.unwrap_or(policy.class);
+        let deadline = Instant::now() + left.duration();
+        Ok(Self {
+            version: view.version,
+            route: route.name.clone(),
+            service,
+            class,
+            onward,
+            deadline,
+            repeatable,
+        })
+    }
+
+    /// Returns how far a failure domain is.
+    pub fn distance(&self, domain: &Name) -> Distance {
+        self.service
+            .allowed
+            .get(domain)
+            .copied()
+            .unwrap_or(Distance::Beyond)
+    }
+}
+
+/// A request body: kept whole, or passed on once.
+pub enum Body {
+    /// Whole, so it can be sent again.
+    Whole(Bytes),
+    /// In pieces as they come; gone once it is taken.
+    Once(Option<Pieces>),
+}
+
+impl Body {
+    /// Takes the body of a request: small ones whole, so that they can be sent
+    /// again.
+    ///
+    /// # Errors
+    ///
+    /// The refusal, if it is too large or breaks off; the request has not run.
+    pub async fn of(req: &mut Request, plan: &Plan, idle: Span) -> Result<Self, Refusal> {
+        let max = plan.service.policy.max_body;
+        let length: Option<u64> = http::parse(req.headers(), "content-length");
+        let chunked = req.headers().contains_key("transfer-encoding");
+        if length.is_some_and(|length| length > max.as_bytes()) {
+            return Err(Refusal::rejected(
+                413,
+                format!("request body is larger than {max}"),
+            ));
+        }
+        // HTTP/2 need not say a length; the end of the stream does.
+        let body = req.take_body();
+        if length.is_none() && !chunked && body.is_end_stream() {
+            return Ok(Self::Whole(Bytes::new()));
+        }
+        let keyed = plan.onward.headers.contains_key(answer::KEY);
+        let kept = if keyed {
+            keyed::MAX_BODY as u64
+        } else {
+            KEPT_BODY
+        };
+        if keyed && length.is_none_or(|length| length > kept) {
+            return Err(Refusal::rejected(
+                413,
+                format!("a keyed request needs a content-length up to {kept}"),
+            ));
+        }
+        if length.is_some_and(|length| length <= kept) {
+            let pieces = http::request_pieces(body, Size::from_bytes(kept), idle);
+            let whole = http::whole(pieces, kept as usize).await;
+            let whole = whole
+                .map_err(|_| Refusal::rejected(400, "the request body did not arrive whole"))?;
+            return Ok(Self::Whole(whole));
+        }
+        Ok(Self::Once(Some(http::request_pieces(body, max, idle))))
+    }
+
+    /// Returns the body to send, if there is still one.
+    pub fn take(&mut self) -> Option<reqwest::Body> {
+        match self {
+            Self::Whole(bytes) => Some(bytes.clone().into()),
+            Self::Once(pieces) => pieces.take().map(reqwest::Body::wrap_stream),
+        }
+    }
+
+    /// Returns the whole body, if it can be sent again.
+    pub fn kept(&self) -> Option<Bytes> {
+        match self {
+            Self::Whole(bytes) => Some(bytes.clone()),
+            Self::Once(_) => None,
+        }
+    }
+}
+
+/// Returns the `Host` of a request, without its port.
+fn host(req: &Request) -> Option<String> {
+    let host = http::get(req.headers(), "host").or_else(|| req.uri().host())?;
+    let end = host
+        .rfind(':')
+        .filter(|_| !host.ends_with(']'))
+        .unwrap_or(host.len());
+    Some(host[..end].to_ascii_lowercase())
+}
--- a/tests/coordination.rs
+++ b/tests/coordination.rs
@@ -537,6 +537,44 @@
         assert!(second.iter().all(|i| !first.contains(i)));
     }
 
+    everybody_is_pinged_and_news_reaches_all_in_few_steps => {
+        for count in [2u32, 3, 10, 100, 400] {
+            let mut table = Table::default();
+            for i in 0..count {
+                table.merge(member(i, "d", Status::Alive, 1));
+                table.merge(member(count + i, "e", Status::Alive, 1));
+            }
+            let domain = "d".parse().unwrap();
+            let name = |i: u32| format!("n{i}").parse().unwrap();
+            let pings: Vec<HashSet<SocketAddr>> = (0..count)
+                .map(|i| rank::partners(&table, &domain, &name(i)).iter().map(|m| m.peers).collect())
+                .collect();
+            for i in 0..count {
+                let watchers = pings.iter().filter(|partners| partners.contains(&address(i))).count();
+                assert!(watchers >= 2.min(count as usize - 1), "{watchers} watch {i} of {count}");
+                assert!(pings[i as usize].len() <= 6 && !pings[i as usize].contains(&address(i)));
+                let far = rank::far_partners(&table, &domain, &name(i));
+                assert!((1..=3).contains(&far.len()) && far.iter().all(|m| m.domain.as_str() == "e"));
+            }
+            // A ping carries news both ways.
+            let mut knows: HashSet<SocketAddr> = HashSet::from([address(0)]);
+            let mut steps = 0;
+            while knows.len() < count as usize {
+                let before = knows.clone();
+                for (i, partners) in pings.iter().enumerate() {
+                    let me = address(i as u32);
+                    if before.contains(&me) {
+                        knows.extend(partners);
+                    } else if partners.iter().any(|partner| before.contains(partner)) {
+                        knows.insert(me);
+                    }
+                }
+                steps += 1;
+                assert!(steps <= 6, "{} of {count} after {steps} steps", knows.len());
+            }
+        }
+    }
+
     own_observations_go_before_claims => {
         let (now, target) = (Instant::now(), "n1".parse().unwrap());
         let mut health = Health::default();
--- a/tests/requests.rs
+++ b/tests/requests.rs
@@ -110,6 +110,25 @@
         assert_eq!(outcome(&response), "unknown");
     }
 
+    doubt_of_a_hedge_is_kept => {
+        // The first copy breaks off, the second certainly does not run.
+        let mesh = two_nodes(json!({"repeat": "always", "hedge_after": "50ms", "slots": 1})).await;
+        let busy = mesh.target(1, "s").await;
+        busy.delay_ms.store(3_000, Ordering::SeqCst);
+        let occupying = tokio::spawn(client().get(mesh.url(1, "/s")).send());
+        until("the other target is busy", || async { (busy.hits() == 1).then_some(()) }).await;
+        let (breaking, broken) = raw::target(|_| { std::thread::sleep(Duration::from_millis(200)); None }).await;
+        mesh.announce(0, "s", breaking).await;
+        let call = tokio::spawn(client().get(mesh.url(0, "/s")).send());
+        until("the first copy is there", || async { (broken.load(Ordering::SeqCst) == 1).then_some(()) }).await;
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        let at = mesh.daemons[1].listen.operators;
+        mesh::post::<Value>(at, "drain", &json!({"service": "s"})).await.unwrap();
+        assert_eq!(outcome(&call.await.unwrap().unwrap()), "unknown");
+        assert_eq!(busy.hits(), 1);
+        occupying.abort();
+    }
+
     callers_get_their_own_answers_though_others_give_up => {
         let mesh = two_nodes(json!({"slots": 64, "queue": 64})).await;
         let target = mesh.target(1, "s").await;
