--- a/examples/fleet.rs
+++ b/examples/fleet.rs
@@ -99,25 +99,6 @@
         .unwrap_or(0)
 }
 
-/// Processor seconds of a process so far.
-fn cpu_seconds(id: u32) -> f64 {
-    let text = std::fs::read_to_string(format!("/proc/{id}/stat")).unwrap_or_default();
-    let fields: Vec<&str> = text
-        .rsplit(')')
-        .next()
-        .unwrap_or("")
-        .split_whitespace()
-        .collect();
-    let ticks = |i: usize| {
-        fields
-            .get(i)
-            .and_then(|f| f.parse::<f64>().ok())
-            .unwrap_or(0.0)
-    };
-    // User and system time, in hundredths of a second.
-    (ticks(11) + ticks(12)) / 100.0
-}
-
 /// Resident memory of a process, in bytes.
 fn resident(id: u32) -> f64 {
     let text = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
@@ -187,7 +168,7 @@
     fn cpu(&self) -> f64 {
         self.processes
             .iter()
-            .map(|process| cpu_seconds(process.id()))
+            .map(|process| support::cpu_seconds(process.id()))
             .sum()
     }
 
--- a/examples/load.rs
+++ b/examples/load.rs
@@ -71,6 +71,8 @@
     class_p99_us: [u64; 3],
     /// Attempts that reached targets, over requests sent.
     attempts: f64,
+    /// Processor time of the daemons, in microseconds for each request.
+    cpu_us: f64,
 }
 
 type Send = Arc<
@@ -140,6 +142,7 @@
         p999_us: all.value_at_quantile(0.999),
         class_p99_us: std::array::from_fn(|i| results[i].lock().value_at_quantile(0.99)),
         attempts: 0.0,
+        cpu_us: 0.0,
     }
 }
 
@@ -247,6 +250,14 @@
         self.nodes.iter().map(|node| node.listen.callers).collect()
     }
 
+    /// Processor seconds of all daemons so far.
+    fn cpu(&self) -> f64 {
+        self.nodes
+            .iter()
+            .map(|node| support::cpu_seconds(node.id()))
+            .sum()
+    }
+
     fn hits(&self) -> u64 {
         self.targets.iter().map(Target::hits).sum()
     }
@@ -306,19 +317,23 @@
         // Connections are made first; both ways are warm.
         load("warm", rate, 1, direct.clone()).await;
         load("warm", rate, 1, through.clone()).await;
+        let cpu = mesh.cpu();
         // At the same time, so that both meet the same noise of the machine.
         let (direct, through) = tokio::join!(
             load("direct", rate, args.seconds, direct),
             load("through two proxies", rate, args.seconds, through)
         );
+        let mut through = through;
+        through.cpu_us = (mesh.cpu() - cpu) * 1e6 / through.sent as f64;
         show(&direct, &args.out);
         show(&through, &args.out);
         println!(
-            "{:<28} {rate:>6.0}/s p50 {} p99 {} p99.9 {} us",
+            "{:<28} {rate:>6.0}/s p50 {} p99 {} p99.9 {} us, daemons {:.0} us of processor a call",
             "added",
             through.p50_us as i64 - direct.p50_us as i64,
             through.p99_us as i64 - direct.p99_us as i64,
-            through.p999_us as i64 - direct.p999_us as i64
+            through.p999_us as i64 - direct.p999_us as i64,
+            through.cpu_us
         );
     }
 }
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -34,3 +34,22 @@
 pub fn client() -> reqwest::Client {
     rilltrack::transport::http::client().build().unwrap()
 }
+
+/// Processor seconds of a process so far.
+pub fn cpu_seconds(id: u32) -> f64 {
+    let text = std::fs::read_to_string(format!("/proc/{id}/stat")).unwrap_or_default();
+    let fields: Vec<&str> = text
+        .rsplit(')')
+        .next()
+        .unwrap_or("")
+        .split_whitespace()
+        .collect();
+    let ticks = |i: usize| {
+        fields
+            .get(i)
+            .and_then(|f| f.parse::<f64>().ok())
+            .unwrap_or(0.0)
+    };
+    // User and system time, in hundredths of a second.
+    (ticks(11) + ticks(12)) / 100.0
+}
