Ranks weigh members without allocating

Cause: a weight formatted job and name into a new string for every member at every look, and the choice of far partners weighed each one several times. Ruled out: caching by a generation of the table (churn of 0.2 news a second would empty it every few looks, and it is state to keep right).

--- a/examples/capacity.rs
+++ b/examples/capacity.rs
@@ -325,6 +325,16 @@
         targets,
         wire::encode(&table.marks()).len() as f64,
     );
+    let since = Instant::now();
+    let encoded = wire::encode(&all);
+    series.add("table_encode", targets, micros(since, 1));
+    let since = Instant::now();
+    let decoded: Vec<Member> = wire::decode(&encoded).expect("whole");
+    let mut other = Table::default();
+    for member in decoded {
+        other.merge(member);
+    }
+    series.add("table_take", targets, micros(since, 1));
     let (domain, node) = (
         name("d0".into()),
         "node-0".parse::<Node>().expect("a valid name"),
--- a/src/coordination/rank.rs
+++ b/src/coordination/rank.rs
@@ -6,7 +6,7 @@
 
 use std::sync::Arc;
 
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::{
     id::{Name, Node},
@@ -28,15 +28,22 @@
 /// Members of other failure domains that a node pings.
 const FAR: usize = 3;
 
-fn weight(job: &str, node: &Node) -> u64 {
-    xxh3_64(format!("{job}/{node}").as_bytes())
+/// Returns the weight of `node` for the job whose seed this is. Every member is
+/// weighed at every look, so nothing is allocated here.
+fn weight(seed: u64, node: &Node) -> u64 {
+    xxh3_64_with_seed(node.as_str().as_bytes(), seed)
+}
+
+fn seed(job: &str) -> u64 {
+    xxh3_64(job.as_bytes())
 }
 
 /// Returns the place of `node` for `job` among `others`, 0 being first.
 fn place<'a>(job: &str, node: &Node, others: impl Iterator<Item = &'a Node>) -> usize {
-    let mine = weight(job, node);
+    let seed = seed(job);
+    let mine = weight(seed, node);
     others
-        .filter(|other| *other != node && weight(job, other) < mine)
+        .filter(|other| *other != node && weight(seed, other) < mine)
         .count()
 }
 
@@ -67,11 +74,13 @@
 /// connection, and under TLS for a handshake.
 pub fn partners(table: &Table, domain: &Name, node: &Node) -> Vec<Arc<Member>> {
     let mut ring = neighbours(table, domain, node);
-    let me = weight("ring", node);
+    let order = seed("ring");
+    let me = weight(order, node);
     // Distance along the ring from here.
-    ring.sort_by_cached_key(|member| weight("ring", &member.node).wrapping_sub(me));
+    ring.sort_by_cached_key(|member| weight(order, &member.node).wrapping_sub(me));
     let mut chords = ring.split_off(ring.len().min(SUCCESSORS));
-    chords.sort_by_cached_key(|member| weight(node.as_str(), &member.node));
+    let order = seed(node.as_str());
+    chords.sort_by_cached_key(|member| weight(order, &member.node));
     chords.truncate(CHORDS);
     ring.extend(chords);
     ring
@@ -79,12 +88,13 @@
 
 /// Returns the few members of other failure domains that `node` pings.
 pub fn far_partners(table: &Table, domain: &Name, node: &Node) -> Vec<Arc<Member>> {
+    let order = seed(node.as_str());
     let is_far = |m: &&Arc<Member>| m.domain != *domain && m.is_present();
-    let mut far: Vec<Arc<Member>> = table.iter().filter(is_far).cloned().collect();
-    let by_weight = |member: &Arc<Member>| weight(node.as_str(), &member.node);
+    let weighed = |m| (weight(order, &Arc::<Member>::as_ref(m).node), m);
+    let mut far: Vec<(u64, &Arc<Member>)> = table.iter().filter(is_far).map(weighed).collect();
     if far.len() > FAR {
-        far.select_nth_unstable_by_key(FAR, by_weight);
+        far.select_nth_unstable_by_key(FAR, |(weight, _)| *weight);
         far.truncate(FAR);
     }
-    far
+    far.into_iter().map(|(_, member)| member.clone()).collect()
 }
