--- a/src/transport/attempt.rs
+++ b/src/transport/attempt.rs
@@ -155,11 +155,10 @@
         headers
     }
 
-    /// Says who sends a request, and for which service.
+    /// Says which service a request is for, and by which version; the client
+    /// says who sends it.
     fn sign(&self, headers: &mut HeaderMap, service: &Name) {
         http::set(headers, answer::SERVICE, service);
-        http::set(headers, answer::NODE, &self.node.settings.node);
-        http::set(headers, answer::DOMAIN, &self.node.settings.domain);
         http::set(headers, answer::VERSION, self.node.version());
     }
 
--- a/src/transport/http.rs
+++ b/src/transport/http.rs
@@ -47,13 +47,21 @@
         .pool_max_idle_per_host(KEPT)
 }
 
-/// Returns a builder for clients that reach other hosts of the mesh: their
-/// connections come from the address that the node listens on, so that a host
-/// with several is always seen under the same one.
-pub fn mesh_client(settings: &Settings) -> reqwest::ClientBuilder {
+/// Returns a builder for clients that reach other hosts: their connections come
+/// from the address that the node listens on, so that a host with several is
+/// always seen under the same one.
+pub fn bound_client(settings: &Settings) -> reqwest::ClientBuilder {
     client().local_address(settings.listen.peers.ip())
 }
 
+/// Returns the same for other nodes, to whom every request says who sends it.
+pub fn mesh_client(settings: &Settings) -> reqwest::ClientBuilder {
+    let mut headers = HeaderMap::new();
+    set(&mut headers, answer::NODE, &settings.node);
+    set(&mut headers, answer::DOMAIN, &settings.domain);
+    bound_client(settings).default_headers(headers)
+}
+
 /// Headers that speak of one connection and are not passed on.
 const HOP_BY_HOP: [&str; 9] = [
     "connection",
--- a/src/transport/inbound.rs
+++ b/src/transport/inbound.rs
@@ -18,7 +18,7 @@
         node::Node,
     },
     event::Event,
-    id::{self, Name},
+    id::Name,
     protocol::answer::{self, Outcome, Refusal},
     state::{
         member::{Status, Target},
@@ -28,6 +28,7 @@
     },
     transport::{
         http::{self, Failure, Outgoing},
+        identity::{self, Identity},
         keyed::{self, Keys},
     },
     unit::Span,
@@ -88,13 +89,13 @@
     /// # Errors
     ///
     /// The refusal; the request has not run.
-    pub fn receive(&self, headers: &HeaderMap) -> Result<Visit, Refusal> {
+    pub fn receive(&self, sender: &Identity, headers: &HeaderMap) -> Result<Visit, Refusal> {
         let view = self.node.view.load_full();
         let view =
             view.ok_or_else(|| Refusal::not_run("no complete view yet", Span::from_secs(1)))?;
         let service: Name = http::parse(headers, answer::SERVICE)
             .ok_or_else(|| Refusal::rejected(400, "only nodes of the mesh may send here"))?;
-        self.check_place(&view, &service, headers)?;
+        self.check_place(&view, &service, sender, headers)?;
         let target = self.target(&service)?;
         let policy = view
             .set
@@ -116,21 +117,24 @@
 
     /// Refuses a request that this node's own view does not allow. The sender
     /// may hold an older or a newer view; the stricter one wins.
-    fn check_place(&self, view: &View, service: &Name, headers: &HeaderMap) -> Result<(), Refusal> {
-        let from: Option<Name> = http::parse(headers, answer::DOMAIN);
-        let sender: Option<id::Node> = http::parse(headers, answer::NODE);
-        let member = sender.and_then(|sender| self.node.table.read().get(&sender).cloned());
+    fn check_place(
+        &self,
+        view: &View,
+        service: &Name,
+        sender: &Identity,
+        headers: &HeaderMap,
+    ) -> Result<(), Refusal> {
+        let member = self.node.table.read().get(&sender.node).cloned();
         let labels = member.as_ref().map(|member| &member.labels);
-        let from = member.as_ref().map(|member| member.domain.clone()).or(from);
-        let allowed = from.map(|from| view::allowed(&view.set, service, &from, labels));
+        let allowed = view::allowed(&view.set, service, &sender.domain, labels);
         let here = &self.node.settings.domain;
-        if allowed.is_some_and(|allowed| allowed.contains(here)) {
+        if allowed.contains(here) {
             return Ok(());
         }
         let theirs: Option<Version> = http::parse(headers, answer::VERSION);
         let details = format_args!(
             "service={service} sender={} sender_version={} version={}",
-            member.as_ref().map_or("-", |member| member.node.as_str()),
+            sender.node,
             theirs.unwrap_or_default(),
             view.version
         );
@@ -223,8 +227,13 @@
         http::set(headers, answer::LOAD, self.node.doors.load());
     }
 
-    async fn serve(&self, req: &mut Request, res: &mut Response) -> Result<(), Refusal> {
-        let visit = self.receive(req.headers())?;
+    async fn serve(
+        &self,
+        sender: &Identity,
+        req: &mut Request,
+        res: &mut Response,
+    ) -> Result<(), Refusal> {
+        let visit = self.receive(sender, req.headers())?;
         let declared: Option<u64> = http::parse(req.headers(), "content-length");
         if declared.is_some_and(|length| length > visit.policy.max_body.as_bytes()) {
             return Err(Refusal::rejected(
@@ -296,12 +305,16 @@
 impl Handler for Take {
     async fn handle(&self, req: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
         let inbound = &self.0;
-        let result = if req.uri().path() == keyed::PATH {
-            keyed::issue(inbound, req, res)
-        } else if req.headers().contains_key(answer::KEYED) {
-            keyed::serve(inbound, req, res).await
-        } else {
-            inbound.serve(req, res).await
+        let security = &inbound.node.settings.security;
+        let result = match identity::of(req, security) {
+            Err(error) => Err(Refusal::rejected(403, error.to_string())),
+            Ok(sender) if req.uri().path() == keyed::PATH => {
+                keyed::issue(inbound, &sender, req, res)
+            }
+            Ok(sender) if req.headers().contains_key(answer::KEYED) => {
+                keyed::serve(inbound, &sender, req, res).await
+            }
+            Ok(sender) => inbound.serve(&sender, req, res).await,
         };
         if let Err(refusal) = result {
             http::refuse(res, &refusal);
--- a/src/transport/keyed.rs
+++ b/src/transport/keyed.rs
@@ -15,6 +15,7 @@
     settings,
     transport::{
         http,
+        identity::Identity,
         inbound::{Inbound, Onward, Visit},
         targets,
     },
@@ -76,8 +77,13 @@
 /// # Errors
 ///
 /// The refusal, if no target of the service is here or there is no room.
-pub fn issue(inbound: &Inbound, req: &mut Request, res: &mut Response) -> Result<(), Refusal> {
-    inbound.receive(req.headers())?;
+pub fn issue(
+    inbound: &Inbound,
+    sender: &Identity,
+    req: &mut Request,
+    res: &mut Response,
+) -> Result<(), Refusal> {
+    inbound.receive(sender, req.headers())?;
     let count = req.query::<usize>("count").unwrap_or(1).clamp(1, MAX_COUNT);
     let now = inbound.node.uptime_ms();
     let mut ledger = inbound.keys.ledger.lock();
@@ -126,6 +132,7 @@
 /// The refusal, which says whether the request under this key ran.
 pub async fn serve(
     inbound: &Arc<Inbound>,
+    sender: &Identity,
     req: &mut Request,
     res: &mut Response,
 ) -> Result<(), Refusal> {
@@ -161,7 +168,10 @@
             let record = ended.ok().and_then(|ended| ended.ok()?.clone());
             record.ok_or_else(|| Refusal::unknown(504, "the request under this key still runs"))?
         }
-        Begin::Run => return run(inbound, req, res, key, onward, body).await,
+        Begin::Run => {
+            let visit = inbound.receive(sender, req.headers());
+            return run(inbound, visit, res, key, onward, body).await;
+        }
     };
     inbound
         .node
@@ -178,13 +188,12 @@
 /// goes on to its end, so that a repeat finds the answer.
 async fn run(
     inbound: &Arc<Inbound>,
-    req: &mut Request,
+    visit: Result<Visit, Refusal>,
     res: &mut Response,
     key: Key,
     onward: Onward,
     body: Bytes,
 ) -> Result<(), Refusal> {
-    let visit = inbound.receive(req.headers());
     let task = {
         let inbound = inbound.clone();
         async move {
--- a/src/transport/log.rs
+++ b/src/transport/log.rs
@@ -31,7 +31,7 @@
 ///
 /// If the HTTP client can't be made.
 pub fn link(settings: &Settings) -> Result<Log, super::Error> {
-    let client = http::mesh_client(settings).build()?;
+    let client = http::bound_client(settings).build()?;
     let settings = &settings.log;
     let base = settings.url.trim_end_matches('/').to_owned();
     let timeout = settings.timeout;
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -7,6 +7,7 @@
 
 pub mod attempt;
 pub mod http;
+pub mod identity;
 pub mod inbound;
 pub mod keyed;
 pub mod log;
--- a/src/transport/peers.rs
+++ b/src/transport/peers.rs
@@ -10,7 +10,12 @@
     coordination::{Error, catchup, follow, gossip, link::Call, node::Node},
     metrics::{Metrics, RECEIVED, SENT},
     protocol::wire::{self, Frame, Reply},
-    transport::{http, tls},
+    state::member::Member,
+    transport::{
+        http,
+        identity::{self, Identity},
+        tls,
+    },
     unit::{Size, Span},
 };
 
@@ -78,6 +83,12 @@
     Router::with_path(wire::PATH.trim_start_matches('/')).post(Take { node, call })
 }
 
+/// Returns whether what `sender` says of a member can be believed: of itself,
+/// only the failure domain that it was confirmed to be in.
+fn is_honest(member: &Member, sender: &Identity) -> bool {
+    member.node != sender.node || member.domain == sender.domain
+}
+
 /// How long a peer stays away that asked for a large reply in vain.
 const BUSY: Span = Span::from_millis(300);
 
@@ -100,6 +111,10 @@
 #[salvo::async_trait]
 impl Handler for Take {
     async fn handle(&self, req: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
+        let Ok(sender) = identity::of(req, &self.node.settings.security) else {
+            res.status_code(::http::StatusCode::FORBIDDEN);
+            return;
+        };
         let max = Size::from_bytes(wire::MAX_FRAME as u64);
         let pieces = http::request_pieces(req.take_body(), max, Span::from_secs(5));
         let Ok(body) = http::whole(pieces, wire::MAX_FRAME).await else {
@@ -109,7 +124,7 @@
         let bytes = &self.node.metrics.control_bytes;
         bytes.get_or_create(&RECEIVED).inc_by(body.len() as u64);
         let reply = match wire::decode(&body) {
-            Ok(frame) => self.reply(frame).await,
+            Ok(frame) => self.reply(&sender, frame).await,
             Err(error) => Err(error.into()),
         };
         match reply {
@@ -122,15 +137,22 @@
 }
 
 impl Take {
-    async fn reply(&self, frame: Frame) -> Result<Reply, Error> {
+    async fn reply(&self, sender: &Identity, frame: Frame) -> Result<Reply, Error> {
         let Self { node, call } = self;
         match frame {
-            Frame::Ping(news) => Ok(gossip::answer(node, call, news)),
+            Frame::Ping(news) if news.node != sender.node => {
+                Err(Error::Unexpected(sender.node.to_string()))
+            }
+            Frame::Ping(mut news) => {
+                news.members.retain(|member| is_honest(member, sender));
+                Ok(gossip::answer(node, call, news))
+            }
             Frame::PingFor(peer) => {
                 Ok(Reply::Reached(gossip::ping(node, call, peer).await.is_ok()))
             }
             Frame::Sync(marks) => Ok(self.compare(&marks)),
-            Frame::Tell(members) => {
+            Frame::Tell(mut members) => {
+                members.retain(|member| is_honest(member, sender));
                 node.absorb(members);
                 Ok(Reply::Done)
             }
--- a/tests/product.rs
+++ b/tests/product.rs
@@ -251,9 +251,10 @@
         }
     }
 
-    fn issue(&self, name: &str) -> serde_json::Value {
+    fn issue(&self, name: &str, domain: &str) -> serde_json::Value {
         let key = rcgen::KeyPair::generate().unwrap();
-        let params = rcgen::CertificateParams::new(vec!["127.0.0.1".to_owned()]).unwrap();
+        let names = vec!["127.0.0.1".to_owned(), format!("{name}.{domain}")];
+        let params = rcgen::CertificateParams::new(names).unwrap();
         let certificate = params.signed_by(&key, &self.issuer).unwrap();
         let path = |end: &str| self.dir.path().join(format!("{name}.{end}"));
         fs::write(path("pem"), certificate.pem()).unwrap();
@@ -269,7 +270,7 @@
     let start =
         |name: &str, domain: &str, authority: &Authority, seeds: &[std::net::SocketAddr]| {
             let mut settings = settings(name, domain, &log.url(), seeds);
-            settings["security"] = authority.issue(name);
+            settings["security"] = authority.issue(name, domain);
             Process::start(Path::new(DAEMON), &settings)
         };
     let a = start("a1", "palermo", &authority, &[]);
@@ -294,6 +295,16 @@
         .unwrap();
     assert_eq!(response.text().await.unwrap(), "t /s ");
 
+    // A certificate is for one node in one failure domain.
+    for (node, domain) in [("d1", "palermo"), ("a9", "catania")] {
+        let mut settings = settings(node, domain, &log.url(), &[a.listen.peers]);
+        settings["security"] = authority.issue("a9", "palermo");
+        let impostor = Process::start(Path::new(DAEMON), &settings);
+        ready(&impostor.listen).await;
+        knows(&impostor.listen, 1).await;
+        knows(&a.listen, 2).await;
+    }
+
     // A node of another authority, and plain HTTP, get nowhere.
     let c = start("c1", "palermo", &stranger, &[a.listen.peers]);
     ready(&c.listen).await;
--- a/tests/requests.rs
+++ b/tests/requests.rs
@@ -296,7 +296,8 @@
         let inbound = mesh.daemons[1].listen.inbound;
         let send = |domain: &'static str| {
             let sent = client().get(format!("http://{inbound}/s"));
-            sent.header("rilltrack-service", "s").header("rilltrack-domain", domain).send()
+            let sent = sent.header("rilltrack-service", "s").header("rilltrack-node", "n9");
+            sent.header("rilltrack-domain", domain).send()
         };
         assert_eq!(outcome(&send("palermo").await.unwrap()), "answered");
         mesh.publish("narrow", ops(&[boundary])).await;
--- a/tests/whole_path.rs
+++ b/tests/whole_path.rs
@@ -78,6 +78,8 @@
         });
         let response = support::client()
             .post(&url)
+            .header("rilltrack-node", "n9")
+            .header("rilltrack-domain", "palermo")
             .body(wire::encode(&frame))
             .send()
             .await
