A test expected an answer that may get lost

upload_broken_off_is_never_whole_at_the_target failed once in three runs beside a release build: the proxy gives up on a body that is too large while the caller still writes, and the connection may break before the answer is read. That is HTTP/1.1; holding the answer back until all is read is ruled out (a request given up on is answered at once). The test now takes either, and still demands that no answer is the target's and that the target never sees the body as whole.

--- a/tests/requests.rs
+++ b/tests/requests.rs
@@ -357,7 +357,11 @@
         // Chunked and too large is found out under way.
         let body = futures_util::stream::iter((0..40).map(|_| Ok::<_, std::io::Error>(vec![0u8; 65_536])));
         let sent = client().post(mesh.url(0, "/s/digest")).body(reqwest::Body::wrap_stream(body)).send();
-        assert_ne!(outcome(&sent.await.unwrap()), "answered");
+        // The answer may come, or get lost as the connection breaks under the
+        // caller's writing; it is never the target's.
+        if let Ok(response) = sent.await {
+            assert_ne!(outcome(&response), "answered");
+        }
         until("the target sees it end", || async { (target.ended() == 2).then_some(()) }).await;
         assert_eq!(target.whole.load(Ordering::SeqCst), 0);
     }
