Operators prove who they are; selectors of nothing are warned of

Cause: the operators' address stayed plaintext on loopback even under TLS, so every target on the host could publish. Also: check warns of a boundary whose from or to selects no failure domain, by line and field.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -266,11 +266,6 @@
         let [peers_at, targets_at, operators_at] = listeners;
         let settings = &node.settings;
         let patience = settings.requests.header_timeout;
-        let operators_security = if operators_at.address.ip().is_loopback() {
-            &Security::Plaintext
-        } else {
-            &settings.security
-        };
         let servers: Result<Vec<Running>, _> = futures_util::future::try_join_all([
             peers_at
                 .serve(
@@ -287,7 +282,7 @@
                 )
                 .boxed(),
             operators_at
-                .serve(operators::router(desk), patience, operators_security)
+                .serve(operators::router(desk), patience, &settings.security)
                 .boxed(),
         ])
         .await;
--- a/src/files.rs
+++ b/src/files.rs
@@ -174,22 +174,32 @@
         if set.apply(&self.ops(), Version::default()).is_err() {
             return Vec::new();
         }
-        let idle = |entry: &&Entry| match &entry.resource {
+        let used = |entry: &Entry| match &entry.resource {
             Resource::Boundary(boundary) => {
-                !set.services().any(|s| boundary.services.matches(&s.labels))
+                set.services().any(|s| boundary.services.matches(&s.labels))
             }
-            Resource::Service(service) => !set.routes().any(|r| r.service == service.name),
-            Resource::Policy(policy) => !set.services().any(|s| s.policy == policy.name),
-            Resource::Domain(_) | Resource::Route(_) => false,
+            Resource::Service(service) => set.routes().any(|r| r.service == service.name),
+            Resource::Policy(policy) => set.services().any(|s| s.policy == policy.name),
+            Resource::Domain(_) | Resource::Route(_) => true,
         };
-        let warn = |entry: &Entry| {
-            self.fault(
-                entry,
-                "",
-                format!("{}: nothing uses it", entry.resource.key()),
-            )
-        };
-        self.entries.iter().filter(idle).map(warn).collect()
+        let mut warnings = Vec::new();
+        for entry in &self.entries {
+            let mut warn = |field, what: &str| {
+                let what = format!("{}: {what}", entry.resource.key());
+                warnings.push(self.fault(entry, field, what));
+            };
+            if !used(entry) {
+                warn("", "nothing uses it");
+            }
+            if let Resource::Boundary(boundary) = &entry.resource {
+                for (field, selector) in [("from", &boundary.from), ("to", &boundary.to)] {
+                    if !set.domains().any(|domain| selector.matches(&domain.labels)) {
+                        warn(field, "selects no failure domain");
+                    }
+                }
+            }
+        }
+        warnings
     }
 }
 
--- a/src/tool/desk.rs
+++ b/src/tool/desk.rs
@@ -5,10 +5,12 @@
 use serde::{Serialize, de::DeserializeOwned};
 
 use crate::{
+    logging,
     protocol::operator::{Published, Report},
+    settings::Security,
     state::change::Change,
     tool::{Code, Failure},
-    transport::http,
+    transport::{http, tls},
 };
 
 /// How long a daemon may take; it waits for the log in turn.
@@ -21,6 +23,7 @@
 pub struct Desk {
     client: reqwest::Client,
     daemons: Vec<SocketAddr>,
+    scheme: &'static str,
     /// Whether answers are wanted in JSON.
     pub json: bool,
 }
@@ -28,7 +31,11 @@
 impl Desk {
     /// Returns a desk for the daemons named on the command line, or in
     /// `RILLTRACK_DAEMON`.
-    pub fn new(mut daemons: Vec<SocketAddr>, json: bool) -> Result<Self, Failure> {
+    pub fn new(
+        mut daemons: Vec<SocketAddr>,
+        security: &Security,
+        json: bool,
+    ) -> Result<Self, Failure> {
         if daemons.is_empty() {
             let named = std::env::var("RILLTRACK_DAEMON").unwrap_or_default();
             daemons = named
@@ -42,12 +49,12 @@
                 "no daemon given: use --daemon or RILLTRACK_DAEMON",
             ));
         }
-        let client = http::client()
-            .build()
-            .map_err(|error| Failure::new(Code::Unreachable, error.to_string()))?;
+        let client = tls::proven(http::client(), security)
+            .map_err(|error| Failure::new(Code::Usage, logging::chain(&error)))?;
         Ok(Self {
             client,
             daemons,
+            scheme: tls::scheme(security),
             json,
         })
     }
@@ -96,7 +103,7 @@
     ) -> Result<T, Failure> {
         let mut last = Failure::new(Code::Unreachable, "no daemon given");
         for daemon in &self.daemons {
-            let sent = request(format!("http://{daemon}"))
+            let sent = request(format!("{}://{daemon}", self.scheme))
                 .timeout(PATIENCE)
                 .send()
                 .await;
--- a/src/tool/mod.rs
+++ b/src/tool/mod.rs
@@ -13,6 +13,7 @@
     files::{Difference, Files},
     id,
     protocol::operator::{self, Convergence, Drain, Published, Question, Resources},
+    settings::{Security, Tls},
     state::{
         change::Op,
         machine::Verdict,
@@ -49,6 +50,15 @@
     /// a daemon's operators address; may be given several times
     #[argh(option)]
     daemon: Vec<SocketAddr>,
+    /// your certificate, as a PEM file; needed where nodes use TLS
+    #[argh(option)]
+    certificate: Option<PathBuf>,
+    /// its key
+    #[argh(option)]
+    key: Option<PathBuf>,
+    /// the authority that signed the nodes' certificates
+    #[argh(option)]
+    authority: Option<PathBuf>,
     /// answer in JSON
     #[argh(switch)]
     json: bool,
@@ -229,10 +239,11 @@
 
 async fn work(args: Args) -> Done {
     let json = args.json;
+    let security = security(args.certificate, args.key, args.authority)?;
     if let Job::Check(check) = &args.job {
         return check_files(check, json);
     }
-    let desk = Desk::new(args.daemon, json)?;
+    let desk = Desk::new(args.daemon, &security, json)?;
     match args.job {
         Job::Check(_) => Ok(Code::Accepted),
         Job::Diff(job) => diff(&desk, &job).await,
@@ -264,6 +275,26 @@
     }
 }
 
+/// Returns how to reach the daemons: all three files make TLS, none plaintext.
+fn security(
+    certificate: Option<PathBuf>,
+    key: Option<PathBuf>,
+    authority: Option<PathBuf>,
+) -> Result<Security, Failure> {
+    match (certificate, key, authority) {
+        (None, None, None) => Ok(Security::Plaintext),
+        (Some(certificate), Some(key), Some(authority)) => Ok(Security::Tls(Tls {
+            certificate,
+            key,
+            authority,
+        })),
+        _ => Err(Failure::new(
+            Code::Usage,
+            "--certificate, --key and --authority belong together",
+        )),
+    }
+}
+
 fn read(paths: &[PathBuf]) -> Result<Files, Failure> {
     if paths.is_empty() {
         return Err(Failure::new(Code::Usage, "no files given"));
--- a/src/transport/identity.rs
+++ b/src/transport/identity.rs
@@ -50,23 +50,33 @@
     let claimed = claimed().ok_or(Error::Unnamed)?;
     match security {
         Security::Plaintext => Ok(claimed),
-        Security::Tls(_) if is_confirmed(req, &claimed) => Ok(claimed),
+        Security::Tls(_) if is_certified(req, &dns_name(&claimed)) => Ok(claimed),
         Security::Tls(_) => Err(Error::Impostor(dns_name(&claimed))),
     }
 }
 
+/// The DNS name that the certificate of an operator must be for.
+pub const OPERATOR: &str = "operator.rilltrack.internal";
+
+/// Returns whether `req` may do what operators do: under TLS its certificate
+/// must be an operator's, so that no node, target or caller can publish.
+pub fn is_operator(req: &Request, security: &Security) -> bool {
+    matches!(security, Security::Plaintext) || is_certified(req, OPERATOR)
+}
+
 /// Returns the DNS name that the certificate of a node must be for.
 pub fn dns_name(identity: &Identity) -> String {
     format!("{}.{}", identity.node, identity.domain)
 }
 
-fn is_confirmed(req: &Request, claimed: &Identity) -> bool {
-    let confirm = || {
+/// Returns whether the certificate of the sender of `req` is for `name`.
+fn is_certified(req: &Request, name: &str) -> bool {
+    let check = || {
         let leaf = req.tls_info()?.peer_certificates().first()?;
         let leaf = CertificateDer::from(leaf.as_slice());
         let leaf = EndEntityCert::try_from(&leaf).ok()?;
-        let name = ServerName::try_from(dns_name(claimed)).ok()?;
+        let name = ServerName::try_from(name).ok()?;
         leaf.verify_is_valid_for_subject_name(&name).ok()
     };
-    confirm().is_some()
+    check().is_some()
 }
--- a/src/transport/operators.rs
+++ b/src/transport/operators.rs
@@ -26,7 +26,7 @@
         view::{Distance, View},
     },
     transport::{
-        http,
+        http, identity,
         targets::{Targets, json},
     },
     unit::{Size, Span},
@@ -50,12 +50,26 @@
 type Answer<'a> = BoxFuture<'a, Result<(), String>>;
 type Serve = for<'a> fn(&'a Desk, &'a mut Request, &'a mut Response) -> Answer<'a>;
 
-struct Route(Arc<Desk>, Serve);
+/// Whether a route is for operators alone, or for whoever watches the node too.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Access {
+    Operators,
+    Watchers,
+}
+
+struct Route(Arc<Desk>, Access, Serve);
 
 #[salvo::async_trait]
 impl Handler for Route {
     async fn handle(&self, req: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
-        if let Err(what) = (self.1)(&self.0, req, res).await {
+        let Self(desk, access, serve) = self;
+        let security = &desk.node.settings.security;
+        if *access == Access::Operators && !identity::is_operator(req, security) {
+            res.status_code(::http::StatusCode::FORBIDDEN);
+            res.replace_body(ResBody::Once("for operators\n".into()));
+            return;
+        }
+        if let Err(what) = serve(desk, req, res).await {
             res.status_code(::http::StatusCode::BAD_REQUEST);
             res.replace_body(ResBody::Once(format!("{what}\n").into()));
         }
@@ -64,12 +78,24 @@
 
 /// Returns the routes for operators.
 pub fn router(desk: Arc<Desk>) -> Router {
-    let get = |path: &str, serve: Serve| Router::with_path(path).get(Route(desk.clone(), serve));
-    let post = |path: &str, serve: Serve| Router::with_path(path).post(Route(desk.clone(), serve));
+    let route =
+        |path: &str, access, serve| (Router::with_path(path), Route(desk.clone(), access, serve));
+    let watch = |path: &str, serve: Serve| {
+        let (router, route) = route(path, Access::Watchers, serve);
+        router.get(route)
+    };
+    let get = |path: &str, serve: Serve| {
+        let (router, route) = route(path, Access::Operators, serve);
+        router.get(route)
+    };
+    let post = |path: &str, serve: Serve| {
+        let (router, route) = route(path, Access::Operators, serve);
+        router.post(route)
+    };
     Router::new()
-        .push(get("health", health))
-        .push(get("ready", ready))
-        .push(get("metrics", metrics))
+        .push(watch("health", health))
+        .push(watch("ready", ready))
+        .push(watch("metrics", metrics))
         .push(get("status", status))
         .push(get("resources", resources))
         .push(get("history", history))
--- a/src/transport/tls.rs
+++ b/src/transport/tls.rs
@@ -21,14 +21,22 @@
     }
 }
 
-/// Returns a client builder that proves who this node is.
+/// Returns the client by which a node reaches others.
 ///
 /// # Errors
 ///
 /// If a key or certificate can't be used.
 pub fn client(settings: &Settings) -> Result<reqwest::Client, Error> {
-    let base = http::mesh_client(settings);
-    let Security::Tls(tls) = &settings.security else {
+    proven(http::mesh_client(settings), &settings.security)
+}
+
+/// Returns a client that proves who uses it, where there is TLS.
+///
+/// # Errors
+///
+/// If a key or certificate can't be used.
+pub fn proven(base: reqwest::ClientBuilder, security: &Security) -> Result<reqwest::Client, Error> {
+    let Security::Tls(tls) = security else {
         return Ok(base.build()?);
     };
     let mut roots = RootCertStore::empty();
--- a/tests/product.rs
+++ b/tests/product.rs
@@ -14,13 +14,14 @@
     event::Event,
     files::Files,
     settings::Settings,
+    transport::{http, tls},
     unit::{Percent, Size, Span},
 };
 use serde_json::json;
 use support::{
     client,
     log::{Log, Mood},
-    mesh::{Process, attach, basic_ops, knows, processes, publish, reached, ready, settings},
+    mesh::{self, Process, attach, basic_ops, knows, processes, publish, reached, ready, settings},
     target::Target,
 };
 use tempfile::TempDir;
@@ -100,6 +101,23 @@
         insta::assert_snapshot!(faults_of_files(text));
     }
 
+    what_selects_nothing_is_warned_of_by_name => {
+        let text = r#"[
+  {"kind": "domain", "name": "d", "labels": {"region": "south"}},
+  {"kind": "policy", "name": "p", "timeout": "5s", "slots": 1, "queue": 1, "class": "normal", "repeat": "never"},
+  {"kind": "boundary", "name": "b", "services": {"match_labels": {"data": "none"}},
+   "from": {"match_labels": {"region": "nroth"}}, "to": {"all": true}}
+]"#;
+        let document = Document::parse("f.jsonc", text).unwrap();
+        let files = Files::from_documents(vec![document], Vec::new()).unwrap();
+        let warnings: Vec<String> = files.warnings().iter().map(ToString::to_string).collect();
+        assert_eq!(warnings, [
+            "f.jsonc:3: `1`: policy/p: nothing uses it",
+            "f.jsonc:4: `2`: boundary/b: nothing uses it",
+            "f.jsonc:5: `2.from`: boundary/b: selects no failure domain",
+        ]);
+    }
+
     file_that_is_not_json_names_the_line => {
         let faults = faults_of_files("[\n  {\"kind\": \"domain\",, }\n]");
         assert!(faults.starts_with("f.jsonc:2: is not JSON"), "{faults}");
@@ -262,6 +280,20 @@
         json!({"tls": {"certificate": path("pem"), "key": path("key"),
             "authority": self.dir.path().join("authority.pem")}})
     }
+
+    /// Returns a client that proves to be `name` in `domain`.
+    fn client(&self, name: &str, domain: &str) -> reqwest::Client {
+        let security = serde_json::from_value(self.issue(name, domain)).unwrap();
+        tls::proven(http::client(), &security).unwrap()
+    }
+
+    /// Starts a daemon, and operates it by a certificate of this authority.
+    fn start(&self, settings: &serde_json::Value) -> Process {
+        let process = Process::start(Path::new(DAEMON), settings);
+        let operator = self.client("operator", "rilltrack.internal");
+        mesh::operate(process.listen.operators, &operator);
+        process
+    }
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -271,7 +303,7 @@
         |name: &str, domain: &str, authority: &Authority, seeds: &[std::net::SocketAddr]| {
             let mut settings = settings(name, domain, &log.url(), seeds);
             settings["security"] = authority.issue(name, domain);
-            Process::start(Path::new(DAEMON), &settings)
+            authority.start(&settings)
         };
     let a = start("a1", "palermo", &authority, &[]);
     let b = start("b1", "catania", &authority, &[a.listen.peers]);
@@ -299,12 +331,55 @@
     for (node, domain) in [("d1", "palermo"), ("a9", "catania")] {
         let mut settings = settings(node, domain, &log.url(), &[a.listen.peers]);
         settings["security"] = authority.issue("a9", "palermo");
-        let impostor = Process::start(Path::new(DAEMON), &settings);
+        let impostor = authority.start(&settings);
         ready(&impostor.listen).await;
         knows(&impostor.listen, 1).await;
         knows(&a.listen, 2).await;
     }
 
+    // Nodes may watch each other but not publish; operators may, by the tool too.
+    let change = mesh::change(a.listen.operators, "theirs", Vec::new()).await;
+    let (at, node) = (a.listen.operators, authority.client("b1", "catania"));
+    let metrics = node
+        .get(format!("https://{at}/metrics"))
+        .send()
+        .await
+        .unwrap();
+    assert_eq!(metrics.status().as_u16(), 200);
+    let body = serde_json::to_vec(&change).unwrap();
+    let refused = node
+        .post(format!("https://{at}/changes"))
+        .body(body)
+        .send()
+        .await
+        .unwrap();
+    assert_eq!(refused.status().as_u16(), 403);
+    let files = authority.issue("operator", "rilltrack.internal");
+    let file = |name: &str| files["tls"][name].as_str().unwrap().to_owned();
+    let at = at.to_string();
+    let mut tool = Command::new(TOOL);
+    tool.args([
+        "--daemon",
+        &at,
+        "--certificate",
+        &file("certificate"),
+        "--key",
+        &file("key"),
+    ]);
+    tool.args([
+        "--authority",
+        &file("authority"),
+        "label",
+        "domain/palermo",
+        "a=b",
+    ]);
+    assert_eq!(code(tool.output().unwrap()).0, 0);
+    let plain = Command::new(TOOL)
+        .args(["--daemon", &at, "status"])
+        .output()
+        .unwrap();
+    assert_ne!(code(plain).0, 0);
+
     // A node of another authority, and plain HTTP, get nowhere.
     let c = start("c1", "palermo", &stranger, &[a.listen.peers]);
     ready(&c.listen).await;
@@ -327,7 +402,7 @@
 }
 
 fn client_without_certificate() -> reqwest::Client {
-    rilltrack::transport::http::client()
+    http::client()
         .tls_danger_accept_invalid_certs(true)
         .build()
         .unwrap()
--- a/tests/support/mesh.rs
+++ b/tests/support/mesh.rs
@@ -1,12 +1,14 @@
 //! Daemons for tests: as processes of their own, or within the test.
 
 use std::{
+    collections::BTreeMap,
     io::{BufRead, BufReader, Read},
     net::SocketAddr,
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
 };
 
+use parking_lot::Mutex;
 use rilltrack::{
     protocol::operator::{Published, Report, Resources},
     settings::Listen,
@@ -115,13 +117,25 @@
     }
 }
 
+/// Clients for operators addresses that want a certificate.
+static OPERATORS: Mutex<BTreeMap<SocketAddr, reqwest::Client>> = Mutex::new(BTreeMap::new());
+
+/// Uses `client` over TLS for an operators address from now on.
+pub fn operate(at: SocketAddr, client: &reqwest::Client) {
+    OPERATORS.lock().insert(at, client.clone());
+}
+
+fn operator(at: SocketAddr, path: &str) -> (reqwest::Client, String) {
+    match OPERATORS.lock().get(&at) {
+        Some(client) => (client.clone(), format!("https://{at}/{path}")),
+        None => (super::client(), format!("http://{at}/{path}")),
+    }
+}
+
 /// Gets JSON from an operators address.
 pub async fn get<T: serde::de::DeserializeOwned>(at: SocketAddr, path: &str) -> Option<T> {
-    let response = super::client()
-        .get(format!("http://{at}/{path}"))
-        .send()
-        .await
-        .ok()?;
+    let (client, url) = operator(at, path);
+    let response = client.get(url).send().await.ok()?;
     serde_json::from_slice(&response.bytes().await.ok()?).ok()
 }
 
@@ -131,12 +145,13 @@
     path: &str,
     body: &impl serde::Serialize,
 ) -> Option<T> {
-    let body = serde_json::to_vec(body).unwrap();
-    let sent = super::client()
-        .post(format!("http://{at}/{path}"))
-        .body(body)
-        .send();
-    serde_json::from_slice(&sent.await.ok()?.bytes().await.ok()?).ok()
+    let (client, url) = operator(at, path);
+    let sent = client
+        .post(url)
+        .body(serde_json::to_vec(body).unwrap())
+        .send()
+        .await;
+    serde_json::from_slice(&sent.ok()?.bytes().await.ok()?).ok()
 }
 
 pub async fn report(listen: &Listen) -> Option<Report> {
