--- a/src/files.rs
+++ b/src/files.rs
@@ -30,32 +30,53 @@
 }
 
 impl Files {
-    /// Reads the files at `paths`.
+    /// Reads the files at `paths`, checked as if they were the whole
+    /// configuration.
     ///
     /// # Errors
     ///
     /// Everything that is wrong with them, not just the first.
     pub fn read(paths: &[PathBuf]) -> Result<Self, Vec<Fault>> {
-        let mut documents = Vec::new();
-        let mut faults = Vec::new();
-        for path in paths {
-            match Document::read(Path::new(path)) {
-                Ok(document) => documents.push(document),
-                Err(fault) => faults.push(fault),
-            }
-        }
+        let (documents, faults) = documents(paths);
         Self::from_documents(documents, faults)
     }
 
-    /// Reads the documents, which add to `faults` found before.
+    /// Reads the files at `paths` as a part of the configuration: what they
+    /// refer to may be in force already, which a daemon has to check.
+    ///
+    /// # Errors
+    ///
+    /// Everything that is wrong with them by themselves.
+    pub fn read_part(paths: &[PathBuf]) -> Result<Self, Vec<Fault>> {
+        let (documents, faults) = documents(paths);
+        let (files, faults) = Self::collect_all(documents, faults);
+        if faults.is_empty() {
+            Ok(files)
+        } else {
+            Err(faults)
+        }
+    }
+
+    /// Reads the documents as the whole configuration; what is wrong adds to
+    /// `faults` found before.
     ///
     /// # Errors
     ///
     /// Everything that is wrong with them.
     pub fn from_documents(
         documents: Vec<Document>,
-        mut faults: Vec<Fault>,
+        faults: Vec<Fault>,
     ) -> Result<Self, Vec<Fault>> {
+        let (files, mut faults) = Self::collect_all(documents, faults);
+        files.check_whole(&mut faults);
+        if faults.is_empty() {
+            Ok(files)
+        } else {
+            Err(faults)
+        }
+    }
+
+    fn collect_all(documents: Vec<Document>, mut faults: Vec<Fault>) -> (Self, Vec<Fault>) {
         let mut files = Self {
             documents,
             entries: Vec::new(),
@@ -63,12 +84,8 @@
         for document in 0..files.documents.len() {
             files.collect(document, &mut faults);
         }
-        files.check(&mut faults);
-        if faults.is_empty() {
-            Ok(files)
-        } else {
-            Err(faults)
-        }
+        files.check_twins(&mut faults);
+        (files, faults)
     }
 
     /// Decodes the resources of one document, without checking them against
@@ -114,8 +131,7 @@
         }
     }
 
-    /// Checks the resources against each other, as if they were all there is.
-    fn check(&self, faults: &mut Vec<Fault>) {
+    fn check_twins(&self, faults: &mut Vec<Fault>) {
         for (i, entry) in self.entries.iter().enumerate() {
             let key = entry.resource.key();
             if self.entries[..i]
@@ -125,10 +141,12 @@
                 faults.push(self.fault(entry, "name", format!("{key} is there twice")));
             }
         }
-        let problems = Set::default()
-            .apply(&self.ops(), Version::default())
-            .err()
-            .unwrap_or_default();
+    }
+
+    /// Checks the resources against each other, as if they were all there is.
+    fn check_whole(&self, faults: &mut Vec<Fault>) {
+        let problems = Set::default().apply(&self.ops(), Version::default()).err();
+        let problems = problems.unwrap_or_default();
         faults.extend(problems.iter().filter_map(|problem| self.place(problem)));
     }
 
@@ -203,6 +221,19 @@
     }
 }
 
+/// Reads documents; those that can't be read are faults.
+fn documents(paths: &[PathBuf]) -> (Vec<Document>, Vec<Fault>) {
+    let mut documents = Vec::new();
+    let mut faults = Vec::new();
+    for path in paths {
+        match Document::read(Path::new(path)) {
+            Ok(document) => documents.push(document),
+            Err(fault) => faults.push(fault),
+        }
+    }
+    (documents, faults)
+}
+
 /// Decodes one item of a file.
 fn resource(
     document: &Document,
--- a/src/tool/mod.rs
+++ b/src/tool/mod.rs
@@ -10,6 +10,7 @@
 use argh::FromArgs;
 
 use crate::{
+    document::Fault,
     files::{Difference, Files},
     id,
     protocol::operator::{self, Convergence, Drain, Published, Question, Resources},
@@ -295,18 +296,22 @@
     }
 }
 
-fn read(paths: &[PathBuf]) -> Result<Files, Failure> {
+/// Reads files by `way`: as the whole configuration or as a part of it.
+fn read(
+    paths: &[PathBuf],
+    way: fn(&[PathBuf]) -> Result<Files, Vec<Fault>>,
+) -> Result<Files, Failure> {
     if paths.is_empty() {
         return Err(Failure::new(Code::Usage, "no files given"));
     }
-    Files::read(paths).map_err(|faults| {
+    way(paths).map_err(|faults| {
         let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
         Failure::new(Code::Rejected, lines.join("\n"))
     })
 }
 
 fn check_files(job: &Check, json: bool) -> Done {
-    let files = read(&job.files)?;
+    let files = read(&job.files, Files::read)?;
     let warnings = files.warnings();
     warnings
         .iter()
@@ -324,14 +329,14 @@
 }
 
 async fn diff(desk: &Desk, job: &Diff) -> Done {
-    let files = read(&job.files)?;
+    let files = read(&job.files, Files::read_part)?;
     let held: Resources = desk.get("resources").await?;
     let difference = Difference::between(&files, held.held.iter().map(|held| &held.resource));
     show::difference(&difference, held.anchor.version, desk.json)
 }
 
 async fn publish(desk: &Desk, job: Publish) -> Done {
-    let files = read(&job.files)?;
+    let files = read(&job.files, Files::read_part)?;
     let held: Resources = desk.get("resources").await?;
     let difference = Difference::between(&files, held.held.iter().map(|held| &held.resource));
     let changed = |key: &Key| difference.added.contains(key) || difference.changed.contains(key);
--- a/tests/product.rs
+++ b/tests/product.rs
@@ -192,6 +192,13 @@
     assert!(said.contains("is in force on all 2 nodes"), "{said}");
     assert!(tool(&mesh[1], &["diff", file]).1.contains("no difference"));
 
+    // A part of the configuration refers to what is in force.
+    let part = write(
+        "part.jsonc",
+        r#"[{"kind": "service", "name": "receipts", "labels": {"data": "cards"}, "policy": "lookup"}]"#,
+    );
+    assert_eq!(tool(&mesh[1], &["publish", &part]).0, 0);
+
     let broken = write(
         "broken.jsonc",
         r#"[{"kind": "service", "name": "x", "policy": "none"}]"#,
