A fresh node leaves busy peers alone for a while

Cause, found by reading: a node without a view whose peers all said "come back later" asked them again at once. Ruled out: a longer wait in the refusal (the asker did not wait at all).

--- a/src/coordination/gossip.rs
+++ b/src/coordination/gossip.rs
@@ -1,12 +1,12 @@
 //! Membership: who is there, at constant cost for each node.
 //!
 //! Each period a node pings one of a few partners in its own failure domain,
-//! which stay the same so that connections are kept. If it does not answer, two others are asked to try before it becomes suspect,
-//! and a suspect that does not refute in time is gone. Only a failure domain
-//! judges its own members: when domains are cut off from each other, each
-//! keeps what it last knew of the others instead of declaring them all gone.
-//! News rides on pings; a comparison of whole tables now and then repairs
-//! what that missed.
+//! which stay the same so that connections are kept. If it does not answer, two
+//! others are asked to try before it becomes suspect, and a suspect that does
+//! not refute in time is gone. Only a failure domain judges its own members:
+//! when domains are cut off from each other, each keeps what it last knew of
+//! the others instead of declaring them all gone. News rides on pings; a
+//! comparison of whole tables now and then repairs what that missed.
 
 use std::{
     collections::{HashMap, VecDeque},
@@ -40,6 +40,9 @@
 /// Peers a fresh node asks for the newest view before it takes one.
 const SOURCES: usize = 5;
 
+/// Pause of a fresh node that got no view from any peer.
+const RETRY: Span = Span::from_millis(300);
+
 /// How long a member that is gone stays in the table, so that late news of
 /// its life is known to be old.
 const REMEMBER: Span = Span::from_secs(3600);
@@ -136,18 +139,30 @@
             if found.iter().all(|(version, _)| version.is_empty()) {
                 break;
             }
-            for (_, peer) in &found {
-                if matches!(
-                    catchup::from_peer(&self.node, &self.call, *peer).await,
-                    Ok(None)
-                ) {
-                    break;
-                }
+            let peers = found.iter().map(|(_, peer)| *peer);
+            if let Some(pause) = self.first_view(peers).await {
+                tokio::time::sleep(pause.duration()).await;
             }
         }
         self.node.joined.store(true, Ordering::Relaxed);
     }
 
+    /// Takes a view from the first of `peers` that gives one; else returns how
+    /// long to leave them all alone. A failure domain that comes back at once
+    /// would have its few sources busy with refusing, and nothing else.
+    async fn first_view(&self, peers: impl Iterator<Item = SocketAddr>) -> Option<Span> {
+        let mut pause = RETRY;
+        for peer in peers {
+            match catchup::from_peer(&self.node, &self.call, peer).await {
+                Ok(None) => return None,
+                Ok(Some(later)) => pause = later,
+                // Another one may answer.
+                Err(_) => {}
+            }
+        }
+        Some(catchup::jitter(pause))
+    }
+
     /// Pings some peers; returns those that answered, the newest first.
     async fn newest_sources(&self) -> Vec<(Version, SocketAddr)> {
         let mut peers = self.node.settings.seeds.clone();
@@ -189,7 +204,7 @@
     /// One period's work.
     async fn turn(&mut self) {
         self.rounds += 1;
-        match self.next_neighbour() {
+        match self.next_partner() {
             Some(member) => self.probe(&member).await,
             None => self.ping_seed().await,
         }
@@ -206,7 +221,7 @@
 
     /// Returns the next partner in this failure domain; each comes once before
     /// any comes again, in an order drawn anew each time.
-    fn next_neighbour(&mut self) -> Option<Arc<Member>> {
+    fn next_partner(&mut self) -> Option<Arc<Member>> {
         if self.round.is_empty() {
             let mut names: Vec<id::Node> = self.partners().iter().map(|m| m.node.clone()).collect();
             fastrand::shuffle(&mut names);
--- a/tests/coordination.rs
+++ b/tests/coordination.rs
@@ -76,9 +76,13 @@
 }
 
 fn node(i: u32, domain: &str) -> Arc<Node> {
+    node_with_seeds(i, domain, &[])
+}
+
+fn node_with_seeds(i: u32, domain: &str, seeds: &[SocketAddr]) -> Arc<Node> {
     let any = "127.0.0.1:0";
     let settings: Settings = serde_json::from_value(json!({
-        "node": format!("n{i}"), "domain": domain, "security": "plaintext",
+        "node": format!("n{i}"), "domain": domain, "security": "plaintext", "seeds": seeds,
         "listen": {"callers": any, "inbound": any, "peers": any, "targets": any, "operators": any},
         "log": {"url": "http://127.0.0.1:1", "wait": "0ms"}
     }))
@@ -766,6 +770,45 @@
     assert_eq!(told(&node), 40);
 }
 
+#[tokio::test]
+async fn fresh_node_does_not_hammer_peers_that_are_busy() {
+    let node = node_with_seeds(1, "d", &[address(2)]);
+    let fetches = Arc::new(Mutex::new(0));
+    let counted = fetches.clone();
+    let call: Call = Arc::new(move |_, frame, _| {
+        let reply = match frame {
+            Frame::Ping(_) => Reply::Pong(News {
+                node: "n2".parse().unwrap(),
+                peers: address(2),
+                version: at(5),
+                members: Vec::new(),
+            }),
+            Frame::Fetch(_) => {
+                *counted.lock().unwrap() += 1;
+                Reply::Later(Span::from_millis(300))
+            }
+            _ => Reply::Members {
+                marks: Vec::new(),
+                members: Vec::new(),
+            },
+        };
+        async move { Ok(reply) }.boxed()
+    });
+    let run = gossip::Gossip::new(node.clone(), call).run();
+    assert!(
+        tokio::time::timeout(Duration::from_secs(1), run)
+            .await
+            .is_err()
+    );
+    // A slow machine makes fewer; a loop without a pause makes thousands.
+    assert!(
+        *fetches.lock().unwrap() <= 20,
+        "{} fetches",
+        fetches.lock().unwrap()
+    );
+    assert!(!node.is_ready());
+}
+
 #[tokio::test]
 async fn silent_sender_hears_that_it_is_doubted() {
     let node = node(1, "d");
