A log that does not wait is not read in a loop

Cause: a reader relied on the log to hold a read until there is something new; a log that answers at once was read 14,418 times a second by one node. Failing first: log_that_does_not_wait_is_not_read_in_a_loop (at most 20 allowed). Change: a read that brought nothing and came back early is followed by a pause. Ruled out: a pause after every read, which would delay changes by it; and judging by the version in force, which stands still while a fresh node replays batches.

--- a/src/coordination/follow.rs
+++ b/src/coordination/follow.rs
@@ -7,7 +7,7 @@
 use std::{
     net::SocketAddr,
     sync::{Arc, atomic::Ordering},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use crate::{
@@ -42,6 +42,13 @@
 /// How often a node that is no reader looks whether it has become one.
 const LOOK: Span = Span::from_millis(250);
 
+/// Whether a read brought anything.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Progress {
+    Made,
+    Idle,
+}
+
 /// The duty's state.
 pub struct Follow {
     node: Arc<Node>,
@@ -78,8 +85,14 @@
                 tokio::time::sleep(LOOK.duration()).await;
                 continue;
             }
+            let since = Instant::now();
             match self.read(place).await {
-                Ok(()) => self.succeeded(),
+                // A log that answers at once although it has nothing new.
+                Ok(Progress::Idle) if since.elapsed() < LOOK.duration() => {
+                    self.succeeded();
+                    tokio::time::sleep(catchup::jitter(LOOK).duration()).await;
+                }
+                Ok(_) => self.succeeded(),
                 Err(error) => self.failed(&error).await,
             }
         }
@@ -149,7 +162,7 @@
     }
 
     /// Reads the log once, waiting there for something new.
-    async fn read(&mut self, place: usize) -> Result<(), Error> {
+    async fn read(&mut self, place: usize) -> Result<Progress, Error> {
         let held = self.node.applier.look(|machine| machine.version()).await?;
         let wait = if self.node.view.load().is_some() {
             self.node.settings.log.wait
@@ -160,10 +173,12 @@
         self.node.metrics.log_reads.inc();
         let batch = (self.log.read)(stream, held.offset, wait).await?;
         if batch.next < held.offset {
-            return self.went_back(held, &batch).await;
+            self.went_back(held, &batch).await?;
+            return Ok(Progress::Made);
         }
         if batch.first > held.offset {
-            return self.bridge(held, &batch).await;
+            self.bridge(held, &batch).await?;
+            return Ok(Progress::Made);
         }
         let next = batch.next;
         let from = *self.unspread.get_or_insert(held);
@@ -176,7 +191,11 @@
             self.spread(from, place).await;
             self.unspread = None;
         }
-        Ok(())
+        Ok(if found > held {
+            Progress::Made
+        } else {
+            Progress::Idle
+        })
     }
 
     /// Passes on what was applied since `before`, to the members of this
--- a/tests/coordination.rs
+++ b/tests/coordination.rs
@@ -280,6 +280,37 @@
     assert!(!node_without.is_ready());
 }
 
+#[tokio::test]
+async fn log_that_does_not_wait_is_not_read_in_a_loop() {
+    let node = node(1, "d");
+    node.joined
+        .store(true, std::sync::atomic::Ordering::Relaxed);
+    let reads = Arc::new(Mutex::new(0));
+    let (counted, (log, _)) = (reads.clone(), fake_log(0, records(2), Vec::new()));
+    let read = move |stream, from, wait| {
+        *counted.lock().unwrap() += 1;
+        (log.read)(stream, from, wait)
+    };
+    let (unused, _) = fake_log(0, Vec::new(), Vec::new());
+    let log = Log {
+        read: Arc::new(read),
+        append: unused.append,
+    };
+    let run = Follow::new(node.clone(), unreachable_peers(), log).run();
+    assert!(
+        tokio::time::timeout(Duration::from_secs(1), run)
+            .await
+            .is_err()
+    );
+    // A slow machine makes fewer; a loop without a pause makes thousands.
+    assert!(
+        *reads.lock().unwrap() <= 20,
+        "{} reads",
+        reads.lock().unwrap()
+    );
+    assert_eq!(node.version(), at(2));
+}
+
 #[tokio::test]
 async fn records_of_several_batches_are_spread_together() {
     // The fake log gives three records a read; the member holds none yet.
