One refusal without a view; a merged table no longer copies its node for each member

Found by reading the whole change once more. No behaviour changes. * "no complete view yet" was loaded and refused in four places; Node::require_view serves them. * taking a table in copied this node's own entry, labels and targets, for every member of it (13,000 at the target size) only to compare names; it is looked at now only when the entry is about this node. neighbours copied it for two names that stand in the settings. * three ways to read files ended in the same lines; one function does. * two doc lines over the width; the transport page names keyed, tls and identity. Left: the tests' runs of requests and duties repeat their set-up by shape.

--- a/src/coordination/gossip.rs
+++ b/src/coordination/gossip.rs
@@ -192,8 +192,8 @@
     }
 
     fn neighbours(&self) -> Vec<Arc<Member>> {
-        let me = self.node.me();
-        rank::neighbours(&self.node.table.read(), &me.domain, &me.node)
+        let settings = &self.node.settings;
+        rank::neighbours(&self.node.table.read(), &settings.domain, &settings.node)
     }
 
     fn partners(&self) -> Vec<Arc<Member>> {
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -18,12 +18,14 @@
     event::{Event, Journal},
     id::Incarnation,
     metrics::Metrics,
+    protocol::answer::Refusal,
     settings::Settings,
     state::{
         member::{Member, Status, Table, Target},
         version::Version,
         view::View,
     },
+    unit::Span,
 };
 
 /// Members in one message that are told on to others whatever else is known.
@@ -120,6 +122,16 @@
             .unwrap_or_default()
     }
 
+    /// Returns the view in force, for a request that needs one.
+    ///
+    /// # Errors
+    ///
+    /// The refusal, before there is any; the request has not run.
+    pub fn require_view(&self) -> Result<Arc<View>, Refusal> {
+        let refuse = || Refusal::not_run("no complete view yet", Span::from_secs(1));
+        self.view.load_full().ok_or_else(refuse)
+    }
+
     /// Returns whether the node holds a complete view.
     pub fn is_ready(&self) -> bool {
         self.view.load().is_some() && !self.is_stopping()
@@ -220,12 +232,11 @@
     }
 
     fn absorb_one(&self, member: Member, told_on: bool) -> bool {
-        let me = self.me();
-        if member.node == me.node {
+        if member.node == self.settings.node {
             // Only this node speaks for itself. A claim that is newer is of a
             // doubt about this life, or of an earlier one if the clock was set
             // back between the two.
-            if member.stamp() > me.stamp() {
+            if member.stamp() > self.me.lock().stamp() {
                 self.refute(&member);
             }
             return false;
--- a/src/files.rs
+++ b/src/files.rs
@@ -50,11 +50,7 @@
     pub fn read_part(paths: &[PathBuf]) -> Result<Self, Vec<Fault>> {
         let (documents, faults) = documents(paths);
         let (files, faults) = Self::collect_all(documents, faults);
-        if faults.is_empty() {
-            Ok(files)
-        } else {
-            Err(faults)
-        }
+        unless_faulty(files, faults)
     }
 
     /// Reads the documents as the whole configuration; what is wrong adds to
@@ -69,11 +65,7 @@
     ) -> Result<Self, Vec<Fault>> {
         let (files, mut faults) = Self::collect_all(documents, faults);
         files.check_whole(&mut faults);
-        if faults.is_empty() {
-            Ok(files)
-        } else {
-            Err(faults)
-        }
+        unless_faulty(files, faults)
     }
 
     fn collect_all(documents: Vec<Document>, mut faults: Vec<Fault>) -> (Self, Vec<Fault>) {
@@ -106,11 +98,7 @@
             .into_iter()
             .map(|entry| entry.resource)
             .collect();
-        if faults.is_empty() {
-            Ok(resources)
-        } else {
-            Err(faults)
-        }
+        unless_faulty(resources, faults)
     }
 
     fn collect(&mut self, at: usize, faults: &mut Vec<Fault>) {
@@ -221,6 +209,15 @@
     }
 }
 
+/// Returns `read` if there were no faults in it.
+fn unless_faulty<T>(read: T, faults: Vec<Fault>) -> Result<T, Vec<Fault>> {
+    if faults.is_empty() {
+        Ok(read)
+    } else {
+        Err(faults)
+    }
+}
+
 /// Reads documents; those that can't be read are faults.
 fn documents(paths: &[PathBuf]) -> (Vec<Document>, Vec<Fault>) {
     let mut documents = Vec::new();
--- a/src/protocol/wire.rs
+++ b/src/protocol/wire.rs
@@ -147,7 +147,8 @@
     Snapshot(Bytes),
     /// To [`Frame::Fetch`]: nothing newer here.
     Current,
-    /// To any frame: too busy, or nothing complete to give yet; come back after this span.
+    /// To any frame: too busy, or nothing complete to give yet; come back
+    /// after this span.
     Later(Span),
     /// To [`Frame::Scatter`].
     Counted(Census),
--- a/src/transport/inbound.rs
+++ b/src/transport/inbound.rs
@@ -90,9 +90,7 @@
     ///
     /// The refusal; the request has not run.
     pub fn receive(&self, sender: &Identity, headers: &HeaderMap) -> Result<Visit, Refusal> {
-        let view = self.node.view.load_full();
-        let view =
-            view.ok_or_else(|| Refusal::not_run("no complete view yet", Span::from_secs(1)))?;
+        let view = self.node.require_view()?;
         let service: Name = http::parse(headers, answer::SERVICE)
             .ok_or_else(|| Refusal::rejected(400, "only nodes of the mesh may send here"))?;
         self.check_place(&view, &service, sender, headers)?;
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -1,9 +1,11 @@
 //! Transport: HTTP servers and clients, by library.
 //!
-//! A request enters through [`outbound`] (from a caller; [`plan`] and [`attempt`] are its parts) and [`inbound`]
-//! (from another node); [`peers`] carries frames between nodes, [`log`] the
+//! A request enters through [`outbound`] (from a caller; [`plan`] and
+//! [`attempt`] are its parts) and [`inbound`] (from another node; [`keyed`] for
+//! requests under a key). [`peers`] carries frames between nodes, [`log`] the
 //! platform's log, [`operators`] the command-line tool and [`targets`] the
-//! announcements. [`http`] and [`server`] hold what they have in common.
+//! announcements. [`http`], [`server`], [`tls`] and [`identity`] hold what they
+//! have in common.
 
 pub mod attempt;
 pub mod http;
--- a/src/transport/operators.rs
+++ b/src/transport/operators.rs
@@ -310,7 +310,7 @@
 fn explain<'a>(desk: &'a Desk, req: &'a mut Request, res: &'a mut Response) -> Answer<'a> {
     async move {
         let question: Question = body(req).await?;
-        let view = desk.node.view.load_full().ok_or("no complete view yet")?;
+        let view = desk.node.require_view().map_err(|refusal| refusal.reason)?;
         json(res, &explanation(&desk.node, &view, &question));
         Ok(())
     }
--- a/src/transport/outbound.rs
+++ b/src/transport/outbound.rs
@@ -234,9 +234,7 @@
 
     /// Gets keys from a node that may run requests of a service.
     async fn issue(&self, req: &mut Request) -> Result<reqwest::Response, Refusal> {
-        let view = self.node.view.load_full();
-        let view =
-            view.ok_or_else(|| Refusal::not_run("no complete view yet", Span::from_secs(1)))?;
+        let view = self.node.require_view()?;
         let name = req
             .query::<String>("service")
             .and_then(|name| name.parse::<Name>().ok());
--- a/src/transport/plan.rs
+++ b/src/transport/plan.rs
@@ -52,9 +52,7 @@
     ///
     /// The refusal; the request has not run.
     pub fn new(node: &Node, req: &Request) -> Result<Self, Refusal> {
-        let view = node.view.load_full();
-        let view =
-            view.ok_or_else(|| Refusal::not_run("no complete view yet", Span::from_secs(1)))?;
+        let view = node.require_view()?;
         let onward = Onward::of(req);
         let host = host(req);
         let (path, method) = (req.uri().path(), onward.method.as_str());
