--- a/examples/capacity.rs
+++ b/examples/capacity.rs
@@ -299,6 +299,8 @@
             address,
             http2: false,
             draining: false,
+            slots: 0,
+            instance: String::new(),
         }],
     }
 }
--- /dev/null
+++ b/src/coordination/gate.rs
@@ -0,0 +1,327 @@
+//! The gate before the target on this host.
+//!
+//! Nobody but the node beside it reaches a target, so the gate knows all that
+//! the target runs. It never gives it more than its slots, lets few wait, and
+//! refuses the rest before the target sees them: such a refusal is always
+//! "not run". No slot stays free while something waits.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use parking_lot::Mutex;
+use tokio::sync::oneshot;
+
+use crate::{
+    protocol::{
+        answer::{Outcome, Refusal},
+        dialect::Load,
+    },
+    unit::Span,
+};
+
+/// Weight of the newest request in the mean of how long one takes.
+const NEWEST: f64 = 0.1;
+
+/// What a request is taken to last before the first one has ended, in seconds.
+/// The stories of both meshes name 120 to 160 ms of work.
+const FIRST_MEAN: f64 = 0.15;
+
+/// Requests that wait, for each slot. Longer queues serve nobody in time: at
+/// twice the slots the last waiter comes after two whole requests.
+const QUEUE_PER_SLOT: usize = 2;
+
+/// The shortest time after which a refused caller is asked to come back.
+const MIN_RETRY_AFTER: Span = Span::from_millis(100);
+
+/// The gate. Cheap to clone; all clones are one gate.
+#[derive(Clone)]
+pub struct Gate {
+    state: Arc<Mutex<State>>,
+}
+
+/// The target behind the gate, as it last announced itself.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Target {
+    /// Its instance: one start of its process.
+    pub instance: Arc<str>,
+    /// Where it is reached.
+    pub address: SocketAddr,
+    /// Requests it runs at a time.
+    pub slots: u32,
+}
+
+/// What a request brings to the gate.
+#[derive(Clone, Copy, Debug)]
+pub struct Arrival {
+    /// Its rank; 0 goes first.
+    pub priority: u8,
+    /// How long it may wait for room.
+    pub patience: Duration,
+}
+
+/// Leave to send one request to the target; ends when it is dropped.
+pub struct Permit {
+    gate: Gate,
+    /// The target as it is now.
+    pub target: Target,
+    since: Instant,
+}
+
+#[derive(Default)]
+struct State {
+    target: Option<Target>,
+    closed: bool,
+    running: u32,
+    /// Waiting requests by rank, then by arrival.
+    waiting: BTreeMap<(u8, u64), oneshot::Sender<()>>,
+    next: u64,
+    mean: f64,
+}
+
+/// Why a request may not enter now.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Bar {
+    Closed,
+    NoTarget,
+}
+
+impl Bar {
+    fn refusal(self) -> Refusal {
+        let reason = match self {
+            Self::Closed => LEAVING,
+            Self::NoTarget => NO_TARGET,
+        };
+        Refusal::not_run(reason, MIN_RETRY_AFTER)
+    }
+}
+
+/// The reason of a refusal at a target that leaves.
+pub const LEAVING: &str = "target is leaving";
+
+/// The reason of a refusal where no target has announced itself.
+pub const NO_TARGET: &str = "no target is here";
+
+/// The reason of a refusal for want of room.
+pub const FULL: &str = "target is full";
+
+impl Default for Gate {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Gate {
+    /// Returns a gate with no target behind it.
+    pub fn new() -> Self {
+        let state = State {
+            mean: FIRST_MEAN,
+            ..State::default()
+        };
+        Self {
+            state: Arc::new(Mutex::new(state)),
+        }
+    }
+
+    /// Opens the gate to `target`, or notes what changed about it.
+    pub fn open(&self, target: Target) {
+        let mut state = self.state.lock();
+        let is_other = state
+            .target
+            .as_ref()
+            .is_some_and(|held| held.instance != target.instance);
+        if is_other || state.target.is_none() {
+            state.mean = FIRST_MEAN;
+        }
+        state.target = Some(target);
+        state.closed = false;
+        state.grant();
+    }
+
+    /// Lets nothing more through; what waits is refused.
+    pub fn close(&self) {
+        let mut state = self.state.lock();
+        state.closed = true;
+        // Dropping the senders ends the waits.
+        state.waiting.clear();
+    }
+
+    /// Takes the target away: it fell silent or its connections are refused.
+    pub fn vacate(&self) {
+        let mut state = self.state.lock();
+        state.target = None;
+        state.waiting.clear();
+    }
+
+    /// Returns how full the target is.
+    pub fn load(&self) -> Load {
+        let state = self.state.lock();
+        Load {
+            running: state.running,
+            waiting: state.waiting.len() as u32,
+            slots: state.target.as_ref().map_or(0, |target| target.slots),
+        }
+    }
+
+    /// Waits for leave to send one request to the target.
+    ///
+    /// # Errors
+    ///
+    /// The refusal, at once where no wait would help.
+    pub async fn enter(&self, arrival: Arrival) -> Result<Permit, Refusal> {
+        let ticket = {
+            let mut state = self.state.lock();
+            if let Some(bar) = state.bar() {
+                return Err(bar.refusal());
+            }
+            if state.has_room() && state.waiting.is_empty() {
+                state.running += 1;
+                return Ok(self.permit(&state));
+            }
+            state.queue(arrival)?
+        };
+        let Ticket { key, granted } = ticket;
+        // Whoever stops waiting, by time or because its caller left, takes its
+        // place out of the queue, or gives back what was just granted.
+        let mut place = Place {
+            gate: self,
+            key: Some(key),
+        };
+        let granted = tokio::time::timeout(arrival.patience, granted).await;
+        match granted {
+            Ok(Ok(())) => {
+                place.key = None;
+                let state = self.state.lock();
+                if let Some(bar) = state.bar() {
+                    drop(state);
+                    self.leave(None);
+                    return Err(bar.refusal());
+                }
+                Ok(self.permit(&state))
+            }
+            Ok(Err(_)) => {
+                place.key = None;
+                let bar = self.state.lock().bar().unwrap_or(Bar::Closed);
+                Err(bar.refusal())
+            }
+            Err(_) => Err(self.state.lock().full(arrival.priority)),
+        }
+    }
+
+    fn permit(&self, state: &State) -> Permit {
+        Permit {
+            gate: self.clone(),
+            target: state.target.clone().expect("checked by `bar`"),
+            since: Instant::now(),
+        }
+    }
+
+    fn leave(&self, took: Option<Duration>) {
+        let mut state = self.state.lock();
+        state.running = state.running.saturating_sub(1);
+        if let Some(took) = took {
+            state.mean += NEWEST * (took.as_secs_f64() - state.mean);
+        }
+        state.grant();
+    }
+}
+
+struct Ticket {
+    key: (u8, u64),
+    granted: oneshot::Receiver<()>,
+}
+
+struct Place<'a> {
+    gate: &'a Gate,
+    key: Option<(u8, u64)>,
+}
+
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        let Some(key) = self.key else { return };
+        let waited = self.gate.state.lock().waiting.remove(&key).is_some();
+        if !waited {
+            // Granted in the same moment, or the queue was cleared.
+            self.gate.leave(None);
+        }
+    }
+}
+
+impl State {
+    fn bar(&self) -> Option<Bar> {
+        if self.closed {
+            Some(Bar::Closed)
+        } else if self.target.is_none() {
+            Some(Bar::NoTarget)
+        } else {
+            None
+        }
+    }
+
+    fn slots(&self) -> u32 {
+        self.target.as_ref().map_or(0, |target| target.slots)
+    }
+
+    fn has_room(&self) -> bool {
+        self.running < self.slots()
+    }
+
+    /// Returns how long a request of `priority` that comes now will wait, in
+    /// seconds.
+    fn expected_wait(&self, priority: u8) -> f64 {
+        let ahead = self.waiting.range(..(priority + 1, 0)).count();
+        (ahead + 1) as f64 * self.mean / f64::from(self.slots().max(1))
+    }
+
+    fn full(&self, priority: u8) -> Refusal {
+        let wait = Span::from_millis((self.expected_wait(priority) * 1000.0) as u64);
+        Refusal {
+            outcome: Outcome::NotRun,
+            ..Refusal::not_run(FULL, wait.max(MIN_RETRY_AFTER))
+        }
+    }
+
+    fn queue(&mut self, arrival: Arrival) -> Result<Ticket, Refusal> {
+        let priority = arrival.priority.min(u8::MAX - 1);
+        if self.expected_wait(priority) > arrival.patience.as_secs_f64() {
+            return Err(self.full(priority));
+        }
+        if self.waiting.len() >= self.slots() as usize * QUEUE_PER_SLOT {
+            // The last of the lowest rank makes place for a higher one.
+            let last = self.waiting.last_key_value().map(|(key, _)| *key);
+            match last {
+                Some(key) if key.0 > priority => {
+                    self.waiting.remove(&key);
+                }
+                _ => return Err(self.full(priority)),
+            }
+        }
+        let key = (priority, self.next);
+        self.next += 1;
+        let (grant, granted) = oneshot::channel();
+        self.waiting.insert(key, grant);
+        Ok(Ticket { key, granted })
+    }
+
+    /// Lets in what there is room for.
+    fn grant(&mut self) {
+        while !self.closed && self.has_room() {
+            let Some((_, waiter)) = self.waiting.pop_first() else {
+                return;
+            };
+            // One that has just stopped waiting is passed over.
+            if waiter.send(()).is_ok() {
+                self.running += 1;
+            }
+        }
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        self.gate.leave(Some(self.since.elapsed()));
+    }
+}
--- a/src/coordination/link.rs
+++ b/src/coordination/link.rs
@@ -9,9 +9,12 @@
     coordination::Error,
     id::Name,
     protocol::{
+        self, announce,
+        dialect::Dialect,
         log::Batch,
         wire::{Frame, Reply},
     },
+    state::routing,
     unit::Span,
 };
 
@@ -36,3 +39,62 @@
     /// See [`Append`].
     pub append: Append,
 }
+
+/// The platform's store, where it keeps the newest record of each key.
+#[derive(Clone)]
+pub struct Store {
+    /// Returns the newest record of each key of a stream.
+    pub newest: Arc<dyn Fn(Stream) -> Later<Records> + Send + Sync>,
+    /// Returns the records of a stream from an offset on, waiting up to a span
+    /// for the first. [`Error::Expired`] if they are not kept any more.
+    pub tail: Arc<dyn Fn(Stream, u64, Span) -> Later<Records> + Send + Sync>,
+    /// Writes what this node says of itself: a key and its record.
+    pub put: Arc<dyn Fn(String, Bytes) -> Later<()> + Send + Sync>,
+}
+
+/// A stream of the store.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Stream {
+    /// The operator's versions of the routes.
+    Routes,
+    /// What nodes say of themselves.
+    Members,
+}
+
+/// Records of a stream.
+#[derive(Clone, Debug, Default)]
+pub struct Records {
+    /// The records, in order of their offsets.
+    pub records: Vec<Bytes>,
+    /// The offset of the record that comes next.
+    pub next: u64,
+}
+
+/// What the outside says, put into the product's terms.
+#[derive(Clone)]
+pub struct Words {
+    /// Decodes a version of the routes.
+    pub routes: Arc<dyn Fn(&[u8]) -> Result<routing::Table, protocol::Error> + Send + Sync>,
+    /// Decodes a call of a target: method, path and body.
+    pub announcement: Arc<
+        dyn Fn(&http::Method, &str, &[u8]) -> Result<announce::Message, protocol::Error>
+            + Send
+            + Sync,
+    >,
+    /// The body of an acknowledgement to a target.
+    pub acknowledgement: Bytes,
+    /// The headers of callers and targets.
+    pub dialect: Dialect,
+}
+
+/// Asks the node at an address for something it holds.
+pub type Ask = Arc<dyn Fn(SocketAddr, Question) -> Later<Bytes> + Send + Sync>;
+
+/// What a node may be asked for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Question {
+    /// The version of the routes that it has in force, as it got it.
+    Routes,
+    /// All members that it knows, in MessagePack.
+    Members,
+}
--- /dev/null
+++ b/src/coordination/local.rs
@@ -0,0 +1,185 @@
+//! The target on this host: what it said, and what was promised to it.
+//!
+//! An acknowledged drain must hold whatever happens to this process. So what the
+//! target said is written to the store before it is acknowledged, and read from
+//! there before the gate opens in a new life.
+
+use std::time::Instant;
+
+use crate::{
+    coordination::gate,
+    protocol::announce::Heartbeat,
+    state::member::{Member, Target},
+    unit::Span,
+};
+
+/// Heartbeats that may be missed before a target is taken for gone. One is
+/// often late, and a wrong guess costs a whole target.
+const MISSED: u32 = 4;
+
+/// Former instances that are remembered, so that a late heartbeat of one
+/// is known as such. A host starts its target anew once in minutes.
+const FORMER: usize = 8;
+
+/// What is known of the target on this host.
+#[derive(Debug)]
+pub struct Local {
+    heartbeat_every: Span,
+    recalled: bool,
+    current: Option<Current>,
+    former: Vec<String>,
+}
+
+#[derive(Clone, Debug)]
+struct Current {
+    target: Target,
+    sequence: u64,
+    heard: Option<Instant>,
+}
+
+/// What changed by a message.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Change {
+    /// Nothing that others need to know.
+    Nothing,
+    /// What is told to others: it must be written down before the message is
+    /// acknowledged.
+    Told,
+}
+
+impl Local {
+    /// Returns a state that knows no target; each sends a heartbeat as often as
+    /// this.
+    pub fn new(heartbeat_every: Span) -> Self {
+        Self {
+            heartbeat_every,
+            recalled: false,
+            current: None,
+            former: Vec::new(),
+        }
+    }
+
+    /// Takes in what an earlier life of this process wrote down, if any.
+    pub fn recall(&mut self, written: Option<&Member>) {
+        if std::mem::replace(&mut self.recalled, true) {
+            return;
+        }
+        let Some(target) = written.and_then(|member| member.targets.first()) else {
+            return;
+        };
+        match &mut self.current {
+            Some(current) if current.target.instance == target.instance => {
+                current.target.draining |= target.draining;
+            }
+            Some(_) => self.former.push(target.instance.clone()),
+            None => {
+                self.current = Some(Current {
+                    target: target.clone(),
+                    sequence: 0,
+                    heard: None,
+                });
+            }
+        }
+    }
+
+    /// Takes a heartbeat in.
+    pub fn hear(&mut self, heartbeat: &Heartbeat, now: Instant) -> Change {
+        if self.former.contains(&heartbeat.instance) {
+            return Change::Nothing;
+        }
+        let told = Target {
+            service: heartbeat.service.clone(),
+            address: heartbeat.address,
+            http2: false,
+            draining: heartbeat.draining,
+            slots: heartbeat.slots,
+            instance: heartbeat.instance.clone(),
+        };
+        match &mut self.current {
+            Some(current) if current.target.instance == heartbeat.instance => {
+                current.heard = Some(now);
+                if heartbeat.sequence < current.sequence {
+                    return Change::Nothing;
+                }
+                current.sequence = heartbeat.sequence;
+                let told = Target {
+                    // Once it leaves it stays gone; a late word changes nothing.
+                    draining: told.draining || current.target.draining,
+                    ..told
+                };
+                let changed = current.target != told;
+                current.target = told;
+                if changed {
+                    Change::Told
+                } else {
+                    Change::Nothing
+                }
+            }
+            _ => {
+                self.replace(Some(Current {
+                    target: told,
+                    sequence: heartbeat.sequence,
+                    heard: Some(now),
+                }));
+                Change::Told
+            }
+        }
+    }
+
+    /// Notes that an instance is gone or about to be.
+    pub fn leave(&mut self, instance: &str) -> Change {
+        match &mut self.current {
+            Some(current) if current.target.instance == instance => {
+                let changed = !current.target.draining;
+                current.target.draining = true;
+                if changed {
+                    Change::Told
+                } else {
+                    Change::Nothing
+                }
+            }
+            _ => Change::Nothing,
+        }
+    }
+
+    /// Returns whether the target fell silent since it was last looked at.
+    pub fn fell_silent(&mut self, now: Instant) -> bool {
+        let patience = self.heartbeat_every.duration() * MISSED;
+        let Some(current) = &mut self.current else {
+            return false;
+        };
+        let silent = current.heard.is_some_and(|heard| now - heard > patience);
+        if silent {
+            current.heard = None;
+        }
+        silent
+    }
+
+    /// Returns what others are told of the target.
+    pub fn told(&self) -> Vec<Target> {
+        self.current.iter().map(|c| c.target.clone()).collect()
+    }
+
+    /// Returns the target that the gate may open to, if any.
+    pub fn open(&self) -> Option<gate::Target> {
+        let current = self.current.as_ref().filter(|_| self.recalled)?;
+        let is_there = current.heard.is_some() && !current.target.draining;
+        is_there.then(|| gate::Target {
+            instance: current.target.instance.as_str().into(),
+            address: current.target.address,
+            slots: current.target.slots,
+        })
+    }
+
+    /// Returns whether the target has said that it leaves.
+    pub fn is_leaving(&self) -> bool {
+        self.current.as_ref().is_some_and(|c| c.target.draining)
+    }
+
+    fn replace(&mut self, current: Option<Current>) {
+        let old = std::mem::replace(&mut self.current, current);
+        self.former.extend(old.map(|old| old.target.instance));
+        let beyond = self.former.len().saturating_sub(FORMER);
+        self.former.drain(..beyond);
+    }
+}
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -16,25 +16,41 @@
 //! * [`pick`], [`health`], [`budget`]: where a request goes, and again;
 //! * [`admit`], [`door`], [`once`]: what a target is given, and at most once.
 //!
+//! A host process on a platform with a store of its own is made of fewer parts:
+//!
+//! * [`host`]: what its duties share;
+//! * [`source`]: takes whole versions and members from the store, or from peers;
+//! * [`local`], [`presence`]: the target on this host, and what is told of it;
+//! * [`gate`]: what that target is given;
+//! * [`split`], [`balance`], [`allowance`]: where a request goes, and again.
+//!
 //! This layer opens no sockets. It is handed closures, so that the tests put
 //! small fakes in their place.
 
 pub mod admit;
+pub mod allowance;
 pub mod apply;
+pub mod balance;
 pub mod budget;
 pub mod catchup;
 pub mod door;
 pub mod follow;
+pub mod gate;
 pub mod gossip;
 pub mod health;
+pub mod host;
 pub mod link;
+pub mod local;
 pub mod node;
 pub mod once;
 pub mod pick;
+pub mod presence;
 pub mod publish;
 pub mod rank;
 pub mod scatter;
 pub mod snapshot;
+pub mod source;
+pub mod split;
 
 use crate::{protocol, state};
 
@@ -47,6 +63,9 @@
     /// No answer came; what was sent may have taken effect.
     #[error("{0} did not answer")]
     NoAnswer(String),
+    /// What was asked for is not kept any more.
+    #[error("{0} does not keep this any more")]
+    Expired(String),
     /// The answer was of a kind that does not fit.
     #[error("unexpected answer from {0}")]
     Unexpected(String),
--- /dev/null
+++ b/src/coordination/presence.rs
@@ -0,0 +1,106 @@
+//! Writes what this node says of itself to the store, and knows how far that
+//! has come.
+
+use std::{sync::Arc, time::Duration};
+
+use tokio::sync::watch;
+
+use crate::{
+    coordination::{host::Host, link::Store, source},
+    event::Event,
+    id::Incarnation,
+    state::member::{Member, Status, Target},
+};
+
+/// How often the target here is looked at for silence: a fraction of a
+/// heartbeat's 1.5 s.
+const LOOK: Duration = Duration::from_millis(500);
+
+/// What has been written of this node.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Written {
+    /// Its targets as the store has them; nothing if it knows no such node.
+    pub targets: Option<Vec<Target>>,
+}
+
+/// Keeps the store's record of this node as it should be; never returns.
+pub async fn keep_written(host: Arc<Host>, store: Store, written: watch::Sender<Written>) {
+    host.until_members_known().await;
+    let recorded = host.members.read().get(&host.settings.node).cloned();
+    host.local.lock().recall(recorded.as_deref());
+    host.set_gate();
+    let mut member = recorded.as_deref().cloned();
+    let mut failures = 0;
+    loop {
+        let wanted = wanted(&host, member.as_ref());
+        if member.as_ref() == Some(&wanted) {
+            written.send_replace(Written {
+                targets: Some(wanted.targets.clone()),
+            });
+            wait(&host).await;
+            continue;
+        }
+        let record = rmp_serde::to_vec_named(&wanted).expect("plain data always encodes");
+        let key = host.settings.node.to_string();
+        match (store.put)(key, record.into()).await {
+            Ok(()) => {
+                failures = 0;
+                host.take_member(wanted.clone(), "self");
+                member = Some(wanted);
+            }
+            Err(error) => {
+                if failures == 0 {
+                    let why = crate::logging::chain(&error);
+                    let details = format_args!("stream=Members write=true why={why:?}");
+                    host.journal.write(Event::LogDown, details);
+                }
+                tokio::time::sleep(source::pause(failures)).await;
+                failures += 1;
+            }
+        }
+    }
+}
+
+/// Returns what is to be written: the record held, or the next one if something
+/// differs from it.
+fn wanted(host: &Host, held: Option<&Member>) -> Member {
+    let settings = &host.settings;
+    let fresh = Member {
+        node: settings.node.clone(),
+        // The store's order decides, so no clock is asked; one life goes on
+        // counting where the last one ended.
+        incarnation: held.map_or(Incarnation(1), |held| held.incarnation),
+        sequence: held.map_or(1, |held| held.sequence),
+        status: Status::Alive,
+        domain: settings.domain.clone(),
+        peers: settings.listen.peers,
+        inbound: settings.listen.inbound,
+        labels: settings.labels.clone(),
+        targets: host.local.lock().told(),
+    };
+    match held {
+        Some(held) if *held != fresh => Member {
+            sequence: held.sequence + 1,
+            ..fresh
+        },
+        _ => fresh,
+    }
+}
+
+async fn wait(host: &Host) {
+    loop {
+        // A change that nobody announced is seen at the next look.
+        if tokio::time::timeout(LOOK, host.changed.notified())
+            .await
+            .is_ok()
+        {
+            return;
+        }
+        let fell_silent = host.local.lock().fell_silent(std::time::Instant::now());
+        if fell_silent {
+            let details = format_args!("reason=silent");
+            host.journal.write(Event::TargetChanged, details);
+            host.set_gate();
+        }
+    }
+}
--- /dev/null
+++ b/src/host/mod.rs
@@ -0,0 +1,229 @@
+//! One host process: its threads, put together.
+//!
+//! A host process serves a platform that has a store of its own. Versions of
+//! the routes and the members come from there, so nothing is voted on, kept or
+//! snapshotted here; what is left are the target beside the process and the
+//! requests.
+
+mod settings;
+
+use std::{
+    sync::{Arc, atomic::AtomicUsize},
+    thread,
+    time::Duration,
+};
+
+use tokio::sync::watch;
+
+pub use self::settings::{Listen, Resend, Settings};
+use crate::{
+    coordination::{
+        host,
+        link::{Store, Stream, Words},
+        presence::{self, Written},
+        source,
+    },
+    event::{Event, Journal},
+    transport::{
+        self,
+        relay::{
+            control,
+            egress::Egress,
+            ingress::Ingress,
+            serve::{self, Handler, Phase, Server},
+        },
+    },
+};
+
+/// How long a process that leaves still takes whoever comes: the platform asks
+/// once a second whether it is ready, and two misses end new work.
+const LEAVE: Duration = Duration::from_millis(2500);
+
+/// What is left of the grace for the end of the process itself.
+const LAST: Duration = Duration::from_millis(400);
+
+/// How often connections that were unused for long are closed.
+const TIDY: Duration = Duration::from_secs(2);
+
+/// Descriptors that are not connections of callers or nodes: listeners, files,
+/// and our own connections to nodes, the target and the store.
+const OWN_DESCRIPTORS: usize = 200;
+
+/// An error that keeps a process from starting.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// It can't listen.
+    #[error(transparent)]
+    Transport(#[from] transport::Error),
+    /// The system gives no thread or runtime.
+    #[error("cannot start a thread")]
+    Thread(#[from] std::io::Error),
+}
+
+/// A running host process.
+pub struct Process {
+    /// What its duties share.
+    pub host: Arc<host::Host>,
+    phase: watch::Sender<Phase>,
+    requests: thread::JoinHandle<()>,
+    control: thread::JoinHandle<()>,
+}
+
+type Listeners = Vec<(std::net::TcpListener, Server)>;
+
+impl Process {
+    /// Starts a process that follows `store`. It is ready once it knows the
+    /// members and has a version of the routes in force.
+    ///
+    /// # Errors
+    ///
+    /// If an address is taken or the system gives no threads.
+    pub fn start(settings: Settings, store: Store, words: Words) -> Result<Self, Error> {
+        let journal = Journal::start(settings.node.as_str());
+        let host = Arc::new(host::Host::new(settings, words, journal));
+        let (phase, phase_seen) = watch::channel(Phase::Serving);
+        let (written, written_seen) = watch::channel(Written::default());
+        let ingress = Ingress::new(host.clone());
+        let egress = Egress::new(host.clone(), ingress.clone());
+        let listen = &host.settings.listen;
+        let requests = [
+            (listen.callers, egress.handler()),
+            (listen.inbound, ingress.handler()),
+        ];
+        let control = [
+            (listen.peers, control::peers(host.clone())),
+            (listen.targets, control::targets(host.clone(), written_seen)),
+            (
+                listen.ready,
+                control::ready(host.clone(), phase_seen.clone()),
+            ),
+        ];
+        let server = servers(&host, &phase_seen);
+        let requests = bind(requests, &server)?;
+        let control = bind(control, &server)?;
+        let settings = &host.settings;
+        let details = format_args!(
+            "domain={} service={} listen={:?}",
+            settings.domain, settings.service, settings.listen
+        );
+        host.journal.write(Event::Started, details);
+        Ok(Self {
+            phase,
+            requests: duty("requests", serve_requests(requests, egress, ingress))?,
+            control: duty(
+                "control",
+                control_all(host.clone(), store, written, control),
+            )?,
+            host,
+        })
+    }
+
+    /// Ends the process: it says that it is not ready, still serves who comes,
+    /// then ends what is in flight, all within the grace.
+    pub fn stop(self) {
+        self.host.journal.write(Event::Stopping, format_args!(""));
+        self.host.leave();
+        self.phase.send_replace(Phase::Leaving);
+        thread::sleep(LEAVE);
+        self.phase.send_replace(Phase::Closing);
+        let grace = self.host.settings.grace.duration();
+        let left = grace.saturating_sub(LEAVE + LAST);
+        let ended = wait_for(left, || self.requests.is_finished());
+        let details = format_args!("all_ended={ended}");
+        self.host.journal.write(Event::Stopped, details);
+        self.host.journal.stop();
+        // The duties hold nothing that lasts; they end with the process.
+        drop(self.control);
+    }
+}
+
+/// Waits up to `most` until `is_done`; returns whether it was.
+fn wait_for(most: Duration, is_done: impl Fn() -> bool) -> bool {
+    const STEP: Duration = Duration::from_millis(20);
+    let steps = most.as_millis() / STEP.as_millis();
+    for _ in 0..steps {
+        if is_done() {
+            return true;
+        }
+        thread::sleep(STEP);
+    }
+    is_done()
+}
+
+/// Returns what makes a server of a handler.
+fn servers(
+    host: &Arc<host::Host>,
+    phase: &watch::Receiver<Phase>,
+) -> impl Fn(Handler) -> Server + use<> {
+    let most = host.settings.descriptors.saturating_sub(OWN_DESCRIPTORS) / 2;
+    let (host, phase) = (host.clone(), phase.clone());
+    move |handler| {
+        let host = host.clone();
+        Server {
+            handler,
+            limits: Arc::new(move || host.limits()),
+            phase: phase.clone(),
+            most,
+            open: Arc::new(AtomicUsize::new(0)),
+        }
+    }
+}
+
+fn bind<const N: usize>(
+    addresses: [(std::net::SocketAddr, Handler); N],
+    server: &impl Fn(Handler) -> Server,
+) -> Result<Listeners, transport::Error> {
+    let bound = addresses
+        .into_iter()
+        .map(|(address, handler)| Ok((serve::bind(address)?, server(handler))));
+    bound.collect()
+}
+
+fn duty<F>(name: &str, work: F) -> Result<thread::JoinHandle<()>, Error>
+where
+    F: Future<Output = ()> + Send + 'static,
+{
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    Ok(thread::Builder::new()
+        .name(name.into())
+        .spawn(move || runtime.block_on(work))?)
+}
+
+async fn serve_requests(listeners: Listeners, egress: Arc<Egress>, ingress: Arc<Ingress>) {
+    tokio::spawn(async move {
+        loop {
+            tokio::time::sleep(TIDY).await;
+            egress.tidy();
+            ingress.tidy();
+        }
+    });
+    serve_all(listeners).await;
+}
+
+/// The duty beside the requests: the store, the target, peers and checks.
+async fn control_all(
+    host: Arc<host::Host>,
+    store: Store,
+    written: watch::Sender<Written>,
+    listeners: Listeners,
+) {
+    let ask = control::ask();
+    for stream in [Stream::Routes, Stream::Members] {
+        let follow = source::follow(host.clone(), store.clone(), ask.clone(), stream);
+        tokio::spawn(follow);
+    }
+    tokio::spawn(source::follow_hints(host.clone(), ask));
+    tokio::spawn(presence::keep_written(host, store, written));
+    serve_all(listeners).await;
+}
+
+async fn serve_all(listeners: Listeners) {
+    let servers = listeners
+        .into_iter()
+        .map(|(listener, server)| server.run(listener));
+    // A listener that can't be used on this thread leaves its address silent,
+    // which the platform's checks find.
+    drop(futures_util::future::join_all(servers).await);
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -91,6 +91,7 @@
 pub mod document;
 pub mod event;
 pub mod files;
+pub mod host;
 pub mod id;
 pub mod logging;
 pub mod metrics;
--- a/src/protocol/announce.rs
+++ b/src/protocol/announce.rs
@@ -32,3 +32,31 @@
     /// span.
     pub expires_after: Span,
 }
+
+/// What a target says of itself to the node beside it, every few seconds.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Heartbeat {
+    /// One start of the target's process.
+    pub instance: String,
+    /// Counts its heartbeats, so that a late one can be told.
+    pub sequence: u64,
+    /// The service it offers.
+    pub service: Name,
+    /// Where it is reached.
+    pub address: SocketAddr,
+    /// Requests it runs at a time.
+    pub slots: u32,
+    /// Whether it is leaving and gets no new work.
+    pub draining: bool,
+    /// How long it stays slow after its start.
+    pub warmup: Span,
+}
+
+/// A call of a target to the node beside it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Message {
+    /// It is there.
+    Heartbeat(Heartbeat),
+    /// The instance is gone, or about to be.
+    Leave(String),
+}
--- /dev/null
+++ b/src/protocol/dialect.rs
@@ -0,0 +1,109 @@
+//! The headers that callers and targets speak, by what they mean.
+//!
+//! The names differ from platform to platform, so the relay takes them as
+//! values. What nodes say to each other stands in [`hop`] and is always the
+//! same.
+
+use http::HeaderName;
+
+/// The names of the headers that have a meaning for the relay.
+#[derive(Clone, Debug)]
+pub struct Dialect {
+    /// The id of one attempt of a caller. Targets echo it, which tells an
+    /// answer to this request from a late one to another.
+    pub id: HeaderName,
+    /// Milliseconds that the sender will wait.
+    pub deadline: HeaderName,
+    /// The instance of the target that is meant; any other refuses.
+    pub expect: HeaderName,
+    /// The service on the host at which the request began.
+    pub caller: HeaderName,
+    /// A target's proof that it made the answer.
+    pub proof: HeaderName,
+    /// On a target's answer: the request has not run.
+    pub not_run: HeaderName,
+    /// On a target's answer: requests running, waiting and its slots, with
+    /// commas between.
+    pub load: HeaderName,
+}
+
+impl Default for Dialect {
+    /// The product's own names.
+    fn default() -> Self {
+        Self {
+            id: HeaderName::from_static("rilltrack-request"),
+            deadline: HeaderName::from_static(super::answer::DEADLINE),
+            expect: HeaderName::from_static("rilltrack-target"),
+            caller: HeaderName::from_static("rilltrack-caller"),
+            proof: HeaderName::from_static("rilltrack-proof"),
+            not_run: HeaderName::from_static("rilltrack-not-run"),
+            load: HeaderName::from_static(super::answer::LOAD),
+        }
+    }
+}
+
+/// Headers between two nodes. No caller's or target's header of such a name
+/// gets past a node.
+pub mod hop {
+    /// The start of all of them.
+    pub const PREFIX: &str = "rilltrack-hop-";
+    /// The node that is meant: an address may be taken over by another.
+    pub const TO: &str = "rilltrack-hop-to";
+    /// The service whose target is to run the request.
+    pub const SERVICE: &str = "rilltrack-hop-service";
+    /// The rank of the request where room is short; 0 goes first.
+    pub const PRIORITY: &str = "rilltrack-hop-priority";
+    /// Milliseconds that the request may wait for room at the target.
+    pub const PATIENCE: &str = "rilltrack-hop-patience-ms";
+    /// Milliseconds that are left for the request as a whole.
+    pub const DEADLINE: &str = "rilltrack-hop-deadline-ms";
+    /// The sender's version of the routes, on requests and answers.
+    pub const VERSION: &str = "rilltrack-hop-version";
+    /// What became of the request: an [`Outcome`](crate::protocol::answer::Outcome).
+    pub const OUTCOME: &str = "rilltrack-hop-outcome";
+    /// Why the node refused.
+    pub const REASON: &str = "rilltrack-hop-reason";
+    /// On a refusal: the target itself has seen the request.
+    pub const ARRIVED: &str = "rilltrack-hop-arrived";
+    /// A [`Load`](super::Load) of the target, as its gate sees it.
+    pub const LOAD: &str = "rilltrack-hop-load";
+}
+
+/// How full a target is.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Load {
+    /// Requests that it runs.
+    pub running: u32,
+    /// Requests that wait for it.
+    pub waiting: u32,
+    /// Requests that it can run at a time.
+    pub slots: u32,
+}
+
+/// A text that is no load.
+#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+#[error("`{0}` is not a load: three numbers with commas between")]
+pub struct Error(String);
+
+impl std::fmt::Display for Load {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{},{},{}", self.running, self.waiting, self.slots)
+    }
+}
+
+impl std::str::FromStr for Load {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self, Error> {
+        let fault = || Error(text.into());
+        let numbers: Result<Vec<u32>, _> = text.split(',').map(|n| n.trim().parse()).collect();
+        let [running, waiting, slots] = numbers.map_err(|_| fault())?[..] else {
+            return Err(fault());
+        };
+        Ok(Self {
+            running,
+            waiting,
+            slots,
+        })
+    }
+}
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -4,10 +4,12 @@
 //! * [`log`]: with the platform's log;
 //! * [`answer`]: the headers and outcomes that callers see;
 //! * [`operator`]: with the command-line tool;
-//! * [`announce`]: with targets.
+//! * [`announce`]: with targets;
+//! * [`dialect`]: the headers of a relay, whatever the platform calls them.
 
 pub mod announce;
 pub mod answer;
+pub mod dialect;
 pub mod log;
 pub mod operator;
 pub mod wire;
--- a/src/state/member.rs
+++ b/src/state/member.rs
@@ -65,6 +65,12 @@
     pub http2: bool,
     /// Whether it is leaving and gets no new work.
     pub draining: bool,
+    /// Requests it runs at a time, if it says so; 0 if not.
+    #[serde(default)]
+    pub slots: u32,
+    /// One start of the target's process, if it names it.
+    #[serde(default)]
+    pub instance: String,
 }
 
 impl Member {
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -8,13 +8,15 @@
 //! * [`machine`]: the replicated state machine that applies the records;
 //! * [`check`]: what makes a change acceptable;
 //! * [`view`]: what one proxy needs of the whole;
-//! * [`member`]: the nodes and targets of the mesh.
+//! * [`member`]: the nodes and targets of the mesh;
+//! * [`routing`]: a whole version of routes from a source outside.
 
 pub mod change;
 pub mod check;
 pub mod machine;
 pub mod member;
 pub mod resource;
+pub mod routing;
 pub mod selector;
 pub mod version;
 pub mod view;
--- a/src/transport/http.rs
+++ b/src/transport/http.rs
@@ -77,6 +77,12 @@
 
 /// Returns `headers` without those of one connection and of the system.
 pub fn passed_on(headers: &HeaderMap) -> HeaderMap {
+    end_to_end(headers, answer::PREFIX)
+}
+
+/// Returns `headers` without those of one connection and those that start with
+/// `prefix`.
+pub fn end_to_end(headers: &HeaderMap, prefix: &str) -> HeaderMap {
     let named: Vec<String> = headers
         .get_all("connection")
         .iter()
@@ -87,7 +93,7 @@
     let stays = |name: &HeaderName| {
         let name = name.as_str();
         let hop = HOP_BY_HOP.contains(&name) || named.iter().any(|n| n == name);
-        !hop && !name.starts_with(answer::PREFIX)
+        !hop && !name.starts_with(prefix)
     };
     let mut passed = HeaderMap::with_capacity(headers.len());
     for (name, value) in headers.iter().filter(|(name, _)| stays(name)) {
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -17,6 +17,7 @@
 pub mod outbound;
 pub mod peers;
 pub mod plan;
+pub mod relay;
 pub mod server;
 pub mod targets;
 pub mod tls;
--- /dev/null
+++ b/src/transport/relay/egress.rs
@@ -0,0 +1,543 @@
+//! Requests of callers on this host, and of its target.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use futures_util::FutureExt;
+use hyper::{Request, Response, StatusCode, body::Incoming, header::HeaderValue, http::request};
+
+use crate::{
+    coordination::{
+        balance::{Choice, End},
+        gate::Arrival,
+        host::Host,
+    },
+    event::Event,
+    id::{Name, Node},
+    protocol::{
+        answer::{Outcome, Refusal},
+        dialect::{Load, hop},
+    },
+    state::{
+        member::Member,
+        routing::{Kind, Route},
+    },
+    transport::{
+        http,
+        relay::{
+            KEPT_BODY,
+            body::{self, Body, Read, ReadError},
+            ingress::{self, Ingress, Refused, Visit},
+            onward, plain,
+            pool::{Exchange, Failure, Pool, Settings},
+            refused,
+            serve::Handler,
+        },
+    },
+    unit::Span,
+};
+
+/// How connections to other nodes are made and kept. A connection within a
+/// region takes a few milliseconds; one that takes longer goes nowhere.
+const POOL: Settings = Settings {
+    connect: Duration::from_millis(250),
+    keep: Duration::from_secs(12),
+    kept: 32,
+};
+
+/// Part of a route's objective that a request may wait for room: refused within
+/// it, a caller can still be served in time by coming back.
+const PATIENCE: u32 = 4;
+
+/// Nodes that are asked for room for one request. A refusal takes a round trip
+/// and costs the target nothing, but each further one finds less time.
+const ASKED: usize = 4;
+
+/// When callers are asked to come back while no version is in force.
+const NO_VERSION_AGAIN: Span = Span::from_millis(300);
+
+/// When callers are asked to come back when no target could be had.
+const NO_TARGET_AGAIN: Span = Span::from_millis(200);
+
+/// The way of requests out of this host.
+pub struct Egress {
+    host: Arc<Host>,
+    ingress: Arc<Ingress>,
+    pool: Pool,
+}
+
+/// A request and what the version in force says about it.
+struct Call {
+    head: request::Parts,
+    route: Arc<Route>,
+    service: Name,
+    arrived: Instant,
+    deadline: Instant,
+}
+
+/// What was tried for a request so far.
+#[derive(Default)]
+struct Tries {
+    nodes: Vec<Node>,
+    /// Targets that have seen the request.
+    arrivals: u32,
+    /// What the caller is told if nothing better comes.
+    last: Option<Last>,
+}
+
+enum Last {
+    Refused(Refusal),
+    Answered(Response<Body>),
+}
+
+/// How one try ended.
+enum Tried {
+    Answered(Response<Body>),
+    Refused(Refused),
+}
+
+impl Egress {
+    /// Returns the way out of `host`; requests for its own target go straight to
+    /// `ingress`.
+    pub fn new(host: Arc<Host>, ingress: Arc<Ingress>) -> Arc<Self> {
+        Arc::new(Self {
+            host,
+            ingress,
+            pool: Pool::new(POOL),
+        })
+    }
+
+    /// Returns the handler of callers' requests.
+    pub fn handler(self: &Arc<Self>) -> Handler {
+        let egress = self.clone();
+        Arc::new(move |request| {
+            let egress = egress.clone();
+            async move { egress.answer(request).await }.boxed()
+        })
+    }
+
+    /// Closes connections that were unused for long and forgets nodes that have
+    /// left.
+    pub fn tidy(&self) {
+        self.pool.tidy();
+        let members = self.host.members.read();
+        self.host
+            .balance
+            .lock()
+            .retain(|node| members.get(node).is_some());
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
+        let arrived = Instant::now();
+        let (head, incoming) = request.into_parts();
+        let (call, version) = match self.call(head, arrived) {
+            Ok(found) => found,
+            Err(response) => return response,
+        };
+        let body = match self.body(incoming, &call).await {
+            Ok(body) => body,
+            Err(refusal) => return self.end(&call, version, &Tries::default(), Err(refusal)),
+        };
+        let mut tries = Tries::default();
+        let result = self.tries(&call, body, &mut tries).await;
+        self.end(&call, version, &tries, result)
+    }
+
+    /// Finds the route of a request.
+    fn call(&self, head: request::Parts, arrived: Instant) -> Result<(Call, u64), Response<Body>> {
+        let Some(version) = self.host.routes() else {
+            let refusal = Refusal::not_run("no version is in force", NO_VERSION_AGAIN);
+            return Err(refused(&refusal, NO_VERSION_AGAIN.duration() * 3));
+        };
+        let host = host_of(&head);
+        let Some(route) = version.table.find(&host, head.uri.path()).cloned() else {
+            let path = head.uri.path();
+            let version = version.table.version;
+            let details = format_args!("host={host:?} path={path:?} version={version}");
+            self.host.journal.write(Event::NoRoute, details);
+            return Err(plain(StatusCode::NOT_FOUND));
+        };
+        let dialect = &self.host.words.dialect;
+        let left = http::parse(&head.headers, dialect.deadline.as_str());
+        let left = left.map_or(route.timeout, |left| {
+            Span::from_millis(left).min(route.timeout)
+        });
+        let service = self.host.split.lock().next(&route);
+        let mut call = Call {
+            head,
+            route,
+            service,
+            arrived,
+            deadline: arrived + left.duration(),
+        };
+        // What a caller says of itself is not asked for.
+        let caller = HeaderValue::from_str(self.host.service().as_str());
+        let caller = caller.expect("names are valid in headers");
+        call.head.headers.insert(dialect.caller.clone(), caller);
+        Ok((call, version.table.version))
+    }
+
+    async fn body(&self, incoming: Incoming, call: &Call) -> Result<Read, Refusal> {
+        let limits = self.host.limits();
+        let most = limits.body.as_bytes();
+        let length: Option<u64> = http::parse(&call.head.headers, "content-length");
+        if length.is_some_and(|length| length > most) {
+            let reason = format!("request body is larger than {}", limits.body);
+            return Err(Refusal::rejected(413, reason));
+        }
+        if length.is_some_and(|length| length > KEPT_BODY as u64) {
+            return Ok(Read::Start(Bytes::new(), incoming));
+        }
+        let idle = limits.idle_timeout.duration();
+        let left = call.deadline.saturating_duration_since(Instant::now());
+        match body::read(incoming, KEPT_BODY, idle.min(left)).await {
+            Ok(read) => Ok(read),
+            Err(ReadError::Still) => Err(Refusal::rejected(408, "request body stood still")),
+            Err(error @ ReadError::Broken(_)) => Err(Refusal::rejected(400, error.to_string())),
+        }
+    }
+
+    /// Tries targets until one answers, or nothing more may be tried.
+    async fn tries(
+        &self,
+        call: &Call,
+        body: Read,
+        tries: &mut Tries,
+    ) -> Result<Response<Body>, Refusal> {
+        let (mut streamed, whole) = match body {
+            Read::Whole(bytes) => (None, Some(bytes)),
+            Read::Start(first, rest) => (Some(Body::streamed(first, rest, call.deadline)), None),
+        };
+        while tries.nodes.len() < ASKED {
+            let Some(choice) = self.choose(call, &tries.nodes) else {
+                break;
+            };
+            if !self.may_send(call, tries) {
+                break;
+            }
+            let body = match &whole {
+                Some(bytes) => Body::whole(bytes.clone()),
+                None => match streamed.take() {
+                    Some(body) => body,
+                    None => break,
+                },
+            };
+            tries.nodes.push(choice.member.node.clone());
+            let tried = self.try_one(call, &choice, body, tries).await;
+            match tried {
+                Tried::Answered(response) => {
+                    tries.arrivals += 1;
+                    let is_fault = response.status().is_server_error();
+                    if !is_fault || call.route.kind == Kind::Once {
+                        return Ok(response);
+                    }
+                    tries.last = Some(Last::Answered(response));
+                }
+                Tried::Refused(refused) => {
+                    tries.arrivals += u32::from(refused.arrived);
+                    let may_have_run = refused.refusal.outcome != Outcome::NotRun;
+                    if may_have_run && call.route.kind == Kind::Once {
+                        return Err(refused.refusal);
+                    }
+                    tries.note(refused.refusal);
+                }
+            }
+            if Instant::now() >= call.deadline {
+                break;
+            }
+        }
+        match tries.last.take() {
+            Some(Last::Answered(response)) => Ok(response),
+            Some(Last::Refused(refusal)) => Err(refusal),
+            None => Err(Refusal::not_run("no target can be had", NO_TARGET_AGAIN)),
+        }
+    }
+
+    fn choose(&self, call: &Call, tried: &[Node]) -> Option<Choice> {
+        let members = self.host.members.read();
+        let domain = &self.host.settings.domain;
+        self.host
+            .balance
+            .lock()
+            .choose(&members, &call.service, domain, tried, Instant::now())
+    }
+
+    /// Returns whether a request may be sent to one more target. What a node
+    /// refused before its target saw it costs nothing.
+    fn may_send(&self, call: &Call, tries: &Tries) -> bool {
+        let now = Instant::now();
+        let mut allowance = self.host.allowance.lock();
+        if tries.arrivals == 0 {
+            if tries.nodes.is_empty() {
+                allowance.earn(&call.service, now);
+            }
+            return true;
+        }
+        let nodes = self.host.nodes();
+        tries.arrivals < call.route.attempts && allowance.spend(&call.service, nodes, now)
+    }
+
+    async fn try_one(&self, call: &Call, choice: &Choice, body: Body, tries: &Tries) -> Tried {
+        let member = &choice.member;
+        let since = Instant::now();
+        let mut watch = Watch::start(&self.host, member, &call.route.name);
+        let waited = since - call.arrived;
+        let patience = (call.route.objective.duration() / PATIENCE).saturating_sub(waited);
+        let visit = Visit {
+            service: call.service.clone(),
+            arrival: Arrival {
+                priority: call.route.priority,
+                patience,
+            },
+            deadline: call.deadline,
+        };
+        let tried = if member.node == self.host.settings.node {
+            match self.ingress.deliver(&visit, &call.head, body).await {
+                Ok(response) => Tried::Answered(response),
+                Err(refused) => Tried::Refused(refused),
+            }
+        } else {
+            self.send(call, member, &visit, body, &mut watch).await
+        };
+        watch.finish(&tried, since.elapsed());
+        if let Tried::Refused(refused) = &tried {
+            let details = format_args!(
+                "id={} route={} service={} to={} try={} outcome={} arrived={} reason={:?}",
+                self.id(call),
+                call.route.name,
+                call.service,
+                member.node,
+                tries.nodes.len(),
+                refused.refusal.outcome,
+                refused.arrived,
+                refused.refusal.reason,
+            );
+            self.host.journal.write(Event::Retried, details);
+        }
+        tried
+    }
+
+    /// Sends a request to the node beside the target.
+    async fn send(
+        &self,
+        call: &Call,
+        member: &Member,
+        visit: &Visit,
+        body: Body,
+        watch: &mut Watch<'_>,
+    ) -> Tried {
+        let request = self.request(call, member, visit, body);
+        let sent = self
+            .pool
+            .send(member.inbound, request, visit.deadline)
+            .await;
+        let exchange = match sent {
+            Ok(exchange) => exchange,
+            Err(failure) => {
+                watch.is_absent = !matches!(failure, Failure::TimedOut);
+                if watch.is_absent {
+                    self.pool.forget(member.inbound);
+                }
+                return Tried::Refused(failed(&failure));
+            }
+        };
+        let Exchange {
+            response,
+            connection,
+        } = exchange;
+        watch.load = ingress::load_of(&response);
+        let seen = http::get(response.headers(), hop::VERSION).and_then(ingress::parse_seen);
+        if let Some((version, members)) = seen {
+            self.host.hear_of(version, members, member.peers);
+        }
+        let refused = ingress::refusal_of_node(&response);
+        let (head, incoming) = response.into_parts();
+        let left = call.deadline.saturating_duration_since(Instant::now());
+        let read = body::read(incoming, KEPT_BODY, left).await;
+        let body = match (read, refused) {
+            (Ok(Read::Whole(_)), Some(refused)) => {
+                self.pool.put_back(connection);
+                return Tried::Refused(refused);
+            }
+            (_, Some(refused)) => return Tried::Refused(refused),
+            (Ok(Read::Whole(bytes)), None) => {
+                self.pool.put_back(connection);
+                Body::whole(bytes)
+            }
+            (Ok(Read::Start(first, rest)), None) => {
+                Body::streamed(first, rest, call.deadline).holding(connection)
+            }
+            (Err(_), None) => {
+                let refusal = Refusal::unknown(502, "the answer broke off between nodes");
+                return Tried::Refused(Refused {
+                    refusal,
+                    arrived: true,
+                });
+            }
+        };
+        let mut response = Response::new(body);
+        *response.status_mut() = head.status;
+        *response.headers_mut() = onward(&head.headers);
+        Tried::Answered(response)
+    }
+
+    fn request(&self, call: &Call, member: &Member, visit: &Visit, body: Body) -> Request<Body> {
+        let mut request = Request::new(body);
+        *request.method_mut() = call.head.method.clone();
+        *request.uri_mut() = ingress::origin_form(&call.head.uri);
+        *request.headers_mut() = onward(&call.head.headers);
+        let headers = request.headers_mut();
+        let left = visit.deadline.saturating_duration_since(Instant::now());
+        http::set(headers, hop::TO, &member.node);
+        http::set(headers, hop::SERVICE, &visit.service);
+        http::set(headers, hop::PRIORITY, visit.arrival.priority);
+        http::set(headers, hop::PATIENCE, visit.arrival.patience.as_millis());
+        http::set(headers, hop::DEADLINE, left.as_millis());
+        request
+    }
+
+    /// Ends a request: with the answer, or with what the caller is told instead.
+    fn end(
+        &self,
+        call: &Call,
+        version: u64,
+        tries: &Tries,
+        result: Result<Response<Body>, Refusal>,
+    ) -> Response<Body> {
+        let left = call.deadline.saturating_duration_since(Instant::now());
+        let took = call.arrived.elapsed().as_millis();
+        let id = self.id(call);
+        let (route, service) = (&call.route.name, &call.service);
+        let nodes = Nodes(&tries.nodes);
+        match result {
+            Ok(response) => {
+                let status = response.status().as_u16();
+                let details = format_args!(
+                    "id={id} route={route} service={service} version={version} tries={nodes} \
+                     outcome=answered status={status} ms={took}"
+                );
+                self.host.journal.write(Event::Routed, details);
+                response
+            }
+            Err(refusal) => {
+                let Refusal {
+                    outcome,
+                    status,
+                    reason,
+                    ..
+                } = &refusal;
+                let details = format_args!(
+                    "id={id} route={route} service={service} version={version} tries={nodes} \
+                     outcome={outcome} status={status} ms={took} reason={reason:?}"
+                );
+                self.host.journal.write(Event::Refused, details);
+                refused(&refusal, left)
+            }
+        }
+    }
+
+    fn id<'a>(&self, call: &'a Call) -> &'a str {
+        http::get(&call.head.headers, self.host.words.dialect.id.as_str()).unwrap_or("-")
+    }
+}
+
+impl Tries {
+    /// Keeps the refusal that leaves most in doubt: "not run" is said only if it
+    /// holds for every try.
+    fn note(&mut self, refusal: Refusal) {
+        let keeps = match &self.last {
+            Some(Last::Answered(_)) => true,
+            Some(Last::Refused(held)) => {
+                held.outcome != Outcome::NotRun && refusal.outcome == Outcome::NotRun
+            }
+            None => false,
+        };
+        if !keeps {
+            self.last = Some(Last::Refused(refusal));
+        }
+    }
+}
+
+/// The nodes that were tried, with commas between.
+struct Nodes<'a>(&'a [Node]);
+
+impl std::fmt::Display for Nodes<'_> {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        for (i, node) in self.0.iter().enumerate() {
+            let comma = if i > 0 { "," } else { "" };
+            write!(f, "{comma}{node}")?;
+        }
+        Ok(())
+    }
+}
+
+fn failed(failure: &Failure) -> Refused {
+    let (refusal, arrived) = match failure {
+        Failure::NotSent(_) => (
+            Refusal::not_run("node can't be reached", NO_TARGET_AGAIN),
+            false,
+        ),
+        Failure::Broken(_) => (Refusal::unknown(502, "node broke off"), true),
+        Failure::TimedOut => (Refusal::unknown(504, "no answer in time"), true),
+    };
+    Refused { refusal, arrived }
+}
+
+fn host_of(head: &request::Parts) -> String {
+    let host = http::get(&head.headers, "host").or_else(|| head.uri.host());
+    let host = host.unwrap_or_default();
+    let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
+    name.to_ascii_lowercase()
+}
+
+/// Counts a request as outstanding at a node until it ends, however it ends.
+struct Watch<'a> {
+    host: &'a Host,
+    member: &'a Member,
+    route: &'a Name,
+    load: Option<Load>,
+    is_absent: bool,
+    end: End,
+}
+
+impl<'a> Watch<'a> {
+    fn start(host: &'a Host, member: &'a Member, route: &'a Name) -> Self {
+        host.balance.lock().start(member, Instant::now());
+        Self {
+            host,
+            member,
+            route,
+            load: None,
+            is_absent: false,
+            end: End::Abandoned,
+        }
+    }
+
+    fn finish(mut self, tried: &Tried, took: Duration) {
+        self.end = match tried {
+            Tried::Answered(response) if response.status().is_server_error() => End::Failed,
+            Tried::Answered(_) => End::Answered(took),
+            Tried::Refused(_) if self.is_absent => End::Absent,
+            Tried::Refused(refused) => match refused.refusal.outcome {
+                Outcome::NotRun if ingress::is_leaving(&refused.refusal.reason) => End::Leaving,
+                Outcome::NotRun => End::Refused,
+                _ => End::Failed,
+            },
+        };
+    }
+}
+
+impl Drop for Watch<'_> {
+    fn drop(&mut self) {
+        let now = Instant::now();
+        let mut balance = self.host.balance.lock();
+        let is_out = balance.finish(self.member, self.route, self.end, self.load, now);
+        if is_out {
+            let details = format_args!("target={} end={:?}", self.member.node, self.end);
+            self.host.journal.write(Event::Ejected, details);
+        }
+    }
+}
--- /dev/null
+++ b/src/transport/relay/ingress.rs
@@ -0,0 +1,389 @@
+//! Requests for the target on this host.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use futures_util::FutureExt;
+use hyper::{Request, Response, StatusCode, body::Incoming, header::HeaderValue, http::request};
+
+use crate::{
+    coordination::{
+        gate::{Arrival, LEAVING, NO_TARGET, Permit},
+        host::Host,
+    },
+    event::Event,
+    id::{Name, Node},
+    protocol::{
+        answer::{Outcome, Refusal},
+        dialect::{Load, hop},
+    },
+    transport::{
+        http,
+        relay::{
+            KEPT_BODY,
+            body::{self, Body, Read},
+            onward,
+            pool::{Connection, Exchange, Failure, Pool, Settings},
+            serve::Handler,
+        },
+    },
+    unit::Span,
+};
+
+/// How the target's connections are made and kept. It is on this host, where a
+/// connection takes less than a millisecond; targets keep unused ones for 10 s,
+/// and say so where they differ.
+const POOL: Settings = Settings {
+    connect: Duration::from_millis(300),
+    keep: Duration::from_secs(8),
+    kept: 64,
+};
+
+/// The reason of a refusal by a node that is not the one that was meant.
+const OTHER_NODE: &str = "another node has this address";
+
+/// What is asked for the target here.
+pub struct Visit {
+    /// The service that is meant.
+    pub service: Name,
+    /// What it brings to the gate.
+    pub arrival: Arrival,
+    /// When an answer is of no more use.
+    pub deadline: Instant,
+}
+
+/// Why there is no answer of the target.
+pub struct Refused {
+    /// What became of the request.
+    pub refusal: Refusal,
+    /// Whether the target itself has seen the request.
+    pub arrived: bool,
+}
+
+/// The way to the target on this host.
+pub struct Ingress {
+    host: Arc<Host>,
+    pool: Pool,
+}
+
+impl Refused {
+    fn before(refusal: Refusal) -> Self {
+        Self {
+            refusal,
+            arrived: false,
+        }
+    }
+
+    fn after(refusal: Refusal) -> Self {
+        Self {
+            refusal,
+            arrived: true,
+        }
+    }
+}
+
+impl Ingress {
+    /// Returns the way to the target of `host`.
+    pub fn new(host: Arc<Host>) -> Arc<Self> {
+        Arc::new(Self {
+            host,
+            pool: Pool::new(POOL),
+        })
+    }
+
+    /// Returns the handler of requests from other nodes.
+    pub fn handler(self: &Arc<Self>) -> Handler {
+        let ingress = self.clone();
+        Arc::new(move |request| {
+            let ingress = ingress.clone();
+            async move { ingress.answer(request).await }.boxed()
+        })
+    }
+
+    /// Closes connections to the target that were unused for long.
+    pub fn tidy(&self) {
+        self.pool.tidy();
+    }
+
+    /// Gives a request to the target, once the gate has room.
+    ///
+    /// # Errors
+    ///
+    /// Why there is no answer of the target, and whether it saw the request.
+    pub async fn deliver(
+        &self,
+        visit: &Visit,
+        head: &request::Parts,
+        body: Body,
+    ) -> Result<Response<Body>, Refused> {
+        if visit.service != *self.host.service() {
+            let refusal = Refusal::not_run(OTHER_NODE, Span::from_millis(0));
+            return Err(Refused::before(refusal));
+        }
+        let entered = self.host.gate.enter(visit.arrival).await;
+        let permit = entered.map_err(Refused::before)?;
+        let request = self.request(visit, &permit, head, body);
+        let sent = self
+            .pool
+            .send(permit.target.address, request, visit.deadline)
+            .await;
+        let exchange = sent.map_err(|failure| self.failed(&permit, &failure))?;
+        let id = head.headers.get(&self.host.words.dialect.id);
+        self.check(id, &exchange.response)?;
+        self.pass(visit, permit, exchange).await
+    }
+
+    fn request(
+        &self,
+        visit: &Visit,
+        permit: &Permit,
+        head: &request::Parts,
+        body: Body,
+    ) -> Request<Body> {
+        let dialect = &self.host.words.dialect;
+        let mut request = Request::new(body);
+        *request.method_mut() = head.method.clone();
+        *request.uri_mut() = origin_form(&head.uri);
+        *request.headers_mut() = onward(&head.headers);
+        let headers = request.headers_mut();
+        let left = visit.deadline.saturating_duration_since(Instant::now());
+        headers.insert(
+            dialect.deadline.clone(),
+            HeaderValue::from(left.as_millis() as u64),
+        );
+        // An instance is a word of a header's own alphabet in every heartbeat
+        // that was taken; without one the target can't be told from another.
+        if let Ok(instance) = HeaderValue::from_str(&permit.target.instance) {
+            headers.insert(dialect.expect.clone(), instance);
+        }
+        request
+    }
+
+    fn failed(&self, permit: &Permit, failure: &Failure) -> Refused {
+        match failure {
+            Failure::NotSent(_) => {
+                let details = format_args!("instance={} reason={failure}", permit.target.instance);
+                self.host.journal.write(Event::TargetChanged, details);
+                Refused::before(Refusal::not_run(NO_TARGET, Span::from_millis(100)))
+            }
+            Failure::Broken(_) => Refused::after(Refusal::unknown(502, "target broke off")),
+            Failure::TimedOut => {
+                Refused::after(Refusal::unknown(504, "target did not answer in time"))
+            }
+        }
+    }
+
+    /// Refuses an answer that is not the target's own to this request.
+    fn check(
+        &self,
+        id: Option<&HeaderValue>,
+        response: &Response<Incoming>,
+    ) -> Result<(), Refused> {
+        let dialect = &self.host.words.dialect;
+        let headers = response.headers();
+        let echoed = headers.get(&dialect.id);
+        let is_not_run =
+            headers.contains_key(&dialect.not_run) || response.status().as_u16() == 421;
+        let is_ours = match (id, echoed) {
+            (Some(id), Some(echoed)) => id == echoed,
+            (Some(_), None) => is_not_run,
+            (None, _) => true,
+        };
+        let unknown = |why| Err(Refused::after(Refusal::unknown(502, why)));
+        if !is_ours {
+            return unknown("target answered another request");
+        }
+        if is_not_run {
+            let refusal = Refusal::not_run("target shed the request", Span::from_millis(200));
+            return Err(Refused::after(refusal));
+        }
+        let is_success = response.status().is_success();
+        if is_success && !headers.contains_key(&dialect.proof) {
+            return unknown("target's answer bears no proof");
+        }
+        if headers.contains_key(hyper::header::CONTENT_ENCODING) {
+            return unknown("target's answer is encoded");
+        }
+        Ok(())
+    }
+
+    /// Passes the answer on: whole if it is small, so that one that ends early
+    /// is never begun.
+    async fn pass(
+        &self,
+        visit: &Visit,
+        permit: Permit,
+        exchange: Exchange,
+    ) -> Result<Response<Body>, Refused> {
+        let Exchange {
+            response,
+            connection,
+        } = exchange;
+        let (head, incoming) = response.into_parts();
+        let left = visit.deadline.saturating_duration_since(Instant::now());
+        let read = body::read(incoming, KEPT_BODY, left).await;
+        let read = read.map_err(|error| {
+            let status = match error {
+                body::ReadError::Still => 504,
+                body::ReadError::Broken(_) => 502,
+            };
+            Refused::after(Refusal::unknown(status, error.to_string()))
+        })?;
+        let body = match read {
+            Read::Whole(bytes) => {
+                self.put_back(connection);
+                Body::whole(bytes)
+            }
+            Read::Start(first, rest) => {
+                Body::streamed(first, rest, visit.deadline).holding((permit, connection))
+            }
+        };
+        let mut response = Response::new(body);
+        *response.status_mut() = head.status;
+        *response.headers_mut() = onward(&head.headers);
+        Ok(response)
+    }
+
+    fn put_back(&self, connection: Connection) {
+        self.pool.put_back(connection);
+    }
+
+    /// Answers a request of another node.
+    async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
+        let (head, incoming) = request.into_parts();
+        let result = match self.visit(&head) {
+            Ok(visit) => {
+                let length = http::parse::<usize>(&head.headers, "content-length");
+                let body = self.body(incoming, length, visit.deadline).await;
+                match body {
+                    Ok(body) => self.deliver(&visit, &head, body).await,
+                    Err(refused) => Err(refused),
+                }
+            }
+            Err(refusal) => Err(Refused::before(refusal)),
+        };
+        let mut response = match result {
+            Ok(mut response) => {
+                http::set(response.headers_mut(), hop::OUTCOME, Outcome::Answered);
+                response
+            }
+            Err(refused) => refusal_to_node(&refused),
+        };
+        let headers = response.headers_mut();
+        http::set(headers, hop::LOAD, self.host.gate.load());
+        http::set(headers, hop::VERSION, seen(&self.host));
+        response
+    }
+
+    async fn body(
+        &self,
+        incoming: Incoming,
+        length: Option<usize>,
+        deadline: Instant,
+    ) -> Result<Body, Refused> {
+        if length.is_some_and(|length| length > KEPT_BODY) {
+            return Ok(Body::streamed(Default::default(), incoming, deadline));
+        }
+        let left = deadline.saturating_duration_since(Instant::now());
+        match body::read(incoming, KEPT_BODY, left).await {
+            Ok(Read::Whole(bytes)) => Ok(Body::whole(bytes)),
+            Ok(Read::Start(first, rest)) => Ok(Body::streamed(first, rest, deadline)),
+            Err(error) => {
+                let refusal = Refusal::not_run(error.to_string(), Span::from_millis(100));
+                Err(Refused::before(refusal))
+            }
+        }
+    }
+
+    fn visit(&self, head: &request::Parts) -> Result<Visit, Refusal> {
+        let headers = &head.headers;
+        let bad = |what: &str| Refusal::rejected(400, format!("{what} is missing"));
+        let to: Node = http::parse(headers, hop::TO).ok_or_else(|| bad(hop::TO))?;
+        let service = http::parse(headers, hop::SERVICE).ok_or_else(|| bad(hop::SERVICE))?;
+        let left: u64 = http::parse(headers, hop::DEADLINE).ok_or_else(|| bad(hop::DEADLINE))?;
+        let patience = http::parse(headers, hop::PATIENCE).unwrap_or(0);
+        if to != self.host.settings.node {
+            return Err(Refusal::not_run(OTHER_NODE, Span::from_millis(0)));
+        }
+        if self.host.is_leaving() {
+            return Err(Refusal::not_run(LEAVING, Span::from_millis(0)));
+        }
+        Ok(Visit {
+            service,
+            arrival: Arrival {
+                priority: http::parse(headers, hop::PRIORITY).unwrap_or(u8::MAX),
+                patience: Duration::from_millis(patience),
+            },
+            deadline: Instant::now() + Duration::from_millis(left),
+        })
+    }
+}
+
+/// Returns whether a refusal says that the target can't be had at this node.
+pub fn is_leaving(reason: &str) -> bool {
+    [LEAVING, NO_TARGET, OTHER_NODE].contains(&reason)
+}
+
+/// What a node has seen: its version of the routes, and how far it follows the
+/// members, with a slash between.
+pub fn seen(host: &Host) -> String {
+    format!("{}/{}", host.version(), host.members_at().unwrap_or(0))
+}
+
+/// Decodes what another node has [`seen`].
+pub fn parse_seen(text: &str) -> Option<(u64, u64)> {
+    let (version, members) = text.split_once('/')?;
+    Some((version.parse().ok()?, members.parse().ok()?))
+}
+
+fn refusal_to_node(refused: &Refused) -> Response<Body> {
+    let refusal = &refused.refusal;
+    let mut response = Response::new(Body::whole(""));
+    *response.status_mut() =
+        StatusCode::from_u16(refusal.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let headers = response.headers_mut();
+    http::set(headers, hop::OUTCOME, refusal.outcome);
+    http::set(headers, hop::REASON, &refusal.reason);
+    http::set(headers, hop::ARRIVED, u8::from(refused.arrived));
+    if let Some(later) = refusal.retry_after {
+        http::set(headers, "retry-after", later.as_millis());
+    }
+    response
+}
+
+/// Returns the refusal that another node answered with, if it is one.
+///
+/// Between nodes the time to come back is in milliseconds.
+pub fn refusal_of_node(response: &Response<Incoming>) -> Option<Refused> {
+    let headers = response.headers();
+    let outcome: Outcome = http::parse(headers, hop::OUTCOME)?;
+    if outcome == Outcome::Answered {
+        return None;
+    }
+    let refusal = Refusal {
+        outcome,
+        status: response.status().as_u16(),
+        reason: http::get(headers, hop::REASON)
+            .unwrap_or("no reason")
+            .into(),
+        retry_after: http::parse(headers, "retry-after").map(Span::from_millis),
+    };
+    Some(Refused {
+        refusal,
+        arrived: http::get(headers, hop::ARRIVED) == Some("1"),
+    })
+}
+
+/// Returns the load that a node reported.
+pub fn load_of(response: &Response<Incoming>) -> Option<Load> {
+    http::parse(response.headers(), hop::LOAD)
+}
+
+/// Returns the path and query alone, as requests to a server have them.
+pub fn origin_form(uri: &hyper::Uri) -> hyper::Uri {
+    let path = uri.path_and_query().map_or("/", |path| path.as_str());
+    path.parse()
+        .unwrap_or_else(|_| hyper::Uri::from_static("/"))
+}
--- /dev/null
+++ b/src/transport/relay/pool.rs
@@ -0,0 +1,221 @@
+//! Connections to other nodes, to the target and to the store, kept for reuse.
+//!
+//! What matters here is the one question that an ordinary client leaves open:
+//! whether any byte of a request went out. A request that certainly did not
+//! leave may be sent anywhere else; of any other it isn't known whether it ran.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use hyper::{
+    Request, Response,
+    body::Incoming,
+    client::conn::http1::{self, SendRequest},
+};
+use parking_lot::Mutex;
+use tokio::net::TcpStream;
+
+use crate::transport::relay::{
+    body::Body,
+    io::{self, Idle, Io},
+};
+
+/// Connections to some addresses.
+pub struct Pool {
+    settings: Settings,
+    idle: Mutex<HashMap<SocketAddr, Vec<Kept>>>,
+}
+
+/// How connections are made and kept.
+#[derive(Clone, Copy, Debug)]
+pub struct Settings {
+    /// How long a connection may take to come about.
+    pub connect: Duration,
+    /// How long an unused connection is kept.
+    pub keep: Duration,
+    /// Unused connections kept for each address.
+    pub kept: usize,
+}
+
+/// Why there is no answer.
+#[derive(Debug, thiserror::Error)]
+pub enum Failure {
+    /// Nothing was sent: no connection came about.
+    #[error("cannot connect")]
+    NotSent(#[source] std::io::Error),
+    /// The connection broke after something may have been sent.
+    #[error("connection broke")]
+    Broken(#[source] hyper::Error),
+    /// The deadline passed after something may have been sent.
+    #[error("no answer in time")]
+    TimedOut,
+}
+
+/// An answer's head, and the connection it comes from.
+pub struct Exchange {
+    /// The head, with the body to come.
+    pub response: Response<Incoming>,
+    /// The connection.
+    pub connection: Connection,
+}
+
+/// A connection in use. Dropping it closes it.
+pub struct Connection {
+    address: SocketAddr,
+    sender: SendRequest<Body>,
+    stream: Arc<TcpStream>,
+    /// Until when its other end said it keeps it, unused.
+    keep: Duration,
+}
+
+struct Kept {
+    connection: Connection,
+    since: Instant,
+}
+
+impl Pool {
+    /// Returns a pool with no connections.
+    pub fn new(settings: Settings) -> Self {
+        Self {
+            settings,
+            idle: Mutex::new(HashMap::new()),
+        }
+    }
+
+    /// Sends a request to `address` and returns the head of its answer.
+    ///
+    /// A kept connection that turns out closed before anything was written is
+    /// replaced by another one, unseen by the caller.
+    ///
+    /// # Errors
+    ///
+    /// Why there is no answer, and whether anything may have been sent.
+    pub async fn send(
+        &self,
+        address: SocketAddr,
+        request: Request<Body>,
+        deadline: Instant,
+    ) -> Result<Exchange, Failure> {
+        let mut request = request;
+        loop {
+            let (mut connection, is_fresh) = match self.take(address) {
+                Some(kept) => (kept, false),
+                None => (self.connect(address, deadline).await?, true),
+            };
+            let sent = connection.sender.try_send_request(request);
+            match tokio::time::timeout_at(deadline.into(), sent).await {
+                Err(_) => return Err(Failure::TimedOut),
+                Ok(Ok(response)) => {
+                    connection.note_keep(&response);
+                    return Ok(Exchange {
+                        response,
+                        connection,
+                    });
+                }
+                Ok(Err(mut error)) => match error.take_message() {
+                    Some(unsent) if !is_fresh => request = unsent,
+                    Some(_) => {
+                        let closed = std::io::ErrorKind::ConnectionReset.into();
+                        return Err(Failure::NotSent(closed));
+                    }
+                    None => return Err(Failure::Broken(error.into_error())),
+                },
+            }
+        }
+    }
+
+    /// Takes back a connection whose answer was read to its end.
+    pub fn put_back(&self, connection: Connection) {
+        if connection.sender.is_closed() || connection.keep.is_zero() {
+            return;
+        }
+        let mut idle = self.idle.lock();
+        let kept = idle.entry(connection.address).or_default();
+        if kept.len() < self.settings.kept {
+            kept.push(Kept {
+                connection,
+                since: Instant::now(),
+            });
+        }
+    }
+
+    /// Closes what was unused for too long, or has ended.
+    pub fn tidy(&self) {
+        let now = Instant::now();
+        self.idle.lock().retain(|_, kept| {
+            kept.retain(|kept| kept.is_usable(self.settings.keep, now));
+            !kept.is_empty()
+        });
+    }
+
+    /// Closes all unused connections to `address`.
+    pub fn forget(&self, address: SocketAddr) {
+        self.idle.lock().remove(&address);
+    }
+
+    fn take(&self, address: SocketAddr) -> Option<Connection> {
+        let now = Instant::now();
+        let mut idle = self.idle.lock();
+        let kept = idle.get_mut(&address)?;
+        while let Some(candidate) = kept.pop() {
+            if candidate.is_usable(self.settings.keep, now) {
+                return Some(candidate.connection);
+            }
+        }
+        None
+    }
+
+    async fn connect(&self, address: SocketAddr, deadline: Instant) -> Result<Connection, Failure> {
+        let until = deadline.min(Instant::now() + self.settings.connect);
+        let stream = tokio::time::timeout_at(until.into(), TcpStream::connect(address)).await;
+        let stream = stream
+            .unwrap_or_else(|_| Err(std::io::ErrorKind::TimedOut.into()))
+            .map_err(Failure::NotSent)?;
+        io::prepare(&stream).map_err(Failure::NotSent)?;
+        let (io, stream) = Io::new(stream);
+        let made = http1::handshake::<_, Body>(io).await;
+        let (sender, driver) =
+            made.map_err(|error| Failure::NotSent(std::io::Error::other(error)))?;
+        // How a connection ends, its sender is told as well.
+        tokio::spawn(async move { drop(driver.await) });
+        Ok(Connection {
+            address,
+            sender,
+            stream,
+            keep: self.settings.keep,
+        })
+    }
+}
+
+impl Kept {
+    fn is_usable(&self, keep: Duration, now: Instant) -> bool {
+        let keep = keep.min(self.connection.keep);
+        let is_young = now.saturating_duration_since(self.since) < keep;
+        let sender = &self.connection.sender;
+        // A connection that holds bytes already would give them to the next
+        // request as its answer.
+        is_young && sender.is_ready() && io::look(&self.connection.stream) == Idle::Clean
+    }
+}
+
+impl Connection {
+    /// Takes the time from a `Keep-Alive: timeout=N` of the answer, less a
+    /// fifth: its other end counts from an earlier moment.
+    fn note_keep(&mut self, response: &Response<Incoming>) {
+        let header = response.headers().get("keep-alive");
+        let seconds = header
+            .and_then(|value| value.to_str().ok())
+            .and_then(|text| {
+                text.split(',')
+                    .find_map(|p| p.trim().strip_prefix("timeout="))
+            })
+            .and_then(|seconds| seconds.trim().parse().ok());
+        if let Some(seconds) = seconds {
+            self.keep = Duration::from_secs(seconds) * 4 / 5;
+        }
+    }
+}
--- a/src/transport/targets.rs
+++ b/src/transport/targets.rs
@@ -62,6 +62,8 @@
                         address,
                         http2,
                         draining,
+                        slots: 0,
+                        instance: String::new(),
                     },
                     until,
                 ),
