Callers' pipelined requests run beside each other

Cause: callers of balance lookups send further requests before the first is answered; hyper takes them one after the other, so 2,129 of 9,348 requests took more than half of their objective to reach a target, p50 258 ms for 120 ms of work. Ruled out: room at the targets (none refused), the choice of target.

--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -30,7 +30,7 @@
             control,
             egress::Egress,
             ingress::Ingress,
-            serve::{self, Handler, Phase, Server},
+            serve::{self, Handler, Phase, Server, Whose},
         },
     },
 };
@@ -87,14 +87,19 @@
         let egress = Egress::new(host.clone(), ingress.clone());
         let listen = &host.settings.listen;
         let requests = [
-            (listen.callers, egress.handler()),
-            (listen.inbound, ingress.handler()),
+            (listen.callers, Whose::Callers, egress.handler()),
+            (listen.inbound, Whose::Others, ingress.handler()),
         ];
         let control = [
-            (listen.peers, control::peers(host.clone())),
-            (listen.targets, control::targets(host.clone(), written_seen)),
+            (listen.peers, Whose::Others, control::peers(host.clone())),
+            (
+                listen.targets,
+                Whose::Others,
+                control::targets(host.clone(), written_seen),
+            ),
             (
                 listen.ready,
+                Whose::Others,
                 control::ready(host.clone(), phase_seen.clone()),
             ),
         ];
@@ -154,12 +159,13 @@
 fn servers(
     host: &Arc<host::Host>,
     phase: &watch::Receiver<Phase>,
-) -> impl Fn(Handler) -> Server + use<> {
+) -> impl Fn(Whose, Handler) -> Server + use<> {
     let most = host.settings.descriptors.saturating_sub(OWN_DESCRIPTORS) / 2;
     let (host, phase) = (host.clone(), phase.clone());
-    move |handler| {
+    move |whose, handler| {
         let host = host.clone();
         Server {
+            whose,
             handler,
             limits: Arc::new(move || host.limits()),
             phase: phase.clone(),
@@ -170,12 +176,12 @@
 }
 
 fn bind<const N: usize>(
-    addresses: [(std::net::SocketAddr, Handler); N],
-    server: &impl Fn(Handler) -> Server,
+    addresses: [(std::net::SocketAddr, Whose, Handler); N],
+    server: &impl Fn(Whose, Handler) -> Server,
 ) -> Result<Listeners, transport::Error> {
     let bound = addresses
         .into_iter()
-        .map(|(address, handler)| Ok((serve::bind(address)?, server(handler))));
+        .map(|(address, whose, handler)| Ok((serve::bind(address)?, server(whose, handler))));
     bound.collect()
 }
 
--- a/src/transport/relay/body.rs
+++ b/src/transport/relay/body.rs
@@ -9,10 +9,10 @@
 };
 
 use bytes::{Bytes, BytesMut};
-use http_body::{Frame, SizeHint};
+use http_body::{Body as _, Frame, SizeHint};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use tokio::time::Sleep;
+use tokio::{sync::mpsc, time::Sleep};
 
 /// The error of a body that ends early. It ends the connection too, so that
 /// nobody takes what came for the whole.
@@ -21,18 +21,33 @@
 /// A body.
 pub struct Body {
     first: Option<Bytes>,
-    rest: Option<Incoming>,
+    rest: Option<Rest>,
     deadline: Option<Pin<Box<Sleep>>>,
     /// Kept until the body has ended.
     _held: Option<Box<dyn Any + Send + Sync>>,
 }
 
+/// What is still to come of a body.
+enum Rest {
+    Incoming(Incoming),
+    Fed(Feed),
+}
+
+/// Pieces that a caller's connection feeds in. An empty one is the end; without
+/// it the body broke off.
+struct Feed {
+    pieces: mpsc::Receiver<Bytes>,
+    /// Bytes that are missing, if the length was told.
+    left: Option<u64>,
+    ended: bool,
+}
+
 /// What was read of a body.
 pub enum Read {
     /// All of it.
     Whole(Bytes),
     /// Its start, and the rest.
-    Start(Bytes, Incoming),
+    Start(Bytes, Body),
 }
 
 /// Why a body was not read.
@@ -43,7 +58,7 @@
     Still,
     /// It broke off.
     #[error("body broke off")]
-    Broken(#[source] hyper::Error),
+    Broken(#[source] Fault),
 }
 
 impl Body {
@@ -58,12 +73,34 @@
         }
     }
 
-    /// Returns a body whose start is there; the rest must come by `deadline`.
-    pub fn streamed(first: Bytes, rest: Incoming, deadline: Instant) -> Self {
+    /// Returns the body of a message that hyper reads.
+    pub fn incoming(incoming: Incoming) -> Self {
+        Self {
+            rest: Some(Rest::Incoming(incoming)).filter(|rest| !rest.is_end()),
+            ..Self::whole("")
+        }
+    }
+
+    /// Returns a body of `length`, if it is told, whose pieces come through a
+    /// channel; an empty piece ends it.
+    pub fn fed(pieces: mpsc::Receiver<Bytes>, length: Option<u64>) -> Self {
+        let feed = Feed {
+            pieces,
+            left: length,
+            ended: false,
+        };
+        Self {
+            rest: Some(Rest::Fed(feed)),
+            ..Self::whole("")
+        }
+    }
+
+    /// Returns a body whose start is there; the `rest` must come by `deadline`.
+    pub fn streamed(first: Bytes, rest: Self, deadline: Instant) -> Self {
         Self {
-            rest: Some(rest),
+            first: Some(first).filter(|first| !first.is_empty()),
             deadline: Some(Box::pin(tokio::time::sleep_until(deadline.into()))),
-            ..Self::whole(first)
+            ..rest
         }
     }
 
@@ -96,24 +133,68 @@
         let Some(rest) = &mut self.rest else {
             return Poll::Ready(None);
         };
-        let frame = Pin::new(rest).poll_frame(cx);
-        frame.map(|frame| frame.map(|frame| frame.map_err(Into::into)))
+        rest.poll(cx)
     }
 
     fn is_end_stream(&self) -> bool {
-        let rest_ended = self.rest.as_ref().is_none_or(|rest| rest.is_end_stream());
-        self.first.is_none() && rest_ended
+        self.first.is_none() && self.rest.as_ref().is_none_or(Rest::is_end)
     }
 
     fn size_hint(&self) -> SizeHint {
         let first = self.first.as_ref().map_or(0, |first| first.len() as u64);
-        let Some(rest) = &self.rest else {
-            return SizeHint::with_exact(first);
-        };
-        match rest.size_hint().exact() {
-            Some(exact) => SizeHint::with_exact(first + exact),
-            None => SizeHint::default(),
+        match &self.rest {
+            None => SizeHint::with_exact(first),
+            Some(rest) => match rest.exact() {
+                Some(exact) => SizeHint::with_exact(first + exact),
+                None => SizeHint::default(),
+            },
+        }
+    }
+}
+
+impl Rest {
+    fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Fault>>> {
+        match self {
+            Self::Incoming(incoming) => {
+                let frame = Pin::new(incoming).poll_frame(cx);
+                frame.map(|frame| frame.map(|frame| frame.map_err(Into::into)))
+            }
+            Self::Fed(feed) => feed.poll(cx),
+        }
+    }
+
+    fn is_end(&self) -> bool {
+        match self {
+            Self::Incoming(incoming) => incoming.is_end_stream(),
+            Self::Fed(feed) => feed.ended,
+        }
+    }
+
+    fn exact(&self) -> Option<u64> {
+        match self {
+            Self::Incoming(incoming) => incoming.size_hint().exact(),
+            Self::Fed(feed) => feed.left,
+        }
+    }
+}
+
+impl Feed {
+    fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Fault>>> {
+        if self.ended {
+            return Poll::Ready(None);
         }
+        self.pieces.poll_recv(cx).map(|piece| match piece {
+            Some(piece) if piece.is_empty() => {
+                self.ended = true;
+                None
+            }
+            Some(piece) => {
+                let len = piece.len() as u64;
+                self.left = self.left.map(|left| left.saturating_sub(len));
+                Some(Ok(Frame::data(piece)))
+            }
+            None => Some(Err("the caller left amid the body".into())),
+        })
     }
 }
 
@@ -122,8 +203,7 @@
 /// # Errors
 ///
 /// If it stands still or breaks off.
-pub async fn read(mut body: Incoming, max: usize, idle: Duration) -> Result<Read, ReadError> {
-    use http_body::Body as _;
+pub async fn read(mut body: Body, max: usize, idle: Duration) -> Result<Read, ReadError> {
     if body.is_end_stream() {
         return Ok(Read::Whole(Bytes::new()));
     }
--- a/src/transport/relay/control.rs
+++ b/src/transport/relay/control.rs
@@ -7,7 +7,6 @@
 use futures_util::FutureExt;
 use hyper::{
     Method, Request, Response, StatusCode,
-    body::Incoming,
     header::{CONTENT_TYPE, HeaderValue},
 };
 use tokio::sync::watch;
@@ -94,7 +93,7 @@
 
 /// Returns the handler of other nodes' questions.
 pub fn peers(host: Arc<Host>) -> Handler {
-    Arc::new(move |request: Request<Incoming>| {
+    Arc::new(move |request: Request<Body>| {
         let answer = match request.uri().path() {
             ROUTES => Response::new(Body::whole(source::answer(&host, Question::Routes))),
             MEMBERS => Response::new(Body::whole(source::answer(&host, Question::Members))),
@@ -128,7 +127,7 @@
 async fn announced(
     host: Arc<Host>,
     mut written: watch::Receiver<Written>,
-    request: Request<Incoming>,
+    request: Request<Body>,
 ) -> Response<Body> {
     let (head, incoming) = request.into_parts();
     let body = match body::read(incoming, MAX_CALL, CALL_IDLE).await {
--- a/src/transport/relay/egress.rs
+++ b/src/transport/relay/egress.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use futures_util::FutureExt;
-use hyper::{Request, Response, StatusCode, body::Incoming, header::HeaderValue, http::request};
+use hyper::{Request, Response, StatusCode, header::HeaderValue, http::request};
 
 use crate::{
     coordination::{
@@ -130,7 +130,7 @@
             .retain(|node| members.get(node).is_some());
     }
 
-    async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
+    async fn answer(&self, request: Request<Body>) -> Response<Body> {
         let arrived = Instant::now();
         let (head, incoming) = request.into_parts();
         let (call, version) = match self.call(head, arrived) {
@@ -180,7 +180,7 @@
         Ok((call, version.table.version))
     }
 
-    async fn body(&self, incoming: Incoming, call: &Call) -> Result<Read, Refusal> {
+    async fn body(&self, incoming: Body, call: &Call) -> Result<Read, Refusal> {
         let limits = self.host.limits();
         let most = limits.body.as_bytes();
         let length: Option<u64> = http::parse(&call.head.headers, "content-length");
--- a/src/transport/relay/ingress.rs
+++ b/src/transport/relay/ingress.rs
@@ -6,7 +6,7 @@
 };
 
 use futures_util::FutureExt;
-use hyper::{Request, Response, StatusCode, body::Incoming, header::HeaderValue, http::request};
+use hyper::{Request, Response, StatusCode, header::HeaderValue, http::request};
 
 use crate::{
     coordination::{
@@ -176,11 +176,7 @@
     }
 
     /// Refuses an answer that is not the target's own to this request.
-    fn check(
-        &self,
-        id: Option<&HeaderValue>,
-        response: &Response<Incoming>,
-    ) -> Result<(), Refused> {
+    fn check(&self, id: Option<&HeaderValue>, response: &Response<Body>) -> Result<(), Refused> {
         let dialect = &self.host.words.dialect;
         let headers = response.headers();
         let echoed = headers.get(&dialect.id);
@@ -251,7 +247,7 @@
     }
 
     /// Answers a request of another node.
-    async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
+    async fn answer(&self, request: Request<Body>) -> Response<Body> {
         let (head, incoming) = request.into_parts();
         let result = match self.visit(&head) {
             Ok(visit) => {
@@ -279,7 +275,7 @@
 
     async fn body(
         &self,
-        incoming: Incoming,
+        incoming: Body,
         length: Option<usize>,
         deadline: Instant,
     ) -> Result<Body, Refused> {
@@ -356,7 +352,7 @@
 /// Returns the refusal that another node answered with, if it is one.
 ///
 /// Between nodes the time to come back is in milliseconds.
-pub fn refusal_of_node(response: &Response<Incoming>) -> Option<Refused> {
+pub fn refusal_of_node(response: &Response<Body>) -> Option<Refused> {
     let headers = response.headers();
     let outcome: Outcome = http::parse(headers, hop::OUTCOME)?;
     if outcome == Outcome::Answered {
@@ -377,7 +373,7 @@
 }
 
 /// Returns the load that a node reported.
-pub fn load_of(response: &Response<Incoming>) -> Option<Load> {
+pub fn load_of(response: &Response<Body>) -> Option<Load> {
     http::parse(response.headers(), hop::LOAD)
 }
 
--- a/src/transport/relay/mod.rs
+++ b/src/transport/relay/mod.rs
@@ -11,8 +11,10 @@
 //! used again (docs/DESIGN.md).
 
 pub mod body;
+pub mod codec;
 pub mod control;
 pub mod egress;
+pub mod front;
 pub mod ingress;
 pub mod io;
 pub mod pool;
--- a/src/transport/relay/pool.rs
+++ b/src/transport/relay/pool.rs
@@ -58,7 +58,7 @@
 /// An answer's head, and the connection it comes from.
 pub struct Exchange {
     /// The head, with the body to come.
-    pub response: Response<Incoming>,
+    pub response: Response<Body>,
     /// The connection.
     pub connection: Connection,
 }
@@ -112,7 +112,7 @@
                 Ok(Ok(response)) => {
                     connection.note_keep(&response);
                     return Ok(Exchange {
-                        response,
+                        response: response.map(Body::incoming),
                         connection,
                     });
                 }
--- a/src/transport/relay/serve.rs
+++ b/src/transport/relay/serve.rs
@@ -22,13 +22,13 @@
     state::routing::Limits,
     transport::relay::{
         body::Body,
+        front::Front,
         io::{Io, prepare},
     },
 };
 
 /// Answers a request.
-pub type Handler =
-    Arc<dyn Fn(Request<Incoming>) -> BoxFuture<'static, Response<Body>> + Send + Sync>;
+pub type Handler = Arc<dyn Fn(Request<Body>) -> BoxFuture<'static, Response<Body>> + Send + Sync>;
 
 /// Returns the limits for a new connection.
 pub type LimitsNow = Arc<dyn Fn() -> Limits + Send + Sync>;
@@ -51,9 +51,20 @@
     Closing,
 }
 
+/// Whose connections a server takes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Whose {
+    /// Callers', with several requests under way on each.
+    Callers,
+    /// Nodes', targets' and the platform's, one request at a time.
+    Others,
+}
+
 /// A server, with what it has in hand.
 #[derive(Clone)]
 pub struct Server {
+    /// Whose connections it takes.
+    pub whose: Whose,
     /// Answers requests.
     pub handler: Handler,
     /// The limits of new connections.
@@ -120,11 +131,19 @@
             // The caller has gone already.
             return;
         }
+        if self.whose == Whose::Callers {
+            let front = Front {
+                handler: self.handler.clone(),
+                limits: self.limits.clone(),
+                phase: self.phase.clone(),
+            };
+            return front.serve(stream).await;
+        }
         let limits = (self.limits)();
         let (io, _) = Io::new(stream);
         let handler = self.handler.clone();
-        let service = service_fn(move |request| {
-            let answer = handler(request);
+        let service = service_fn(move |request: Request<Incoming>| {
+            let answer = handler(request.map(Body::incoming));
             async move { Ok::<_, std::convert::Infallible>(answer.await) }
         });
         let head = limits.head.as_bytes() as usize;
