--- a/src/transport/relay/front.rs
+++ b/src/transport/relay/front.rs
@@ -77,7 +77,8 @@
 /// A body that is being read.
 struct Feeding {
     decoder: Decoder,
-    pieces: mpsc::Sender<Bytes>,
+    /// Nothing once nobody reads on; what comes is then passed over.
+    pieces: Option<mpsc::Sender<Bytes>>,
     next: Option<Bytes>,
 }
 
@@ -232,7 +233,7 @@
             let (pieces, taken) = mpsc::channel(PIECES);
             self.feeding = Some(Feeding {
                 decoder: Decoder::new(framing),
-                pieces,
+                pieces: Some(pieces),
                 next: None,
             });
             self.exclusive = true;
@@ -330,23 +331,34 @@
 }
 
 /// Gives the next piece to whoever reads the body.
+///
+/// Each call takes the piece away, read or not: were it offered again to nobody,
+/// the connection would turn in place without ever yielding its thread.
 async fn feed(feeding: &mut Option<Feeding>) {
     let Some(held) = feeding else { return };
-    let Ok(room) = held.pieces.reserve().await else {
-        // Nobody reads on; the answer comes without the rest.
-        held.next = None;
-        return;
-    };
-    let Some(piece) = held.next.take() else {
-        return;
+    let is_read_on = match (&held.pieces, &held.next) {
+        (Some(pieces), Some(piece)) => send(pieces, piece).await,
+        _ => false,
     };
-    let is_end = piece.is_empty();
-    room.send(piece);
+    if !is_read_on {
+        // The body's reader needs no more, or has given up.
+        held.pieces = None;
+    }
+    let is_end = held.next.take().is_some_and(|piece| piece.is_empty());
     if is_end {
         *feeding = None;
     }
 }
 
+/// Sends a piece once there is room; returns whether anybody is there to read it.
+async fn send(pieces: &mpsc::Sender<Bytes>, piece: &Bytes) -> bool {
+    let Ok(room) = pieces.reserve().await else {
+        return false;
+    };
+    room.send(piece.clone());
+    true
+}
+
 async fn read(reader: &mut OwnedReadHalf, bytes: &mut BytesMut) -> io::Result<usize> {
     bytes.reserve(READ);
     reader.read_buf(bytes).await
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -477,8 +477,11 @@
             .boxed()
         });
         let (address, _phase) = serve(Whose::Callers, Limits::default(), handler).await;
-        let get = |path| format!("GET /{path} HTTP/1.1\r\nhost: x\r\n\r\n");
-        let answer = raw::exchange(address, [get("a"), get("b"), get("c")].concat().as_bytes()).await;
+        let get = |path| {
+            let last = if path == "c" { "connection: close\r\n" } else { "" };
+            format!("GET /{path} HTTP/1.1\r\nhost: x\r\n{last}\r\n")
+        };
+        let answer = raw::until_closed(address, [get("a"), get("b"), get("c")].concat().as_bytes()).await;
         let bodies: Vec<&str> = answer.lines().filter(|l| l.starts_with('[')).collect();
         assert_eq!(bodies.len(), 3, "{answer}");
         let at = |text| answer.find(text).unwrap();
@@ -491,16 +494,57 @@
                     POST /b HTTP/1.1\r\nhost: x\r\ncontent-length: 3\r\n\r\nxyz\
                     POST /c HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n2\r\nuv\r\n0\r\n\r\n\
                     GET /d HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
-        let answer = raw::exchange(address, sent.as_bytes()).await;
+        let answer = raw::until_closed(address, sent.as_bytes()).await;
         for part in ["/a=", "/b=xyz", "/c=uv", "/d="] {
             assert!(answer.contains(part), "{part} is missing in {answer}");
         }
         assert_eq!(answer.matches("connection: close").count(), 1, "{answer}");
     }
 
+    body_that_nobody_reads_on_stops_no_thread => {
+        // The handler drops the body unread and answers only once another
+        // request, on the same single thread, has been served.
+        let (go, gone) = watch::channel(false);
+        let go = Arc::new(go);
+        let (dropped, was_dropped) = tokio::sync::mpsc::unbounded_channel();
+        let handler: Handler = Arc::new(move |request: Request<Body>| {
+            let (go, mut gone, dropped) = (go.clone(), gone.clone(), dropped.clone());
+            async move {
+                if request.method() == "GET" {
+                    go.send_replace(true);
+                } else {
+                    drop(request);
+                    dropped.send(()).unwrap();
+                    drop(gone.wait_for(|gone| *gone).await);
+                }
+                Response::new(Body::whole("done"))
+            }
+            .boxed()
+        });
+        let (sender, address) = std::sync::mpsc::channel();
+        std::thread::spawn(move || {
+            let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+            runtime.block_on(async {
+                let (address, _phase) = serve(Whose::Callers, Limits::default(), handler).await;
+                sender.send(address).unwrap();
+                std::future::pending::<()>().await;
+            });
+        });
+        let address = address.recv().unwrap();
+        let post = "POST / HTTP/1.1\r\nhost: x\r\nconnection: close\r\ncontent-length: 3\r\n\r\nabc";
+        let posted = tokio::spawn(async move { raw::until_closed(address, post.as_bytes()).await });
+        let mut was_dropped = was_dropped;
+        was_dropped.recv().await.unwrap();
+        let get = "GET / HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
+        let answer = raw::until_closed(address, get.as_bytes()).await;
+        assert!(answer.ends_with("done"), "{answer}");
+        let answer = posted.await.unwrap();
+        assert!(answer.ends_with("done"), "{answer}");
+    }
+
     what_is_no_request_gets_400_and_a_close => {
         let (address, _phase) = serve(Whose::Callers, Limits::default(), echo()).await;
-        let answer = raw::exchange(address, b"\x16\x03\x01 no http\r\n\r\n").await;
+        let answer = raw::until_closed(address, b"\x16\x03\x01 no http\r\n\r\n").await;
         assert!(answer.starts_with("HTTP/1.1 400 ") && answer.contains("connection: close"), "{answer}");
     }
 
@@ -508,14 +552,14 @@
         let limits = Limits { head: Size::from_bytes(1024), ..Limits::default() };
         let (address, _phase) = serve(Whose::Callers, limits, echo()).await;
         let long = format!("GET / HTTP/1.1\r\nhost: x\r\na: {}", "b".repeat(4000));
-        let answer = raw::exchange(address, long.as_bytes()).await;
+        let answer = raw::until_closed(address, long.as_bytes()).await;
         assert!(answer.starts_with("HTTP/1.1 431 "), "{answer}");
     }
 
     head_that_never_ends_gets_408 => {
         let limits = Limits { head_timeout: Span::from_millis(50), ..Limits::default() };
         let (address, _phase) = serve(Whose::Callers, limits, echo()).await;
-        let answer = raw::exchange(address, b"GET / HTTP/1.1\r\nhost: x\r\n").await;
+        let answer = raw::until_closed(address, b"GET / HTTP/1.1\r\nhost: x\r\n").await;
         assert!(answer.starts_with("HTTP/1.1 408 "), "{answer}");
     }
 
@@ -560,7 +604,7 @@
         });
         let (address, phase) = serve(Whose::Callers, Limits::default(), handler).await;
         let asked = tokio::spawn(async move {
-            raw::exchange(address, b"GET / HTTP/1.1\r\nhost: x\r\n\r\n").await
+            raw::until_closed(address, b"GET / HTTP/1.1\r\nhost: x\r\n\r\n").await
         });
         support::until("the request is there", || async {
             (phase.receiver_count() > 2).then_some(())
--- a/tests/support/raw.rs
+++ b/tests/support/raw.rs
@@ -81,3 +81,19 @@
         }
     }
 }
+
+/// Sends `bytes` and returns all that comes back until the other end closes,
+/// however long that takes. The limit only ends a test that hangs.
+pub async fn until_closed(to: SocketAddr, bytes: &[u8]) -> String {
+    let mut stream = TcpStream::connect(to).await.unwrap();
+    // A server may answer and close before it has read all.
+    let _ = stream.write_all(bytes).await;
+    let mut answer = Vec::new();
+    let read = stream.read_to_end(&mut answer);
+    let limit = std::time::Duration::from_secs(60);
+    // A reset ends the answer as well: what came of it counts.
+    let _ = tokio::time::timeout(limit, read)
+        .await
+        .expect("the connection ends");
+    String::from_utf8_lossy(&answer).into()
+}
