--- a/src/transport/relay/egress.rs
+++ b/src/transport/relay/egress.rs
@@ -411,13 +411,14 @@
         let took = call.arrived.elapsed().as_millis();
         let id = self.id(call);
         let (route, service) = (&call.route.name, &call.service);
+        let priority = call.route.priority;
         let nodes = Nodes(&tries.nodes);
         match result {
             Ok(response) => {
                 let status = response.status().as_u16();
                 let details = format_args!(
-                    "id={id} route={route} service={service} version={version} tries={nodes} \
-                     outcome=answered status={status} ms={took}"
+                    "id={id} route={route} service={service} priority={priority} version={version} \
+                     tries={nodes} outcome=answered status={status} ms={took}"
                 );
                 self.host.journal.write(Event::Routed, details);
                 response
@@ -430,8 +431,8 @@
                     ..
                 } = &refusal;
                 let details = format_args!(
-                    "id={id} route={route} service={service} version={version} tries={nodes} \
-                     outcome={outcome} status={status} ms={took} reason={reason:?}"
+                    "id={id} route={route} service={service} priority={priority} version={version} \
+                     tries={nodes} outcome={outcome} status={status} ms={took} reason={reason:?}"
                 );
                 self.host.journal.write(Event::Refused, details);
                 refused(&refusal, left)
