--- a/src/coordination/gate.rs
+++ b/src/coordination/gate.rs
@@ -59,6 +59,11 @@
 pub struct Arrival {
     /// Its rank; 0 goes first.
     pub priority: u8,
+    /// When it should be answered; among equals in rank the earliest goes first.
+    /// So the short calls that a target makes amid a request go before whole
+    /// requests, and load does not turn into parents that wait for calls that wait
+    /// for parents.
+    pub due: Instant,
     /// How long it may wait for room.
     pub patience: Duration,
 }
@@ -76,12 +81,15 @@
     target: Option<Target>,
     closed: bool,
     running: u32,
-    /// Waiting requests by rank, then by arrival.
-    waiting: BTreeMap<(u8, u64), oneshot::Sender<()>>,
+    /// Waiting requests in the order in which they are let in.
+    waiting: BTreeMap<Place, oneshot::Sender<()>>,
     next: u64,
     mean: f64,
 }
 
+/// A place in the queue: rank, due time, and a count that tells equals apart.
+type Place = (u8, Instant, u64);
+
 /// Why a request may not enter now.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Bar {
@@ -183,17 +191,17 @@
             }
             state.queue(arrival)?
         };
-        let Ticket { key, granted } = ticket;
+        let Ticket { place, granted } = ticket;
         // Whoever stops waiting, by time or because its caller left, takes its
         // place out of the queue, or gives back what was just granted.
-        let mut place = Place {
+        let mut waiter = Waiter {
             gate: self,
-            key: Some(key),
+            place: Some(place),
         };
         let granted = tokio::time::timeout(arrival.patience, granted).await;
         match granted {
             Ok(Ok(())) => {
-                place.key = None;
+                waiter.place = None;
                 let state = self.state.lock();
                 if let Some(bar) = state.bar() {
                     drop(state);
@@ -203,11 +211,14 @@
                 Ok(self.permit(&state))
             }
             Ok(Err(_)) => {
-                place.key = None;
-                let bar = self.state.lock().bar().unwrap_or(Bar::Closed);
-                Err(bar.refusal())
+                waiter.place = None;
+                let state = self.state.lock();
+                // The gate closed, or one that goes before it took its place.
+                Err(state
+                    .bar()
+                    .map_or_else(|| state.full(&arrival), Bar::refusal))
             }
-            Err(_) => Err(self.state.lock().full(arrival.priority)),
+            Err(_) => Err(self.state.lock().full(&arrival)),
         }
     }
 
@@ -230,19 +241,19 @@
 }
 
 struct Ticket {
-    key: (u8, u64),
+    place: Place,
     granted: oneshot::Receiver<()>,
 }
 
-struct Place<'a> {
+struct Waiter<'a> {
     gate: &'a Gate,
-    key: Option<(u8, u64)>,
+    place: Option<Place>,
 }
 
-impl Drop for Place<'_> {
+impl Drop for Waiter<'_> {
     fn drop(&mut self) {
-        let Some(key) = self.key else { return };
-        let waited = self.gate.state.lock().waiting.remove(&key).is_some();
+        let Some(place) = self.place else { return };
+        let waited = self.gate.state.lock().waiting.remove(&place).is_some();
         if !waited {
             // Granted in the same moment, or the queue was cleared.
             self.gate.leave(None);
@@ -269,15 +280,15 @@
         self.running < self.slots()
     }
 
-    /// Returns how long a request of `priority` that comes now will wait, in
-    /// seconds.
-    fn expected_wait(&self, priority: u8) -> f64 {
-        let ahead = self.waiting.range(..(priority + 1, 0)).count();
+    /// Returns how long a request that comes now will wait, in seconds.
+    fn expected_wait(&self, arrival: &Arrival) -> f64 {
+        let place = (arrival.priority, arrival.due, self.next);
+        let ahead = self.waiting.range(..place).count();
         (ahead + 1) as f64 * self.mean / f64::from(self.slots().max(1))
     }
 
-    fn full(&self, priority: u8) -> Refusal {
-        let wait = Span::from_millis((self.expected_wait(priority) * 1000.0) as u64);
+    fn full(&self, arrival: &Arrival) -> Refusal {
+        let wait = Span::from_millis((self.expected_wait(arrival) * 1000.0) as u64);
         Refusal {
             outcome: Outcome::NotRun,
             ..Refusal::not_run(FULL, wait.max(MIN_RETRY_AFTER))
@@ -285,25 +296,21 @@
     }
 
     fn queue(&mut self, arrival: Arrival) -> Result<Ticket, Refusal> {
-        let priority = arrival.priority.min(u8::MAX - 1);
-        if self.expected_wait(priority) > arrival.patience.as_secs_f64() {
-            return Err(self.full(priority));
+        if self.expected_wait(&arrival) > arrival.patience.as_secs_f64() {
+            return Err(self.full(&arrival));
         }
+        let place = (arrival.priority, arrival.due, self.next);
+        self.next += 1;
         if self.waiting.len() >= self.slots() as usize * QUEUE_PER_SLOT {
-            // The last of the lowest rank makes place for a higher one.
-            let last = self.waiting.last_key_value().map(|(key, _)| *key);
-            match last {
-                Some(key) if key.0 > priority => {
-                    self.waiting.remove(&key);
-                }
-                _ => return Err(self.full(priority)),
-            }
+            // The last one makes room for one that goes before it.
+            match self.waiting.last_key_value() {
+                Some((last, _)) if *last > place => self.waiting.pop_last(),
+                _ => return Err(self.full(&arrival)),
+            };
         }
-        let key = (priority, self.next);
-        self.next += 1;
         let (grant, granted) = oneshot::channel();
-        self.waiting.insert(key, grant);
-        Ok(Ticket { key, granted })
+        self.waiting.insert(place, grant);
+        Ok(Ticket { place, granted })
     }
 
     /// Lets in what there is room for.
--- a/src/protocol/dialect.rs
+++ b/src/protocol/dialect.rs
@@ -55,6 +55,8 @@
     pub const PRIORITY: &str = "rilltrack-hop-priority";
     /// Milliseconds that the request may wait for room at the target.
     pub const PATIENCE: &str = "rilltrack-hop-patience-ms";
+    /// Milliseconds until the request should be answered; 0 if it is late.
+    pub const DUE: &str = "rilltrack-hop-due-ms";
     /// Milliseconds that are left for the request as a whole.
     pub const DEADLINE: &str = "rilltrack-hop-deadline-ms";
     /// The sender's version of the routes, on requests and answers.
--- a/src/transport/relay/egress.rs
+++ b/src/transport/relay/egress.rs
@@ -52,6 +52,12 @@
 /// it, a caller can still be served in time by coming back.
 const PATIENCE: u32 = 4;
 
+/// The shortest time that a request may wait for room: about as long as one
+/// runs, after which a slot is free even at a target with a single one. A call
+/// amid a request has an objective of 120 ms; turned away, it costs its whole
+/// parent.
+const MIN_PATIENCE: Duration = Duration::from_millis(100);
+
 /// Nodes that are asked for room for one request. A refusal takes a round trip
 /// and costs the target nothing, but each further one finds less time.
 const ASKED: usize = 4;
@@ -285,12 +291,14 @@
         let since = Instant::now();
         let mut watch = Watch::start(&self.host, member, &call.route.name);
         let waited = since - call.arrived;
-        let patience = (call.route.objective.duration() / PATIENCE).saturating_sub(waited);
+        let objective = call.route.objective.duration();
+        let patience = (objective / PATIENCE).max(MIN_PATIENCE);
         let visit = Visit {
             service: call.service.clone(),
             arrival: Arrival {
                 priority: call.route.priority,
-                patience,
+                patience: patience.saturating_sub(waited),
+                due: call.arrived + objective,
             },
             deadline: call.deadline,
         };
@@ -395,6 +403,8 @@
         http::set(headers, hop::SERVICE, &visit.service);
         http::set(headers, hop::PRIORITY, visit.arrival.priority);
         http::set(headers, hop::PATIENCE, visit.arrival.patience.as_millis());
+        let due = visit.arrival.due.saturating_duration_since(Instant::now());
+        http::set(headers, hop::DUE, due.as_millis());
         http::set(headers, hop::DEADLINE, left.as_millis());
         request
     }
--- a/src/transport/relay/ingress.rs
+++ b/src/transport/relay/ingress.rs
@@ -300,6 +300,8 @@
         let service = http::parse(headers, hop::SERVICE).ok_or_else(|| bad(hop::SERVICE))?;
         let left: u64 = http::parse(headers, hop::DEADLINE).ok_or_else(|| bad(hop::DEADLINE))?;
         let patience = http::parse(headers, hop::PATIENCE).unwrap_or(0);
+        let due = http::parse(headers, hop::DUE).unwrap_or(0);
+        let now = Instant::now();
         if to != self.host.settings.node {
             return Err(Refusal::not_run(OTHER_NODE, Span::from_millis(0)));
         }
@@ -311,8 +313,9 @@
             arrival: Arrival {
                 priority: http::parse(headers, hop::PRIORITY).unwrap_or(u8::MAX),
                 patience: Duration::from_millis(patience),
+                due: now + Duration::from_millis(due),
             },
-            deadline: Instant::now() + Duration::from_millis(left),
+            deadline: now + Duration::from_millis(left),
         })
     }
 }
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -117,6 +117,7 @@
     Arrival {
         priority,
         patience: Duration::from_millis(patience),
+        due: Instant::now() + Duration::from_secs(1),
     }
 }
 
@@ -645,6 +646,22 @@
         assert!(low.await.is_ok());
     }
 
+    gate_lets_what_is_due_first_in_among_equals => {
+        let gate = Gate::new();
+        gate.open(target("i1", 1));
+        let held = gate.enter(arrival(1, LONG)).await.ok().unwrap();
+        let mut whole = Box::pin(gate.enter(arrival(1, LONG)));
+        let soon = Arrival { due: Instant::now(), ..arrival(1, LONG) };
+        let mut call = Box::pin(gate.enter(soon));
+        assert!(whole.as_mut().now_or_never().is_none());
+        assert!(call.as_mut().now_or_never().is_none());
+        drop(held);
+        let call = call.await.ok().unwrap();
+        assert!(whole.as_mut().now_or_never().is_none());
+        drop(call);
+        assert!(whole.await.is_ok());
+    }
+
     closed_gate_refuses_what_waits_before_the_target_sees_it => {
         let gate = Gate::new();
         gate.open(target("i1", 1));
