--- a/src/coordination/host.rs
+++ b/src/coordination/host.rs
@@ -19,13 +19,15 @@
         allowance::{Allowance, Rule},
         balance::Balance,
         gate::Gate,
-        link::Words,
+        link::{Stream, Words},
         local::Local,
         split::Split,
+        watch::Silent,
     },
     event::{Event, Journal},
     host::Settings,
-    id::Name,
+    id::{Name, Node},
+    protocol::news::Seen,
     state::{
         member::{Member, Table},
         routing,
@@ -60,7 +62,11 @@
     pub changed: Notify,
     leaving: AtomicBool,
     routes: ArcSwapOption<Version>,
-    members_at: watch::Sender<Option<u64>>,
+    at: [watch::Sender<Option<u64>>; 2],
+    settled: watch::Sender<bool>,
+    reading: watch::Sender<bool>,
+    blind: AtomicBool,
+    silent: Mutex<Silent>,
     hint: Mutex<Hint>,
     hinted: Notify,
 }
@@ -99,7 +105,11 @@
             changed: Notify::new(),
             leaving: AtomicBool::new(false),
             routes: ArcSwapOption::empty(),
-            members_at: watch::Sender::new(None),
+            at: [watch::Sender::new(None), watch::Sender::new(None)],
+            settled: watch::Sender::new(false),
+            reading: watch::Sender::new(false),
+            blind: AtomicBool::new(false),
+            silent: Mutex::default(),
             hint: Mutex::default(),
             hinted: Notify::new(),
             settings,
@@ -170,33 +180,94 @@
         is_news
     }
 
-    /// Notes that all members up to an offset of their stream are known.
-    pub fn members_known_to(&self, offset: u64) {
-        self.members_at.send_if_modified(|at| {
-            at.is_none_or(|at| at < offset) && at.replace(offset) != Some(offset)
+    /// Notes that a stream is known up to an offset.
+    pub fn known_to(&self, stream: Stream, offset: u64) {
+        self.at[stream as usize].send_if_modified(|at| {
+            let is_later = at.is_none_or(|at| at < offset);
+            if is_later {
+                *at = Some(offset);
+            }
+            is_later
         });
     }
 
-    /// Returns the offset up to which the members are known.
-    pub fn members_at(&self) -> Option<u64> {
-        *self.members_at.borrow()
+    /// Returns the offset up to which a stream is known, if it was ever read.
+    pub fn at(&self, stream: Stream) -> Option<u64> {
+        *self.at[stream as usize].borrow()
     }
 
     /// Waits until the members are known.
     pub async fn until_members_known(&self) {
+        let mut at = self.at[Stream::Members as usize].subscribe();
         // The sender lives as long as `self`.
-        let _ = self.members_at.subscribe().wait_for(Option::is_some).await;
+        let _ = at.wait_for(Option::is_some).await;
+    }
+
+    /// Notes that the fleet has had time to write down who is there.
+    pub fn settle(&self) {
+        self.settled.send_replace(true);
+    }
+
+    /// Waits until then.
+    pub async fn until_settled(&self) {
+        // As above.
+        let _ = self.settled.subscribe().wait_for(|settled| *settled).await;
+    }
+
+    /// Notes whether this node reads the store for its failure domain.
+    pub fn set_reading(&self, reads: bool) {
+        let changed = self
+            .reading
+            .send_if_modified(|held| std::mem::replace(held, reads) != reads);
+        if changed {
+            self.set_blind(false);
+            let details = format_args!("reads={reads}");
+            self.journal.write(Event::ReaderChanged, details);
+        }
+    }
+
+    /// Returns whether this node reads the store for its failure domain, to be
+    /// watched.
+    pub fn reading(&self) -> watch::Receiver<bool> {
+        self.reading.subscribe()
+    }
+
+    /// Notes whether the store can't be read.
+    pub fn set_blind(&self, is_blind: bool) {
+        self.blind.store(is_blind, Ordering::Relaxed);
+    }
+
+    /// Returns how far this node is.
+    pub fn seen(&self) -> Seen {
+        Seen {
+            version: self.version(),
+            members: self.at(Stream::Members).unwrap_or(0),
+            blind: *self.reading.borrow() && self.blind.load(Ordering::Relaxed),
+        }
+    }
+
+    /// Notes that a node did not answer; until then it is left out.
+    pub fn note_silent(&self, node: &Node, until: Instant) {
+        self.silent.lock().insert(node.clone(), until);
+    }
+
+    /// Returns whether a node is left out.
+    pub fn is_silent(&self, node: &Node, now: Instant) -> bool {
+        self.silent
+            .lock()
+            .get(node)
+            .is_some_and(|until| now < *until)
     }
 
     /// Returns whether the process can serve callers.
     pub fn is_ready(&self) -> bool {
-        self.routes.load().is_some() && self.members_at().is_some()
+        self.routes.load().is_some() && self.at(Stream::Members).is_some()
     }
 
     /// Notes that another node names a newer version or later members than are
     /// held here.
     pub fn hear_of(&self, version: u64, members: u64, peer: SocketAddr) {
-        let is_behind = version > self.version() || Some(members) > self.members_at();
+        let is_behind = version > self.version() || Some(members) > self.at(Stream::Members);
         if !is_behind {
             return;
         }
--- a/src/coordination/link.rs
+++ b/src/coordination/link.rs
@@ -12,12 +12,15 @@
         self, announce,
         dialect::Dialect,
         log::Batch,
+        news::News,
         wire::{Frame, Reply},
     },
     state::routing,
     unit::Span,
 };
 
+pub use crate::protocol::news::Stream;
+
 /// A result that comes later.
 pub type Later<T> = BoxFuture<'static, Result<T, Error>>;
 
@@ -52,15 +55,6 @@
     pub put: Arc<dyn Fn(String, Bytes) -> Later<()> + Send + Sync>,
 }
 
-/// A stream of the store.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Stream {
-    /// The operator's versions of the routes.
-    Routes,
-    /// What nodes say of themselves.
-    Members,
-}
-
 /// Records of a stream.
 #[derive(Clone, Debug, Default)]
 pub struct Records {
@@ -91,10 +85,14 @@
 pub type Ask = Arc<dyn Fn(SocketAddr, Question) -> Later<Bytes> + Send + Sync>;
 
 /// What a node may be asked for.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Question {
     /// The version of the routes that it has in force, as it got it.
     Routes,
-    /// All members that it knows, in MessagePack.
+    /// All members that it knows: [`Members`](crate::protocol::news::Members).
     Members,
+    /// How far it is: [`Seen`](crate::protocol::news::Seen).
+    Seen,
+    /// To take in, and tell on, what another node read.
+    Take(News),
 }
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -20,6 +20,8 @@
 //!
 //! * [`host`]: what its duties share;
 //! * [`source`]: takes whole versions and members from the store, or from peers;
+//! * [`watch`], [`spread`]: who reads the store for its failure domain, and how the
+//!   others hear of it;
 //! * [`local`], [`presence`]: the target on this host, and what is told of it;
 //! * [`gate`]: what that target is given;
 //! * [`split`], [`balance`], [`allowance`]: where a request goes, and again.
@@ -51,6 +53,8 @@
 pub mod snapshot;
 pub mod source;
 pub mod split;
+pub mod spread;
+pub mod watch;
 
 use crate::{protocol, state};
 
--- a/src/coordination/presence.rs
+++ b/src/coordination/presence.rs
@@ -16,6 +16,10 @@
 /// heartbeat's 1.5 s.
 const LOOK: Duration = Duration::from_millis(500);
 
+/// How long a node that the store does not know waits for its target's first
+/// heartbeat, which comes within 1.5 s.
+const FIRST: Duration = Duration::from_millis(2000);
+
 /// What has been written of this node.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Written {
@@ -30,6 +34,10 @@
     host.local.lock().recall(recorded.as_deref());
     host.set_gate();
     let mut member = recorded.as_deref().cloned();
+    if member.is_none() {
+        // One record with the target, rather than one without and one with it.
+        drop(tokio::time::timeout(FIRST, host.changed.notified()).await);
+    }
     let mut failures = 0;
     loop {
         let wanted = wanted(&host, member.as_ref());
--- a/src/coordination/rank.rs
+++ b/src/coordination/rank.rs
@@ -98,3 +98,18 @@
     }
     far.into_iter().map(|(_, member)| member.clone()).collect()
 }
+
+/// Returns the one before `node` among `members`, ranked for `job`; nothing if it
+/// is the first.
+pub fn before<'a>(
+    members: impl Iterator<Item = &'a Arc<Member>>,
+    job: &str,
+    node: &Node,
+) -> Option<Arc<Member>> {
+    let seed = seed(job);
+    let mine = (weight(seed, node), node);
+    let ranked = members.map(|member| (weight(seed, &member.node), member));
+    let lower = ranked.filter(|(weight, member)| (*weight, &member.node) < mine);
+    let last = lower.max_by(|(one, a), (other, b)| (one, &a.node).cmp(&(other, &b.node)));
+    last.map(|(_, member)| member.clone())
+}
--- a/src/coordination/scatter.rs
+++ b/src/coordination/scatter.rs
@@ -30,7 +30,7 @@
     slice: Vec<SocketAddr>,
 ) -> BoxFuture<'static, Census> {
     async move {
-        let chunks = split(&slice);
+        let chunks = split(&slice, FANOUT);
         let parts = chunks
             .into_iter()
             .map(|chunk| branch(call.clone(), me, load.clone(), chunk));
@@ -43,12 +43,12 @@
     .boxed()
 }
 
-/// Splits `slice` into at most [`FANOUT`] parts of like size.
-fn split(slice: &[SocketAddr]) -> Vec<Vec<SocketAddr>> {
+/// Splits `slice` into at most `most` parts of like size.
+pub fn split(slice: &[SocketAddr], most: usize) -> Vec<Vec<SocketAddr>> {
     if slice.is_empty() {
         return Vec::new();
     }
-    let size = slice.len().div_ceil(FANOUT);
+    let size = slice.len().div_ceil(most);
     slice.chunks(size).map(<[SocketAddr]>::to_vec).collect()
 }
 
--- a/src/coordination/source.rs
+++ b/src/coordination/source.rs
@@ -1,8 +1,10 @@
-//! Follows the store: whole versions of the routes, and the members.
+//! Takes in the store's streams: whole versions of the routes, and the members.
 //!
-//! Each stream is read as a whole first and then by long waits from where that
-//! ended, so a quiet store is asked twice a minute. While it can't be reached,
-//! and whenever another node names something newer, peers are asked instead.
+//! Each node reads both streams once when it starts. After that the first node
+//! of each failure domain reads on, by long waits, and tells the others
+//! ([`watch`](crate::coordination::watch), [`spread`]). While the store can't be
+//! reached, and whenever another node names something newer, peers are asked
+//! instead.
 
 use std::{sync::Arc, time::Duration};
 
@@ -13,8 +15,10 @@
         Error,
         host::Host,
         link::{Ask, Question, Records, Store, Stream},
+        spread,
     },
     event::Event,
+    protocol::news::{Members, News},
     state::member::Member,
     unit::Span,
 };
@@ -33,33 +37,92 @@
 /// Peers that are asked at a time while the store fails.
 const PEERS: usize = 2;
 
+/// How long a node that the store does not know yet waits before it reads the
+/// members again and takes up a role: a fleet that starts as one has written
+/// itself down by then, each node with its target's first heartbeat (1.5 s).
+const SETTLE: Duration = Duration::from_millis(2800);
+
+/// The pause after records of members, so that changes which come together cost
+/// one call. Nothing waits for it: the gate beside a target acts at once.
+const GATHER: Duration = Duration::from_millis(200);
+
+/// The same after a version. Versions come 0.2 s apart at the most.
+const GATHER_ROUTES: Duration = Duration::from_millis(30);
+
 /// Follows one stream of the store; never returns.
 pub async fn follow(host: Arc<Host>, store: Store, ask: Ask, stream: Stream) {
+    read_newest(&host, &store, &ask, stream).await;
+    if stream == Stream::Members {
+        settle(&host, &store, &ask).await;
+    }
+    host.until_settled().await;
+    let mut reading = host.reading();
+    loop {
+        // The host outlives its duties.
+        let _ = reading.wait_for(|reads| *reads).await;
+        tokio::select! {
+            () = read_on(&host, &store, &ask, stream) => {}
+            _ = reading.wait_for(|reads| !*reads) => {}
+        }
+    }
+}
+
+/// Gives a fleet that starts as one the time to write itself down.
+async fn settle(host: &Arc<Host>, store: &Store, ask: &Ask) {
+    let is_known = host.members.read().get(&host.settings.node).is_some();
+    if !is_known {
+        tokio::time::sleep(SETTLE).await;
+        read_newest(host, store, ask, Stream::Members).await;
+    }
+    host.settle();
+}
+
+/// Reads a stream as a whole, or what peers know of it.
+async fn read_newest(host: &Arc<Host>, store: &Store, ask: &Ask, stream: Stream) {
     let mut failures = 0;
-    let mut next = None;
     loop {
-        let got = match next {
-            None => (store.newest)(stream).await,
-            Some(from) => (store.tail)(stream, from, WAIT).await,
-        };
-        match got {
+        match (store.newest)(stream).await {
             Ok(records) => {
-                if failures > 0 {
-                    let details = format_args!("stream={stream:?} failures={failures}");
-                    host.journal.write(Event::LogUp, details);
+                note_up(host, stream, failures);
+                take(host, stream, &records.records, "store");
+                host.known_to(stream, records.next);
+                return;
+            }
+            Err(error) => {
+                note_down(host, stream, failures, &error);
+                let before = host.at(stream);
+                ask_around(host, ask).await;
+                if host.at(stream) > before {
+                    return;
                 }
+                tokio::time::sleep(pause(failures)).await;
+                failures += 1;
+            }
+        }
+    }
+}
+
+/// Reads a stream on and tells the failure domain; never returns.
+async fn read_on(host: &Arc<Host>, store: &Store, ask: &Ask, stream: Stream) {
+    let mut failures = 0;
+    loop {
+        let Some(from) = host.at(stream) else {
+            read_newest(host, store, ask, stream).await;
+            continue;
+        };
+        match (store.tail)(stream, from, WAIT).await {
+            Ok(records) => {
+                note_up(host, stream, failures);
                 failures = 0;
-                next = Some(records.next);
-                take(&host, stream, records);
+                host.set_blind(false);
+                take_on(host, ask, stream, from, records);
+                tokio::time::sleep(gather(stream)).await;
             }
-            Err(Error::Expired(_)) => next = None,
+            Err(Error::Expired(_)) => read_newest(host, store, ask, stream).await,
             Err(error) => {
-                if failures == 0 {
-                    let why = crate::logging::chain(&error);
-                    let details = format_args!("stream={stream:?} why={why:?}");
-                    host.journal.write(Event::LogDown, details);
-                }
-                ask_around(&host, &ask).await;
+                note_down(host, stream, failures, &error);
+                host.set_blind(true);
+                ask_around(host, ask).await;
                 tokio::time::sleep(pause(failures)).await;
                 failures += 1;
             }
@@ -67,17 +130,65 @@
     }
 }
 
+const fn gather(stream: Stream) -> Duration {
+    match stream {
+        Stream::Routes => GATHER_ROUTES,
+        Stream::Members => GATHER,
+    }
+}
+
+/// Takes what was read and tells the failure domain.
+fn take_on(host: &Arc<Host>, ask: &Ask, stream: Stream, from: u64, records: Records) {
+    take(host, stream, &records.records, "store");
+    host.known_to(stream, records.next);
+    if records.records.is_empty() {
+        return;
+    }
+    let counts = match stream {
+        // Only the newest counts; what lies between was in force for nobody.
+        Stream::Routes => records
+            .records
+            .into_iter()
+            .next_back()
+            .into_iter()
+            .collect(),
+        Stream::Members => records.records,
+    };
+    let news = News {
+        stream,
+        from,
+        next: records.next,
+        records: counts,
+        relay: Vec::new(),
+        reader: host.settings.listen.peers,
+    };
+    tokio::spawn(spread::to_domain(host.clone(), ask.clone(), news));
+}
+
+/// Takes in what another node read, and tells it on.
+pub fn take_news(host: &Arc<Host>, ask: &Ask, mut news: News) {
+    if !news.relay.is_empty() {
+        let told_on = News {
+            relay: std::mem::take(&mut news.relay),
+            ..news.clone()
+        };
+        tokio::spawn(spread::relay(ask.clone(), told_on));
+    }
+    take(host, news.stream, &news.records, "reader");
+    // A whole version needs none before it; of members every record counts.
+    let follows = host.at(news.stream) >= Some(news.from);
+    if follows || news.stream == Stream::Routes {
+        host.known_to(news.stream, news.next);
+    } else {
+        host.hear_of(0, news.next, news.reader);
+    }
+}
+
 /// Asks whoever names something newer for it; never returns.
 pub async fn follow_hints(host: Arc<Host>, ask: Ask) {
     loop {
         let peer = host.next_hint().await;
-        for question in [Question::Routes, Question::Members] {
-            // A peer that does not answer is no loss: the next one to name
-            // something newer is asked.
-            if let Ok(answer) = ask(peer, question).await {
-                take_answer(&host, question, answer, "peer");
-            }
-        }
+        ask_one(&host, &ask, peer).await;
     }
 }
 
@@ -88,6 +199,21 @@
     span.mul_f64(0.8 + 0.4 * fastrand::f64())
 }
 
+fn note_up(host: &Host, stream: Stream, failures: u32) {
+    if failures > 0 {
+        let details = format_args!("stream={stream:?} failures={failures}");
+        host.journal.write(Event::LogUp, details);
+    }
+}
+
+fn note_down(host: &Host, stream: Stream, failures: u32, error: &Error) {
+    if failures == 0 {
+        let why = crate::logging::chain(error);
+        let details = format_args!("stream={stream:?} why={why:?}");
+        host.journal.write(Event::LogDown, details);
+    }
+}
+
 async fn ask_around(host: &Arc<Host>, ask: &Ask) {
     let peers = {
         let members = host.members.read();
@@ -97,80 +223,90 @@
         fastrand::choose_multiple(others.map(|member| member.peers), PEERS)
     };
     for peer in peers {
-        for question in [Question::Routes, Question::Members] {
-            // The next peer or the next round serves as well.
-            if let Ok(answer) = ask(peer, question).await {
-                take_answer(host, question, answer, "peer");
+        ask_one(host, ask, peer).await;
+    }
+}
+
+/// Takes what a peer has that is newer than what is held here.
+///
+/// A peer that does not answer is no loss: the next one that names something
+/// newer is asked, or the next round asks others.
+async fn ask_one(host: &Arc<Host>, ask: &Ask, peer: std::net::SocketAddr) {
+    let Ok(seen) = ask(peer, Question::Seen).await else {
+        return;
+    };
+    let Ok(seen) = rmp_serde::from_slice::<crate::protocol::news::Seen>(&seen) else {
+        return;
+    };
+    if seen.version > host.version()
+        && let Ok(record) = ask(peer, Question::Routes).await
+        && !record.is_empty()
+    {
+        host.take_routes(record, "peer");
+    }
+    if Some(seen.members) > host.at(Stream::Members)
+        && let Ok(answer) = ask(peer, Question::Members).await
+    {
+        take_members(host, &answer);
+    }
+}
+
+fn take_members(host: &Host, answer: &[u8]) {
+    match rmp_serde::from_slice::<Members<Member>>(answer) {
+        Ok(answer) => {
+            for member in answer.members {
+                host.take_member(member, "peer");
             }
+            host.known_to(Stream::Members, answer.at);
+        }
+        Err(error) => {
+            let details = format_args!("from=peer why={:?}", error.to_string());
+            host.journal.write(Event::ChangeRejected, details);
         }
     }
 }
 
-fn take(host: &Host, stream: Stream, records: Records) {
+fn take(host: &Host, stream: Stream, records: &[Bytes], from: &str) {
     match stream {
-        // Only the newest counts; what lies between was in force for nobody.
         Stream::Routes => {
-            if let Some(newest) = records.records.into_iter().next_back() {
-                host.take_routes(newest, "store");
+            if let Some(newest) = records.last() {
+                host.take_routes(newest.clone(), from);
             }
         }
         Stream::Members => {
-            for record in records.records {
-                take_member(host, &record);
+            for record in records {
+                take_member(host, record, from);
             }
-            host.members_known_to(records.next);
         }
     }
 }
 
-fn take_member(host: &Host, record: &[u8]) {
+fn take_member(host: &Host, record: &[u8], from: &str) {
     match rmp_serde::from_slice::<Member>(record) {
         Ok(member) => {
-            host.take_member(member, "store");
+            host.take_member(member, from);
         }
         Err(error) => {
-            let details = format_args!("stream=Members why={:?}", error.to_string());
+            let details = format_args!("stream=Members from={from} why={:?}", error.to_string());
             host.journal.write(Event::ChangeRejected, details);
         }
     }
 }
 
-/// The members that a node knows, and how far it follows them.
-pub type MembersAnswer = (u64, Vec<Member>);
-
-fn take_answer(host: &Host, question: Question, answer: Bytes, from: &str) {
-    match question {
-        Question::Routes => {
-            if !answer.is_empty() {
-                host.take_routes(answer, from);
-            }
-        }
-        Question::Members => match rmp_serde::from_slice::<MembersAnswer>(&answer) {
-            Ok((at, members)) => {
-                for member in members {
-                    host.take_member(member, from);
-                }
-                host.members_known_to(at);
-            }
-            Err(error) => {
-                let details = format_args!("from={from} why={:?}", error.to_string());
-                host.journal.write(Event::ChangeRejected, details);
-            }
-        },
-    }
+/// Returns the version of the routes in force, as it was read; empty for none.
+pub fn routes(host: &Host) -> Bytes {
+    host.routes()
+        .map_or_else(Bytes::new, |version| version.record.clone())
 }
 
-/// Returns the answer of this node to a question of another.
-pub fn answer(host: &Host, question: Question) -> Bytes {
-    match question {
-        Question::Routes => host.routes().map_or_else(Bytes::new, |v| v.record.clone()),
-        Question::Members => {
-            let members = host.members.read();
-            let known: Vec<&Member> = members.iter().map(AsRef::as_ref).collect();
-            let at = host.members_at().unwrap_or(0);
-            rmp_serde::to_vec_named(&(at, known))
-                .expect("plain data always encodes")
-                .into()
-        }
-    }
+/// Returns all members that are known, in MessagePack.
+pub fn members(host: &Host) -> Bytes {
+    let members = host.members.read();
+    let answer = Members {
+        at: host.at(Stream::Members).unwrap_or(0),
+        members: members.iter().map(AsRef::as_ref).collect::<Vec<&Member>>(),
+    };
+    rmp_serde::to_vec_named(&answer)
+        .expect("plain data always encodes")
+        .into()
 }
--- /dev/null
+++ b/src/coordination/watch.rs
@@ -0,0 +1,116 @@
+//! Who reads the store for its failure domain, and who notices when that ends.
+//!
+//! The nodes of a failure domain stand in a row, by a hash of their names. The
+//! first one reads the store for all. Each other node checks the one before it
+//! once a second; when that one is silent it is left out of the row, so the row
+//! closes up whoever dies. The first ones check each other across failure
+//! domains. So each node is checked by one or two others however large the fleet
+//! is, and every check also compares how far both are: whatever was missed is
+//! found within a second or two.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use crate::{
+    coordination::{
+        host::Host,
+        link::{Ask, Question},
+        rank,
+    },
+    event::Event,
+    id::Node,
+    protocol::news::Seen,
+    state::member::Member,
+};
+
+/// The pause between checks. With the time to ask and to read it keeps the death
+/// of a reader well within the 2 s in which a version must be in force.
+const CHECK: Duration = Duration::from_millis(700);
+
+/// How long a silent node is left out of the row.
+const SILENT: Duration = Duration::from_secs(6);
+
+/// The job by which nodes are ranked.
+const JOB: &str = "reader";
+
+/// Checks the node before this one in the row, and takes the first one's place
+/// where it must; never returns.
+pub async fn keep(host: Arc<Host>, ask: Ask) {
+    host.until_settled().await;
+    loop {
+        check(&host, &ask).await;
+        tokio::time::sleep(CHECK.mul_f64(0.9 + 0.2 * fastrand::f64())).await;
+    }
+}
+
+async fn check(host: &Host, ask: &Ask) {
+    loop {
+        let Some(before) = before(host) else {
+            host.set_reading(true);
+            if let Some(other) = elsewhere(host) {
+                compare(host, ask, &other).await;
+            }
+            return;
+        };
+        if let Some(seen) = compare(host, ask, &before).await {
+            // One that can't read is stood in for, and stays what it is.
+            host.set_reading(seen.blind);
+            return;
+        }
+    }
+}
+
+/// Asks a member how far it is; notes if it is silent.
+async fn compare(host: &Host, ask: &Ask, member: &Member) -> Option<Seen> {
+    let answer = ask(member.peers, Question::Seen).await;
+    let seen = answer
+        .ok()
+        .and_then(|answer| rmp_serde::from_slice::<Seen>(&answer).ok());
+    match seen {
+        Some(seen) => {
+            host.hear_of(seen.version, seen.members, member.peers);
+            Some(seen)
+        }
+        None => {
+            host.note_silent(&member.node, Instant::now() + SILENT);
+            let details = format_args!("member={} status=silent", member.node);
+            host.journal.write(Event::MemberChanged, details);
+            None
+        }
+    }
+}
+
+/// Returns the node before this one in the row of its failure domain.
+fn before(host: &Host) -> Option<Arc<Member>> {
+    let settings = &host.settings;
+    let members = host.members.read();
+    let now = Instant::now();
+    let in_row = |member: &Member| {
+        member.domain == settings.domain
+            && member.is_present()
+            && !host.is_silent(&member.node, now)
+    };
+    rank::before(members.iter().filter(|m| in_row(m)), JOB, &settings.node)
+}
+
+/// Returns a node of another failure domain, by chance the first of its row or
+/// any other.
+fn elsewhere(host: &Host) -> Option<Arc<Member>> {
+    let settings = &host.settings;
+    let members = host.members.read();
+    let now = Instant::now();
+    let others = members.iter().filter(|member| {
+        member.domain != settings.domain
+            && member.is_present()
+            && !host.is_silent(&member.node, now)
+    });
+    fastrand::choose_multiple(others, 1)
+        .into_iter()
+        .next()
+        .cloned()
+}
+
+/// Nodes that did not answer, until when they are left out.
+pub type Silent = std::collections::HashMap<Node, Instant>;
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -19,9 +19,9 @@
 use crate::{
     coordination::{
         host,
-        link::{Store, Stream, Words},
+        link::{Ask, Store, Stream, Words},
         presence::{self, Written},
-        source,
+        source, watch as reader,
     },
     event::{Event, Journal},
     transport::{
@@ -85,13 +85,18 @@
         let (written, written_seen) = watch::channel(Written::default());
         let ingress = Ingress::new(host.clone());
         let egress = Egress::new(host.clone(), ingress.clone());
+        let ask = control::ask();
         let listen = &host.settings.listen;
         let requests = [
             (listen.callers, Whose::Callers, egress.handler()),
             (listen.inbound, Whose::Others, ingress.handler()),
         ];
         let control = [
-            (listen.peers, Whose::Others, control::peers(host.clone())),
+            (
+                listen.peers,
+                Whose::Others,
+                control::peers(host.clone(), ask.clone()),
+            ),
             (
                 listen.targets,
                 Whose::Others,
@@ -117,7 +122,7 @@
             requests: duty("requests", serve_requests(requests, egress, ingress))?,
             control: duty(
                 "control",
-                control_all(host.clone(), store, written, control),
+                control_all(host.clone(), store, ask, written, control),
             )?,
             host,
         })
@@ -212,15 +217,16 @@
 async fn control_all(
     host: Arc<host::Host>,
     store: Store,
+    ask: Ask,
     written: watch::Sender<Written>,
     listeners: Listeners,
 ) {
-    let ask = control::ask();
     for stream in [Stream::Routes, Stream::Members] {
         let follow = source::follow(host.clone(), store.clone(), ask.clone(), stream);
         tokio::spawn(follow);
     }
-    tokio::spawn(source::follow_hints(host.clone(), ask));
+    tokio::spawn(source::follow_hints(host.clone(), ask.clone()));
+    tokio::spawn(reader::keep(host.clone(), ask));
     tokio::spawn(presence::keep_written(host, store, written));
     serve_all(listeners).await;
 }
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! * [`wire`]: between nodes;
 //! * [`log`]: with the platform's log;
+//! * [`news`]: between host processes;
 //! * [`answer`]: the headers and outcomes that callers see;
 //! * [`operator`]: with the command-line tool;
 //! * [`announce`]: with targets;
@@ -11,6 +12,7 @@
 pub mod answer;
 pub mod dialect;
 pub mod log;
+pub mod news;
 pub mod operator;
 pub mod wire;
 
--- /dev/null
+++ b/src/protocol/news.rs
@@ -0,0 +1,52 @@
+//! What host processes tell each other of the store's streams.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+
+/// Records of a stream, told on by the node that read them.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct News {
+    /// The stream.
+    pub stream: Stream,
+    /// The offset of the first record.
+    pub from: u64,
+    /// The offset that comes next.
+    pub next: u64,
+    /// The records that count.
+    pub records: Vec<Bytes>,
+    /// Nodes that the receiver tells on.
+    pub relay: Vec<SocketAddr>,
+    /// Who read the records, to be asked by whoever missed some.
+    pub reader: SocketAddr,
+}
+
+/// A stream of the store.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub enum Stream {
+    /// The operator's versions of the routes.
+    Routes,
+    /// What nodes say of themselves.
+    Members,
+}
+
+/// How far a node is.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Seen {
+    /// The version of the routes in force; 0 for none.
+    pub version: u64,
+    /// The offset up to which it knows the members.
+    pub members: u64,
+    /// It is to read the store for others and can't.
+    pub blind: bool,
+}
+
+/// The members that a node knows, and how far it follows them.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Members<M> {
+    /// The offset up to which they are known.
+    pub at: u64,
+    /// The members.
+    pub members: Vec<M>,
+}
--- a/src/transport/relay/control.rs
+++ b/src/transport/relay/control.rs
@@ -1,7 +1,11 @@
 //! What a host process answers besides requests: questions of peers, calls of
 //! the target, readiness checks, metrics.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
 use futures_util::FutureExt;
@@ -59,48 +63,87 @@
 /// Where peers ask for the members.
 const MEMBERS: &str = "/members";
 
+/// Where peers ask how far this node is.
+const SEEN: &str = "/seen";
+
+/// Where peers tell what they read.
+const NEWS: &str = "/news";
+
 /// Returns the way to ask other nodes.
 pub fn ask() -> Ask {
     let pool = Arc::new(Pool::new(POOL));
     Arc::new(move |address, question| {
         let pool = pool.clone();
+        async move { ask_one(&pool, address, question).await }.boxed()
+    })
+}
+
+async fn ask_one(pool: &Pool, address: SocketAddr, question: Question) -> Result<Bytes, Error> {
+    let (path, body) = match question {
+        Question::Routes => (ROUTES, Bytes::new()),
+        Question::Members => (MEMBERS, Bytes::new()),
+        Question::Seen => (SEEN, Bytes::new()),
+        Question::Take(news) => (NEWS, encode(&news)),
+    };
+    let whom = || address.to_string();
+    let mut request = Request::new(Body::whole(body));
+    *request.method_mut() = Method::POST;
+    *request.uri_mut() = hyper::Uri::from_static(path);
+    let deadline = Instant::now() + ANSWER;
+    let sent = pool.send(address, request, deadline).await;
+    let exchange = sent.map_err(|_| Error::NoAnswer(whom()))?;
+    if exchange.response.status() != StatusCode::OK {
+        return Err(Error::Unexpected(whom()));
+    }
+    let read = body::read(exchange.response.into_body(), MAX_ANSWER, ANSWER).await;
+    match read {
+        Ok(Read::Whole(bytes)) => {
+            pool.put_back(exchange.connection);
+            Ok(bytes)
+        }
+        Ok(Read::Start(..)) | Err(_) => Err(Error::Unexpected(whom())),
+    }
+}
+
+fn encode(value: &impl serde::Serialize) -> Bytes {
+    rmp_serde::to_vec_named(value)
+        .expect("plain data always encodes")
+        .into()
+}
+
+/// Returns the handler of other nodes' questions.
+pub fn peers(host: Arc<Host>, ask: Ask) -> Handler {
+    Arc::new(move |request: Request<Body>| {
+        let (host, ask) = (host.clone(), ask.clone());
         async move {
-            let path = match question {
-                Question::Routes => ROUTES,
-                Question::Members => MEMBERS,
-            };
-            let whom = || address.to_string();
-            let mut request = Request::new(Body::whole(""));
-            *request.uri_mut() = hyper::Uri::from_static(path);
-            let deadline = std::time::Instant::now() + ANSWER;
-            let sent = pool.send(address, request, deadline).await;
-            let exchange = sent.map_err(|_| Error::NoAnswer(whom()))?;
-            if exchange.response.status() != StatusCode::OK {
-                return Err(Error::Unexpected(whom()));
-            }
-            let read = body::read(exchange.response.into_body(), MAX_ANSWER, ANSWER).await;
-            match read {
-                Ok(Read::Whole(bytes)) => {
-                    pool.put_back(exchange.connection);
-                    Ok(bytes)
-                }
-                Ok(Read::Start(..)) | Err(_) => Err(Error::Unexpected(whom())),
+            match request.uri().path() {
+                ROUTES => Response::new(Body::whole(source::routes(&host))),
+                MEMBERS => Response::new(Body::whole(source::members(&host))),
+                SEEN => Response::new(Body::whole(encode(&host.seen()))),
+                NEWS => news(&host, &ask, request.into_body()).await,
+                _ => plain(StatusCode::NOT_FOUND),
             }
         }
         .boxed()
     })
 }
 
-/// Returns the handler of other nodes' questions.
-pub fn peers(host: Arc<Host>) -> Handler {
-    Arc::new(move |request: Request<Body>| {
-        let answer = match request.uri().path() {
-            ROUTES => Response::new(Body::whole(source::answer(&host, Question::Routes))),
-            MEMBERS => Response::new(Body::whole(source::answer(&host, Question::Members))),
-            _ => plain(StatusCode::NOT_FOUND),
-        };
-        std::future::ready(answer).boxed()
-    })
+async fn news(host: &Arc<Host>, ask: &Ask, body: Body) -> Response<Body> {
+    let read = body::read(body, MAX_ANSWER, ANSWER).await;
+    let Ok(Read::Whole(bytes)) = read else {
+        return plain(StatusCode::BAD_REQUEST);
+    };
+    match rmp_serde::from_slice(&bytes) {
+        Ok(news) => {
+            source::take_news(host, ask, news);
+            plain(StatusCode::OK)
+        }
+        Err(error) => {
+            let details = format_args!("from=reader why={:?}", error.to_string());
+            host.journal.write(Event::ChangeRejected, details);
+            plain(StatusCode::BAD_REQUEST)
+        }
+    }
 }
 
 /// Returns the handler of readiness checks, whatever path they ask for.
@@ -166,7 +209,7 @@
 fn take(host: &Host, message: &Message) -> Change {
     let mut local = host.local.lock();
     match message {
-        Message::Heartbeat(heartbeat) => local.hear(heartbeat, std::time::Instant::now()),
+        Message::Heartbeat(heartbeat) => local.hear(heartbeat, Instant::now()),
         Message::Leave(instance) => local.leave(instance),
     }
 }
--- a/src/transport/relay/ingress.rs
+++ b/src/transport/relay/ingress.rs
@@ -328,7 +328,8 @@
 /// What a node has seen: its version of the routes, and how far it follows the
 /// members, with a slash between.
 pub fn seen(host: &Host) -> String {
-    format!("{}/{}", host.version(), host.members_at().unwrap_or(0))
+    let seen = host.seen();
+    format!("{}/{}", seen.version, seen.members)
 }
 
 /// Decodes what another node has [`seen`].
