Versions are told on as what they change

Change: nodes tell each other the routes that differ, in their own encoding; whoever misses a version asks for the change since the one it has; wide links read first.

--- a/examples/capacity.rs
+++ b/examples/capacity.rs
@@ -302,6 +302,7 @@
             slots: 0,
             instance: String::new(),
         }],
+        bandwidth: 0,
     }
 }
 
--- a/src/coordination/host.rs
+++ b/src/coordination/host.rs
@@ -1,6 +1,7 @@
 //! What the duties of one host process share.
 
 use std::{
+    collections::VecDeque,
     net::SocketAddr,
     sync::{
         Arc,
@@ -10,7 +11,6 @@
 };
 
 use arc_swap::ArcSwapOption;
-use bytes::Bytes;
 use parking_lot::{Mutex, RwLock};
 use tokio::sync::{Notify, watch};
 
@@ -30,7 +30,7 @@
     protocol::news::Seen,
     state::{
         member::{Member, Table},
-        routing,
+        routing::{self, Delta},
     },
 };
 
@@ -38,6 +38,10 @@
 /// time that asking a peer takes.
 const HINT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Versions of the routes that are held, to tell peers what changed since. A storm
+/// brings five a second; a node that is further behind is told the whole.
+const PAST: usize = 8;
+
 /// What the duties share.
 pub struct Host {
     /// The settings.
@@ -61,7 +65,8 @@
     /// Wakes the duty that writes what this node says of itself.
     pub changed: Notify,
     leaving: AtomicBool,
-    routes: ArcSwapOption<Version>,
+    routes: ArcSwapOption<routing::Table>,
+    past: Mutex<VecDeque<Arc<routing::Table>>>,
     at: [watch::Sender<Option<u64>>; 2],
     settled: watch::Sender<bool>,
     reading: watch::Sender<bool>,
@@ -71,14 +76,6 @@
     hinted: Notify,
 }
 
-/// A version of the routes in force.
-pub struct Version {
-    /// The routes.
-    pub table: routing::Table,
-    /// The record they were decoded from, for peers that ask.
-    pub record: Bytes,
-}
-
 #[derive(Default)]
 struct Hint {
     from: Option<SocketAddr>,
@@ -105,6 +102,7 @@
             changed: Notify::new(),
             leaving: AtomicBool::new(false),
             routes: ArcSwapOption::empty(),
+            past: Mutex::default(),
             at: [watch::Sender::new(None), watch::Sender::new(None)],
             settled: watch::Sender::new(false),
             reading: watch::Sender::new(false),
@@ -117,13 +115,13 @@
     }
 
     /// Returns the version in force, if there is one.
-    pub fn routes(&self) -> Option<Arc<Version>> {
+    pub fn routes(&self) -> Option<Arc<routing::Table>> {
         self.routes.load_full()
     }
 
     /// Returns the number of the version in force; 0 if there is none.
     pub fn version(&self) -> u64 {
-        self.routes.load().as_ref().map_or(0, |v| v.table.version)
+        self.routes.load().as_ref().map_or(0, |table| table.version)
     }
 
     /// Returns the limits on callers.
@@ -131,36 +129,83 @@
         let routes = self.routes.load();
         routes
             .as_ref()
-            .map_or_else(Default::default, |v| v.table.limits)
+            .map_or_else(Default::default, |table| table.limits)
+    }
+
+    /// Returns what the version in force changes about version `base`, or the
+    /// whole if that is not held any more.
+    pub fn routes_since(&self, base: u64) -> Option<Delta> {
+        let table = self.routes()?;
+        let past = self.past.lock();
+        let base = past.iter().find(|past| past.version == base);
+        Some(table.since(base.map(AsRef::as_ref)))
     }
 
     /// Puts the version in `record` in force, if it is newer than the one held.
     /// One that can't be used is refused whole.
-    pub fn take_routes(&self, record: Bytes, from: &str) {
-        let table = match (self.words.routes)(&record) {
+    ///
+    /// Returns what it changes.
+    pub fn take_record(&self, record: &[u8], from: &str) -> Option<Delta> {
+        let table = match (self.words.routes)(record) {
             Ok(table) => table,
             Err(error) => {
-                let why = crate::logging::chain(&error);
-                let held = self.version();
-                self.journal.write(
-                    Event::ChangeRejected,
-                    format_args!("from={from} held={held} why={why:?}"),
-                );
-                return;
+                self.refuse_routes(&error, from);
+                return None;
             }
         };
-        let held = self.version();
-        if table.version <= held {
-            return;
+        let held = self.routes();
+        if held
+            .as_ref()
+            .is_some_and(|held| table.version <= held.version)
+        {
+            return None;
         }
+        let delta = table.since(held.as_deref());
+        self.take_routes(delta.clone(), from);
+        Some(delta)
+    }
+
+    /// Puts the version that comes of a change in force, if it is newer than the
+    /// one held; returns whether nothing is missing.
+    pub fn take_routes(&self, delta: Delta, from: &str) -> bool {
+        let held = self.routes();
+        let before = held.as_ref().map_or(0, |held| held.version);
+        if delta.version <= before {
+            return true;
+        }
+        let changed = delta.put.len() + delta.gone.len();
+        // Routes that did not change are shared between versions.
+        let table = match routing::Table::after(held.as_deref(), delta) {
+            Ok(table) => table,
+            Err(routing::Error::Base { .. }) => return false,
+            Err(error) => {
+                self.refuse_routes(&error, from);
+                return true;
+            }
+        };
         let (version, routes) = (table.version, table.len());
         // Only the duty that follows the store and peers writes here, so
         // nothing newer can have come between.
-        self.routes.store(Some(Arc::new(Version { table, record })));
+        self.routes.store(Some(Arc::new(table)));
+        let mut past = self.past.lock();
+        past.extend(self.routes());
+        if past.len() > PAST {
+            past.pop_front();
+        }
         self.journal.write(
             Event::InForce,
-            format_args!("version={version} routes={routes} before={held} from={from}"),
+            format_args!(
+                "version={version} routes={routes} changed={changed} before={before} from={from}"
+            ),
         );
+        true
+    }
+
+    fn refuse_routes(&self, error: &dyn std::error::Error, from: &str) {
+        let why = crate::logging::chain(error);
+        let held = self.version();
+        let details = format_args!("from={from} held={held} why={why:?}");
+        self.journal.write(Event::ChangeRejected, details);
     }
 
     /// Takes in what is known of a member; returns whether that is news.
--- a/src/coordination/link.rs
+++ b/src/coordination/link.rs
@@ -87,8 +87,9 @@
 /// What a node may be asked for.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Question {
-    /// The version of the routes that it has in force, as it got it.
-    Routes,
+    /// Its version of the routes: a [`Delta`](crate::state::routing::Delta) from
+    /// the version that the asker has; empty if it has none.
+    Routes(u64),
     /// All members that it knows: [`Members`](crate::protocol::news::Members).
     Members,
     /// How far it is: [`Seen`](crate::protocol::news::Seen).
--- a/src/coordination/presence.rs
+++ b/src/coordination/presence.rs
@@ -85,6 +85,7 @@
         inbound: settings.listen.inbound,
         labels: settings.labels.clone(),
         targets: host.local.lock().told(),
+        bandwidth: settings.bandwidth(),
     };
     match held {
         Some(held) if *held != fresh => Member {
--- a/src/coordination/rank.rs
+++ b/src/coordination/rank.rs
@@ -4,7 +4,7 @@
 //! has to agree: where two views differ two nodes may do the same job for a
 //! while, and every job given out this way is harmless when done twice.
 
-use std::sync::Arc;
+use std::{cmp::Reverse, sync::Arc};
 
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
@@ -101,15 +101,19 @@
 
 /// Returns the one before `node` among `members`, ranked for `job`; nothing if it
 /// is the first.
+///
+/// Wide links go first: the first one carries what all others need to know.
 pub fn before<'a>(
     members: impl Iterator<Item = &'a Arc<Member>>,
     job: &str,
     node: &Node,
+    bandwidth: u32,
 ) -> Option<Arc<Member>> {
     let seed = seed(job);
-    let mine = (weight(seed, node), node);
-    let ranked = members.map(|member| (weight(seed, &member.node), member));
-    let lower = ranked.filter(|(weight, member)| (*weight, &member.node) < mine);
-    let last = lower.max_by(|(one, a), (other, b)| (one, &a.node).cmp(&(other, &b.node)));
-    last.map(|(_, member)| member.clone())
+    let key = |bandwidth, node| (Reverse(bandwidth), weight(seed, node), node);
+    let mine = key(bandwidth, node);
+    let lower = members.filter(|member| key(member.bandwidth, &member.node) < mine);
+    let last = lower
+        .max_by(|one, other| key(one.bandwidth, &one.node).cmp(&key(other.bandwidth, &other.node)));
+    last.cloned()
 }
--- a/src/coordination/source.rs
+++ b/src/coordination/source.rs
@@ -18,8 +18,8 @@
         spread,
     },
     event::Event,
-    protocol::news::{Members, News},
-    state::member::Member,
+    protocol::news::{Load, Members, News},
+    state::{member::Member, routing::Delta},
     unit::Span,
 };
 
@@ -84,7 +84,7 @@
         match (store.newest)(stream).await {
             Ok(records) => {
                 note_up(host, stream, failures);
-                take(host, stream, &records.records, "store");
+                take(host, stream, records.records);
                 host.known_to(stream, records.next);
                 return;
             }
@@ -139,26 +139,13 @@
 
 /// Takes what was read and tells the failure domain.
 fn take_on(host: &Arc<Host>, ask: &Ask, stream: Stream, from: u64, records: Records) {
-    take(host, stream, &records.records, "store");
+    let load = take(host, stream, records.records);
     host.known_to(stream, records.next);
-    if records.records.is_empty() {
-        return;
-    }
-    let counts = match stream {
-        // Only the newest counts; what lies between was in force for nobody.
-        Stream::Routes => records
-            .records
-            .into_iter()
-            .next_back()
-            .into_iter()
-            .collect(),
-        Stream::Members => records.records,
-    };
+    let Some(load) = load else { return };
     let news = News {
-        stream,
         from,
         next: records.next,
-        records: counts,
+        load,
         relay: Vec::new(),
         reader: host.settings.listen.peers,
     };
@@ -174,13 +161,19 @@
         };
         tokio::spawn(spread::relay(ask.clone(), told_on));
     }
-    take(host, news.stream, &news.records, "reader");
-    // A whole version needs none before it; of members every record counts.
-    let follows = host.at(news.stream) >= Some(news.from);
-    if follows || news.stream == Stream::Routes {
-        host.known_to(news.stream, news.next);
+    let stream = news.load.stream();
+    let is_whole = match news.load {
+        Load::Routes(delta) => host.take_routes(delta, "reader"),
+        Load::Members(records) => {
+            take_members(host, &records, "reader");
+            // Every record counts: those before must be known.
+            host.at(stream) >= Some(news.from)
+        }
+    };
+    if is_whole {
+        host.known_to(stream, news.next);
     } else {
-        host.hear_of(0, news.next, news.reader);
+        host.hear_of(u64::MAX, news.next, news.reader);
     }
 }
 
@@ -239,19 +232,30 @@
         return;
     };
     if seen.version > host.version()
-        && let Ok(record) = ask(peer, Question::Routes).await
-        && !record.is_empty()
+        && let Ok(answer) = ask(peer, Question::Routes(host.version())).await
     {
-        host.take_routes(record, "peer");
+        take_routes(host, &answer);
     }
     if Some(seen.members) > host.at(Stream::Members)
         && let Ok(answer) = ask(peer, Question::Members).await
     {
-        take_members(host, &answer);
+        take_table(host, &answer);
+    }
+}
+
+fn take_routes(host: &Host, answer: &[u8]) {
+    match rmp_serde::from_slice::<Delta>(answer) {
+        Ok(delta) => {
+            host.take_routes(delta, "peer");
+        }
+        Err(error) => {
+            let details = format_args!("from=peer why={:?}", error.to_string());
+            host.journal.write(Event::ChangeRejected, details);
+        }
     }
 }
 
-fn take_members(host: &Host, answer: &[u8]) {
+fn take_table(host: &Host, answer: &[u8]) {
     match rmp_serde::from_slice::<Members<Member>>(answer) {
         Ok(answer) => {
             for member in answer.members {
@@ -266,21 +270,27 @@
     }
 }
 
-fn take(host: &Host, stream: Stream, records: &[Bytes], from: &str) {
+/// Takes in records of the store; returns what others are to be told of them.
+fn take(host: &Host, stream: Stream, records: Vec<Bytes>) -> Option<Load> {
     match stream {
+        // Only the newest counts; what lies between was in force for nobody.
         Stream::Routes => {
-            if let Some(newest) = records.last() {
-                host.take_routes(newest.clone(), from);
-            }
+            let delta = host.take_record(records.last()?, "store")?;
+            Some(Load::Routes(delta))
         }
         Stream::Members => {
-            for record in records {
-                take_member(host, record, from);
-            }
+            take_members(host, &records, "store");
+            (!records.is_empty()).then_some(Load::Members(records))
         }
     }
 }
 
+fn take_members(host: &Host, records: &[Bytes], from: &str) {
+    for record in records {
+        take_member(host, record, from);
+    }
+}
+
 fn take_member(host: &Host, record: &[u8], from: &str) {
     match rmp_serde::from_slice::<Member>(record) {
         Ok(member) => {
@@ -293,10 +303,12 @@
     }
 }
 
-/// Returns the version of the routes in force, as it was read; empty for none.
-pub fn routes(host: &Host) -> Bytes {
-    host.routes()
-        .map_or_else(Bytes::new, |version| version.record.clone())
+/// Returns what the version in force changes about version `base`, in
+/// MessagePack; nothing if no version is in force.
+pub fn routes(host: &Host, base: u64) -> Option<Bytes> {
+    let delta = host.routes_since(base)?;
+    let encoded = rmp_serde::to_vec(&delta).expect("plain data always encodes");
+    Some(encoded.into())
 }
 
 /// Returns all members that are known, in MessagePack.
--- a/src/coordination/spread.rs
+++ b/src/coordination/spread.rs
@@ -20,8 +20,9 @@
     protocol::news::News,
 };
 
-/// Children of a node in the tree. A version of 650 routes has 150 KB, which a
-/// link of 10 Mbit/s carries three times in 0.4 s.
+/// Children of a node in the tree. What a version changes has a few KB; a whole
+/// one of 650 routes has 80 KB, which a link of 10 Mbit/s carries three times in
+/// 0.2 s.
 const FANOUT: usize = 3;
 
 /// Tells `news` to the other nodes of this failure domain.
@@ -38,7 +39,9 @@
     let missed = relay(ask, news.clone()).await;
     let details = format_args!(
         "stream={:?} from={} next={} nodes={nodes} missed={missed}",
-        news.stream, news.from, news.next
+        news.load.stream(),
+        news.from,
+        news.next
     );
     host.journal.write(Event::Spread, details);
 }
--- a/src/coordination/watch.rs
+++ b/src/coordination/watch.rs
@@ -92,7 +92,8 @@
             && member.is_present()
             && !host.is_silent(&member.node, now)
     };
-    rank::before(members.iter().filter(|m| in_row(m)), JOB, &settings.node)
+    let row = members.iter().filter(|member| in_row(member));
+    rank::before(row, JOB, &settings.node, settings.bandwidth())
 }
 
 /// Returns a node of another failure domain, by chance the first of its row or
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -166,6 +166,7 @@
         inbound,
         labels: settings.labels.clone(),
         targets: Vec::new(),
+        bandwidth: 0,
     }
 }
 
--- a/src/host/settings.rs
+++ b/src/host/settings.rs
@@ -34,6 +34,9 @@
     pub grace: Span,
     /// What the fleet may send again.
     pub resend: Resend,
+    /// What the host's link carries, in Mbit/s; 0 if it is not known.
+    #[serde(default)]
+    pub bandwidth: f64,
     /// Descriptors that the process may have open.
     pub descriptors: usize,
 }
@@ -73,6 +76,11 @@
 const MIN_DESCRIPTORS: usize = 256;
 
 impl Settings {
+    /// Returns what the host's link carries, in whole Mbit/s.
+    pub fn bandwidth(&self) -> u32 {
+        self.bandwidth as u32
+    }
+
     /// Reads and checks the settings at `path`.
     ///
     /// # Errors
--- a/src/protocol/news.rs
+++ b/src/protocol/news.rs
@@ -5,23 +5,42 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
+use crate::state::routing::Delta;
+
 /// Records of a stream, told on by the node that read them.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct News {
-    /// The stream.
-    pub stream: Stream,
     /// The offset of the first record.
     pub from: u64,
     /// The offset that comes next.
     pub next: u64,
-    /// The records that count.
-    pub records: Vec<Bytes>,
+    /// What the records say.
+    pub load: Load,
     /// Nodes that the receiver tells on.
     pub relay: Vec<SocketAddr>,
     /// Who read the records, to be asked by whoever missed some.
     pub reader: SocketAddr,
 }
 
+/// What records say.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub enum Load {
+    /// A version of the routes, as it differs from the one before.
+    Routes(Delta),
+    /// Records of members, as they are.
+    Members(Vec<Bytes>),
+}
+
+impl Load {
+    /// Returns the stream that the records are from.
+    pub fn stream(&self) -> Stream {
+        match self {
+            Self::Routes(_) => Stream::Routes,
+            Self::Members(_) => Stream::Members,
+        }
+    }
+}
+
 /// A stream of the store.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub enum Stream {
--- a/src/state/member.rs
+++ b/src/state/member.rs
@@ -38,6 +38,9 @@
     pub labels: Labels,
     /// The targets announced to it.
     pub targets: Vec<Target>,
+    /// What its host's link carries, in Mbit/s, if it says so; 0 if not.
+    #[serde(default)]
+    pub bandwidth: u32,
 }
 
 /// Whether a member is there. The order decides between two claims about the
--- a/src/state/routing.rs
+++ b/src/state/routing.rs
@@ -9,6 +9,8 @@
     sync::Arc,
 };
 
+use serde::{Deserialize, Serialize};
+
 use crate::{
     id::Name,
     unit::{Size, Span},
@@ -46,15 +48,33 @@
     pub version: u64,
     /// What callers may send.
     pub limits: Limits,
+    routes: BTreeMap<Name, Arc<Route>>,
     hosts: HashMap<String, Prefixes>,
     services: Vec<Name>,
 }
 
+/// What one version changes about another, or a whole version.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Delta {
+    /// The version that it changes; 0 if it stands for itself.
+    pub base: u64,
+    /// The version that comes of it.
+    pub version: u64,
+    /// The limits.
+    pub limits: Limits,
+    /// All services.
+    pub services: Vec<Name>,
+    /// Routes that are new or changed.
+    pub put: Vec<Arc<Route>>,
+    /// Routes that are gone.
+    pub gone: Vec<Name>,
+}
+
 /// The routes of one host by prefix.
 type Prefixes = BTreeMap<String, Arc<Route>>;
 
 /// Which requests go to which services, and how.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Route {
     /// The name, for logs and metrics.
     pub name: Name,
@@ -77,7 +97,7 @@
 }
 
 /// One service's share of a route.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Part {
     /// The service.
     pub service: Name,
@@ -86,7 +106,7 @@
 }
 
 /// How often a request may run.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub enum Kind {
     /// Any number of times, with the same effect.
     Idempotent,
@@ -95,7 +115,7 @@
 }
 
 /// What callers may send, and how long they may take.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Limits {
     /// The longest head of a request.
     pub head: Size,
@@ -126,6 +146,17 @@
         /// What is wrong.
         what: &'static str,
     },
+    /// Two routes have the same name.
+    #[error("two routes are named {0}")]
+    Name(Name),
+    /// A change is of another version than the one held.
+    #[error("a change of version {base} does not fit version {held}")]
+    Base {
+        /// The version that it changes.
+        base: u64,
+        /// The version held.
+        held: u64,
+    },
     /// Two routes answer to the same host and prefix.
     #[error("routes {one} and {other} have the same host and prefix")]
     Twice {
@@ -160,26 +191,88 @@
         services: Vec<Name>,
         limits: Limits,
     ) -> Result<Self, Error> {
-        let mut hosts: HashMap<String, Prefixes> = HashMap::new();
+        let mut named = BTreeMap::new();
         for route in routes {
+            if let Some(twin) = named.insert(route.name.clone(), Arc::new(route)) {
+                return Err(Error::Name(twin.name.clone()));
+            }
+        }
+        Self::of(version, named, services, limits)
+    }
+
+    fn of(
+        version: u64,
+        routes: BTreeMap<Name, Arc<Route>>,
+        services: Vec<Name>,
+        limits: Limits,
+    ) -> Result<Self, Error> {
+        let mut hosts: HashMap<String, Prefixes> = HashMap::new();
+        for route in routes.values() {
             route.check(&services)?;
             let prefixes = hosts.entry(route.host.clone()).or_default();
-            if let Some(one) = prefixes.get(&route.prefix) {
+            if let Some(one) = prefixes.insert(route.prefix.clone(), route.clone()) {
                 return Err(Error::Twice {
                     one: one.name.clone(),
-                    other: route.name,
+                    other: route.name.clone(),
                 });
             }
-            prefixes.insert(route.prefix.clone(), Arc::new(route));
         }
         Ok(Self {
             version,
             limits,
+            routes,
             hosts,
             services,
         })
     }
 
+    /// Returns what this version changes about `base`; about nothing, the whole.
+    ///
+    /// A version of hundreds of routes mostly repeats the one before, and thin
+    /// links can't carry it whole several times a second.
+    pub fn since(&self, base: Option<&Self>) -> Delta {
+        let before = |name: &Name| base.and_then(|base| base.routes.get(name));
+        let put = self
+            .routes
+            .values()
+            .filter(|route| before(&route.name) != Some(route));
+        let gone = base.iter().flat_map(|base| base.routes.keys());
+        let gone = gone.filter(|name| !self.routes.contains_key(*name));
+        Delta {
+            base: base.map_or(0, |base| base.version),
+            version: self.version,
+            limits: self.limits,
+            services: self.services.clone(),
+            put: put.cloned().collect(),
+            gone: gone.cloned().collect(),
+        }
+    }
+
+    /// Returns the version that comes of a change of `held`.
+    ///
+    /// # Errors
+    ///
+    /// If the change is of another version, or what comes of it can't be used.
+    pub fn after(held: Option<&Self>, delta: Delta) -> Result<Self, Error> {
+        let mut routes = match held {
+            _ if delta.base == 0 => BTreeMap::new(),
+            Some(held) if held.version == delta.base => held.routes.clone(),
+            _ => {
+                return Err(Error::Base {
+                    base: delta.base,
+                    held: held.map_or(0, |held| held.version),
+                });
+            }
+        };
+        for name in &delta.gone {
+            routes.remove(name);
+        }
+        for route in delta.put {
+            routes.insert(route.name.clone(), route);
+        }
+        Self::of(delta.version, routes, delta.services, delta.limits)
+    }
+
     /// Returns the route with the longest prefix of `path` at `host`.
     ///
     /// Prefixes end with a slash, so only the cuts of `path` behind a slash are
@@ -198,7 +291,7 @@
 
     /// Returns the number of routes.
     pub fn len(&self) -> usize {
-        self.hosts.values().map(BTreeMap::len).sum()
+        self.routes.len()
     }
 
     /// Returns whether there are no routes.
--- a/src/transport/relay/control.rs
+++ b/src/transport/relay/control.rs
@@ -80,7 +80,7 @@
 
 async fn ask_one(pool: &Pool, address: SocketAddr, question: Question) -> Result<Bytes, Error> {
     let (path, body) = match question {
-        Question::Routes => (ROUTES, Bytes::new()),
+        Question::Routes(base) => (ROUTES, encode(&base)),
         Question::Members => (MEMBERS, Bytes::new()),
         Question::Seen => (SEEN, Bytes::new()),
         Question::Take(news) => (NEWS, encode(&news)),
@@ -117,7 +117,7 @@
         let (host, ask) = (host.clone(), ask.clone());
         async move {
             match request.uri().path() {
-                ROUTES => Response::new(Body::whole(source::routes(&host))),
+                ROUTES => routes(&host, request.into_body()).await,
                 MEMBERS => Response::new(Body::whole(source::members(&host))),
                 SEEN => Response::new(Body::whole(encode(&host.seen()))),
                 NEWS => news(&host, &ask, request.into_body()).await,
@@ -128,6 +128,20 @@
     })
 }
 
+async fn routes(host: &Host, body: Body) -> Response<Body> {
+    let read = body::read(body, MAX_CALL, ANSWER).await;
+    let Ok(Read::Whole(bytes)) = read else {
+        return plain(StatusCode::BAD_REQUEST);
+    };
+    let Ok(base) = rmp_serde::from_slice(&bytes) else {
+        return plain(StatusCode::BAD_REQUEST);
+    };
+    match source::routes(host, base) {
+        Some(delta) => Response::new(Body::whole(delta)),
+        None => plain(StatusCode::NOT_FOUND),
+    }
+}
+
 async fn news(host: &Arc<Host>, ask: &Ask, body: Body) -> Response<Body> {
     let read = body::read(body, MAX_ANSWER, ANSWER).await;
     let Ok(Read::Whole(bytes)) = read else {
--- a/src/transport/relay/egress.rs
+++ b/src/transport/relay/egress.rs
@@ -154,14 +154,14 @@
 
     /// Finds the route of a request.
     fn call(&self, head: request::Parts, arrived: Instant) -> Result<(Call, u64), Response<Body>> {
-        let Some(version) = self.host.routes() else {
+        let Some(table) = self.host.routes() else {
             let refusal = Refusal::not_run("no version is in force", NO_VERSION_AGAIN);
             return Err(refused(&refusal, NO_VERSION_AGAIN.duration() * 3));
         };
         let host = host_of(&head);
-        let Some(route) = version.table.find(&host, head.uri.path()).cloned() else {
+        let Some(route) = table.find(&host, head.uri.path()).cloned() else {
             let path = head.uri.path();
-            let version = version.table.version;
+            let version = table.version;
             let details = format_args!("host={host:?} path={path:?} version={version}");
             self.host.journal.write(Event::NoRoute, details);
             return Err(plain(StatusCode::NOT_FOUND));
@@ -183,7 +183,7 @@
         let caller = HeaderValue::from_str(self.host.service().as_str());
         let caller = caller.expect("names are valid in headers");
         call.head.headers.insert(dialect.caller.clone(), caller);
-        Ok((call, version.table.version))
+        Ok((call, table.version))
     }
 
     async fn body(&self, incoming: Body, call: &Call) -> Result<Read, Refusal> {
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -21,6 +21,7 @@
         balance::{Balance, End},
         gate::{self, Arrival, Gate},
         local::{Change, Local},
+        rank,
         split::Split,
     },
     id::{Incarnation, Name},
@@ -94,6 +95,7 @@
             slots,
             instance: format!("i-{node}"),
         }],
+        bandwidth: 0,
     }
 }
 
@@ -232,6 +234,56 @@
         }
     }
 
+    change_of_a_version_makes_the_same_version => {
+        let mut rng = fastrand::Rng::with_seed(3);
+        let mut held: Option<routing::Table> = None;
+        for version in 1..80 {
+            let mut routes: Vec<Route> = Vec::new();
+            for i in 0..rng.usize(1..9) {
+                let mut r = route(&format!("r{i}"), "x", &format!("/{i}/"), &[("a", 1)]);
+                r.priority = rng.u8(0..3);
+                routes.push(r);
+            }
+            let whole = routing::Table::new(version, routes, vec![name("a")], Limits::default()).unwrap();
+            let delta = whole.since(held.as_ref());
+            let bytes = rmp_serde::to_vec(&delta).unwrap();
+            let told = rmp_serde::from_slice(&bytes).unwrap();
+            let made = routing::Table::after(held.as_ref(), told).unwrap();
+            assert_eq!(made.since(None), whole.since(None));
+            // A change of another version is not taken.
+            let stray = routing::Delta { base: version + 7, ..delta };
+            assert!(matches!(routing::Table::after(held.as_ref(), stray), Err(routing::Error::Base { .. })));
+            held = Some(made);
+        }
+    }
+
+    row_of_nodes_closes_up_and_puts_wide_links_first => {
+        let list: Vec<Arc<Member>> = (0..40)
+            .map(|i| {
+                let mut member = member(&format!("n{i}"), "here", 1);
+                member.bandwidth = if i % 4 == 0 { 200 } else { 10 };
+                Arc::new(member)
+            })
+            .collect();
+        let before = |of: &Member, left_out: &[&str]| {
+            let row = list.iter().filter(|m| !left_out.contains(&m.node.as_str()));
+            rank::before(row, "reader", &of.node, of.bandwidth)
+        };
+        let first: Vec<_> = list.iter().filter(|m| before(m, &[]).is_none()).collect();
+        let [first] = first[..] else { panic!("one is first") };
+        assert_eq!(first.bandwidth, 200);
+        // Each is before one other at most, so each is checked by one.
+        let mut checked: Vec<String> =
+            list.iter().filter_map(|m| before(m, &[])).map(|m| m.node.to_string()).collect();
+        checked.sort();
+        checked.dedup();
+        assert_eq!(checked.len(), list.len() - 1);
+        // Without the first one, exactly one other is.
+        let gone = first.node.as_str();
+        let next = list.iter().filter(|m| m.node.as_str() != gone && before(m, &[gone]).is_none());
+        assert_eq!(next.count(), 1);
+    }
+
     split_keeps_weights_in_every_stretch => {
         let route = route("r", "x", "/p/", &[("a", 90), ("b", 10)]);
         let mut split = Split::default();
