Logs as JSON with fields and a budget; a silent store is found out within seconds

Ruled out by the log lines: the telling on (each version spread in 5 ms), hints. Change: a read of the routes waits 1.5 s; its failure begins the other anew. Lines are now objects with fields, gathered for 100 ms, 300 a second of each event. Spans are read with a fraction, as the platform writes 2.5s.

--- a/examples/fleet.rs
+++ b/examples/fleet.rs
@@ -452,6 +452,7 @@
             inbound: any,
             labels: Default::default(),
             targets: Vec::new(),
+            bandwidth: 0,
         });
     }
     members.into_iter().find(|i| {
--- a/src/coordination/host.rs
+++ b/src/coordination/host.rs
@@ -27,6 +27,7 @@
     event::{Event, Journal},
     host::Settings,
     id::{Name, Node},
+    journal::note,
     protocol::news::Seen,
     state::{
         member::{Member, Table},
@@ -71,6 +72,7 @@
     settled: watch::Sender<bool>,
     reading: watch::Sender<bool>,
     blind: AtomicBool,
+    doubted: Notify,
     silent: Mutex<Silent>,
     hint: Mutex<Hint>,
     hinted: Notify,
@@ -107,6 +109,7 @@
             settled: watch::Sender::new(false),
             reading: watch::Sender::new(false),
             blind: AtomicBool::new(false),
+            doubted: Notify::new(),
             silent: Mutex::default(),
             hint: Mutex::default(),
             hinted: Notify::new(),
@@ -192,11 +195,14 @@
         if past.len() > PAST {
             past.pop_front();
         }
-        self.journal.write(
+        note!(
+            self.journal,
             Event::InForce,
-            format_args!(
-                "version={version} routes={routes} changed={changed} before={before} from={from}"
-            ),
+            version = version,
+            routes = routes,
+            changed = changed,
+            before = before,
+            from = from
         );
         true
     }
@@ -204,23 +210,30 @@
     fn refuse_routes(&self, error: &dyn std::error::Error, from: &str) {
         let why = crate::logging::chain(error);
         let held = self.version();
-        let details = format_args!("from={from} held={held} why={why:?}");
-        self.journal.write(Event::ChangeRejected, details);
+        note!(
+            self.journal,
+            Event::ChangeRejected,
+            from = from,
+            held = held,
+            why = why
+        );
     }
 
     /// Takes in what is known of a member; returns whether that is news.
     pub fn take_member(&self, member: Member, from: &str) -> bool {
-        let details = format!(
-            "member={} status={:?} domain={} targets={} from={from}",
-            member.node,
-            member.status,
-            member.domain,
-            told(&member)
-        );
+        let (node, domain) = (member.node.clone(), member.domain.clone());
+        let (status, targets) = (member.status, told(&member));
         let is_news = self.members.write().merge(member);
         if is_news {
-            self.journal
-                .write(Event::MemberChanged, format_args!("{details}"));
+            note!(
+                self.journal,
+                Event::MemberChanged,
+                member = node,
+                status = format_args!("{status:?}"),
+                domain = domain,
+                targets = targets,
+                from = from
+            );
         }
         is_news
     }
@@ -266,8 +279,7 @@
             .send_if_modified(|held| std::mem::replace(held, reads) != reads);
         if changed {
             self.set_blind(false);
-            let details = format_args!("reads={reads}");
-            self.journal.write(Event::ReaderChanged, details);
+            note!(self.journal, Event::ReaderChanged, reads = reads);
         }
     }
 
@@ -282,6 +294,17 @@
         self.blind.store(is_blind, Ordering::Relaxed);
     }
 
+    /// Notes that a read of the store failed: others that wait there may wait for
+    /// nothing.
+    pub fn doubt(&self) {
+        self.doubted.notify_waiters();
+    }
+
+    /// Waits until a read of the store fails.
+    pub async fn until_doubted(&self) {
+        self.doubted.notified().await;
+    }
+
     /// Returns how far this node is.
     pub fn seen(&self) -> Seen {
         Seen {
--- a/src/coordination/presence.rs
+++ b/src/coordination/presence.rs
@@ -9,6 +9,7 @@
     coordination::{host::Host, link::Store, source},
     event::Event,
     id::Incarnation,
+    journal::note,
     state::member::{Member, Status, Target},
 };
 
@@ -59,8 +60,13 @@
             Err(error) => {
                 if failures == 0 {
                     let why = crate::logging::chain(&error);
-                    let details = format_args!("stream=Members write=true why={why:?}");
-                    host.journal.write(Event::LogDown, details);
+                    note!(
+                        host.journal,
+                        Event::LogDown,
+                        stream = "Members",
+                        write = true,
+                        why = why
+                    );
                 }
                 tokio::time::sleep(source::pause(failures)).await;
                 failures += 1;
@@ -107,8 +113,7 @@
         }
         let fell_silent = host.local.lock().fell_silent(std::time::Instant::now());
         if fell_silent {
-            let details = format_args!("reason=silent");
-            host.journal.write(Event::TargetChanged, details);
+            note!(host.journal, Event::TargetChanged, reason = "silent");
             host.set_gate();
         }
     }
--- a/src/coordination/source.rs
+++ b/src/coordination/source.rs
@@ -18,14 +18,23 @@
         spread,
     },
     event::Event,
+    journal::note,
     protocol::news::{Load, Members, News},
     state::{member::Member, routing::Delta},
     unit::Span,
 };
 
-/// How long a read waits at the store for something new. The platform allows
-/// 30 s; a little less, so that its answer and not our timeout ends the wait.
-const WAIT: Span = Span::from_secs(25);
+/// How long a read of the routes waits at the store for something new. A store
+/// that falls silent leaves waiting reads without an answer, also after its
+/// return, and nothing but time tells that from a quiet one. With the time for an
+/// answer this must end before the 3 s after which changes are to be in time
+/// again.
+const WAIT_ROUTES: Span = Span::from_millis(1500);
+
+/// The same for the members. The platform allows 30 s; a little less, so that its
+/// answer and not our timeout ends the wait. When a read of the routes fails this
+/// one is begun anew.
+const WAIT_MEMBERS: Span = Span::from_secs(25);
 
 /// The pause after a first failed call; doubles up to [`MAX_PAUSE`].
 const PAUSE: Duration = Duration::from_millis(100);
@@ -110,7 +119,12 @@
             read_newest(host, store, ask, stream).await;
             continue;
         };
-        match (store.tail)(stream, from, WAIT).await {
+        let read = (store.tail)(stream, from, wait(stream));
+        let read = tokio::select! {
+            read = read => read,
+            () = host.until_doubted(), if stream == Stream::Members => continue,
+        };
+        match read {
             Ok(records) => {
                 note_up(host, stream, failures);
                 failures = 0;
@@ -122,6 +136,7 @@
             Err(error) => {
                 note_down(host, stream, failures, &error);
                 host.set_blind(true);
+                host.doubt();
                 ask_around(host, ask).await;
                 tokio::time::sleep(pause(failures)).await;
                 failures += 1;
@@ -130,6 +145,13 @@
     }
 }
 
+const fn wait(stream: Stream) -> Span {
+    match stream {
+        Stream::Routes => WAIT_ROUTES,
+        Stream::Members => WAIT_MEMBERS,
+    }
+}
+
 const fn gather(stream: Stream) -> Duration {
     match stream {
         Stream::Routes => GATHER_ROUTES,
@@ -194,16 +216,24 @@
 
 fn note_up(host: &Host, stream: Stream, failures: u32) {
     if failures > 0 {
-        let details = format_args!("stream={stream:?} failures={failures}");
-        host.journal.write(Event::LogUp, details);
+        note!(
+            host.journal,
+            Event::LogUp,
+            stream = format_args!("{stream:?}"),
+            failures = failures
+        );
     }
 }
 
 fn note_down(host: &Host, stream: Stream, failures: u32, error: &Error) {
     if failures == 0 {
         let why = crate::logging::chain(error);
-        let details = format_args!("stream={stream:?} why={why:?}");
-        host.journal.write(Event::LogDown, details);
+        note!(
+            host.journal,
+            Event::LogDown,
+            stream = format_args!("{stream:?}"),
+            why = why
+        );
     }
 }
 
@@ -249,8 +279,12 @@
             host.take_routes(delta, "peer");
         }
         Err(error) => {
-            let details = format_args!("from=peer why={:?}", error.to_string());
-            host.journal.write(Event::ChangeRejected, details);
+            note!(
+                host.journal,
+                Event::ChangeRejected,
+                from = "peer",
+                why = error
+            );
         }
     }
 }
@@ -264,8 +298,12 @@
             host.known_to(Stream::Members, answer.at);
         }
         Err(error) => {
-            let details = format_args!("from=peer why={:?}", error.to_string());
-            host.journal.write(Event::ChangeRejected, details);
+            note!(
+                host.journal,
+                Event::ChangeRejected,
+                from = "peer",
+                why = error
+            );
         }
     }
 }
@@ -297,8 +335,13 @@
             host.take_member(member, from);
         }
         Err(error) => {
-            let details = format_args!("stream=Members from={from} why={:?}", error.to_string());
-            host.journal.write(Event::ChangeRejected, details);
+            note!(
+                host.journal,
+                Event::ChangeRejected,
+                stream = "Members",
+                from = from,
+                why = error
+            );
         }
     }
 }
--- a/src/coordination/spread.rs
+++ b/src/coordination/spread.rs
@@ -17,6 +17,7 @@
         scatter,
     },
     event::Event,
+    journal::note,
     protocol::news::News,
 };
 
@@ -37,13 +38,15 @@
     };
     let nodes = news.relay.len();
     let missed = relay(ask, news.clone()).await;
-    let details = format_args!(
-        "stream={:?} from={} next={} nodes={nodes} missed={missed}",
-        news.load.stream(),
-        news.from,
-        news.next
+    note!(
+        host.journal,
+        Event::Spread,
+        stream = format_args!("{:?}", news.load.stream()),
+        from = news.from,
+        next = news.next,
+        nodes = nodes,
+        missed = missed
     );
-    host.journal.write(Event::Spread, details);
 }
 
 /// Tells `news` to the nodes that it lists; returns how many heads of parts did
--- a/src/coordination/watch.rs
+++ b/src/coordination/watch.rs
@@ -21,6 +21,7 @@
     },
     event::Event,
     id::Node,
+    journal::note,
     protocol::news::Seen,
     state::member::Member,
 };
@@ -75,8 +76,12 @@
         }
         None => {
             host.note_silent(&member.node, Instant::now() + SILENT);
-            let details = format_args!("member={} status=silent", member.node);
-            host.journal.write(Event::MemberChanged, details);
+            note!(
+                host.journal,
+                Event::MemberChanged,
+                member = member.node,
+                status = "silent"
+            );
             None
         }
     }
--- a/src/event.rs
+++ b/src/event.rs
@@ -1,19 +1,9 @@
-//! Numbered log events, and the journal that writes them.
+//! Numbered log events. The [`Journal`] writes them.
 //!
 //! Operators filter and alert by number; docs/EVENTS.md is their catalogue and
 //! a test holds it equal to this list.
 
-use std::{
-    fmt::Arguments,
-    sync::{
-        Arc,
-        atomic::{AtomicU64, Ordering},
-    },
-    thread,
-    time::{Duration, SystemTime},
-};
-
-use crossbeam_queue::ArrayQueue;
+pub use crate::journal::Journal;
 
 macro_rules! events {
     ($($code:literal $level:ident $name:ident: $meaning:literal;)*) => {
@@ -27,6 +17,11 @@
             /// All events in the order of their numbers.
             pub const ALL: &[Self] = &[$(Self::$name,)*];
 
+            /// Returns its place in [`Event::ALL`].
+            pub const fn index(self) -> usize {
+                self as usize
+            }
+
             /// Returns the number.
             pub const fn code(self) -> u16 {
                 match self { $(Self::$name => $code,)* }
@@ -56,6 +51,7 @@
     102 Info  Stopped: "The daemon has finished its work and ends.";
     103 Info  Ready: "The daemon holds a complete view and takes requests.";
     104 Warn  LinesLost: "Log lines were dropped because they came faster than they were written.";
+    105 Info  Reloaded: "The settings were read again; what of them is taken over without a restart is named.";
     200 Info  InForce: "A version is in force on this proxy.";
     201 Warn  ChangeRejected: "A record of the log was decided against, as on every node.";
     202 Info  SnapshotTaken: "A whole snapshot was taken in, from a peer or the log.";
@@ -90,141 +86,3 @@
     421 Info  Replayed: "A keyed request came again and got the recorded answer.";
     422 Warn  KeyRefused: "A keyed request could not be run or replayed.";
 }
-
-/// Lines that wait to be written; more are dropped and counted.
-const RING: usize = 16_384;
-
-/// How long the writer sleeps when there is nothing to write.
-const PAUSE: Duration = Duration::from_millis(20);
-
-/// Takes log lines off the request path.
-///
-/// Lines go through a bounded ring to a thread of their own. When the ring is
-/// full a line is lost rather than a request delayed, and losses are counted.
-///
-/// # Example
-///
-/// ```
-/// use rilltrack::event::{Event, Journal};
-///
-/// let journal = Journal::start("a1");
-/// journal.write(Event::Ready, format_args!("version=0.12"));
-/// assert_eq!(journal.lost(), 0);
-/// journal.stop();
-/// ```
-#[derive(Clone, Debug)]
-pub struct Journal {
-    shared: Arc<Shared>,
-}
-
-#[derive(Debug)]
-struct Shared {
-    node: String,
-    ring: ArrayQueue<Line>,
-    lost: AtomicU64,
-    stopped: std::sync::atomic::AtomicBool,
-}
-
-#[derive(Debug)]
-struct Line {
-    at: SystemTime,
-    event: Event,
-    text: String,
-}
-
-impl Journal {
-    /// Starts the writer's thread and returns a journal for `node`.
-    ///
-    /// # Panics
-    ///
-    /// If the system can't start a thread.
-    pub fn start(node: &str) -> Self {
-        let shared = Arc::new(Shared {
-            node: node.into(),
-            ring: ArrayQueue::new(RING),
-            lost: AtomicU64::new(0),
-            stopped: false.into(),
-        });
-        let writer = shared.clone();
-        thread::Builder::new()
-            .name("journal".into())
-            .spawn(move || writer.run())
-            .expect("a thread can be started");
-        Self { shared }
-    }
-
-    /// Writes a line about `event`, without waiting.
-    pub fn write(&self, event: Event, details: Arguments<'_>) {
-        if !log::log_enabled!(target: "rilltrack", event.level()) {
-            return;
-        }
-        let line = Line::new(event, details.to_string());
-        if self.shared.ring.push(line).is_err() {
-            self.shared.lost.fetch_add(1, Ordering::Relaxed);
-        }
-    }
-
-    /// Returns the number of lines lost so far.
-    pub fn lost(&self) -> u64 {
-        self.shared.lost.load(Ordering::Relaxed)
-    }
-
-    /// Writes what waits and ends the writer.
-    pub fn stop(&self) {
-        self.shared.stopped.store(true, Ordering::Relaxed);
-        self.shared.drain();
-        log::logger().flush();
-    }
-}
-
-impl Line {
-    fn new(event: Event, text: String) -> Self {
-        Self {
-            at: SystemTime::now(),
-            event,
-            text,
-        }
-    }
-}
-
-impl Shared {
-    fn run(&self) {
-        let mut reported = 0;
-        while !self.stopped.load(Ordering::Relaxed) {
-            self.drain();
-            let lost = self.lost.load(Ordering::Relaxed);
-            if lost > reported {
-                let text = format!("lines={}", lost - reported);
-                self.emit(&Line::new(Event::LinesLost, text));
-                reported = lost;
-            }
-            thread::sleep(PAUSE);
-        }
-    }
-
-    fn drain(&self) {
-        while let Some(line) = self.ring.pop() {
-            self.emit(&line);
-        }
-    }
-
-    fn emit(&self, line: &Line) {
-        let (event, text) = (line.event, &line.text);
-        log::log!(
-            target: "rilltrack",
-            event.level(),
-            // When it happened, not when the writer came to it.
-            "{} E{:03} {} node={} {text}",
-            unix_ms(line.at),
-            event.code(),
-            event.name(),
-            self.node
-        );
-    }
-}
-
-fn unix_ms(at: SystemTime) -> u128 {
-    at.duration_since(SystemTime::UNIX_EPOCH)
-        .unwrap_or_default()
-        .as_millis()
-}
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -24,6 +24,7 @@
         source, watch as reader,
     },
     event::{Event, Journal},
+    journal::note,
     transport::{
         self,
         relay::{
@@ -79,7 +80,7 @@
     ///
     /// If an address is taken or the system gives no threads.
     pub fn start(settings: Settings, store: Store, words: Words) -> Result<Self, Error> {
-        let journal = Journal::start(settings.node.as_str());
+        let journal = Journal::start_json(settings.node.as_str(), Box::new(std::io::stdout()));
         let host = Arc::new(host::Host::new(settings, words, journal));
         let (phase, phase_seen) = watch::channel(Phase::Serving);
         let (written, written_seen) = watch::channel(Written::default());
@@ -112,11 +113,13 @@
         let requests = bind(requests, &server)?;
         let control = bind(control, &server)?;
         let settings = &host.settings;
-        let details = format_args!(
-            "domain={} service={} listen={:?}",
-            settings.domain, settings.service, settings.listen
+        note!(
+            host.journal,
+            Event::Started,
+            domain = settings.domain,
+            service = settings.service,
+            listen = format_args!("{:?}", settings.listen)
         );
-        host.journal.write(Event::Started, details);
         Ok(Self {
             phase,
             requests: duty("requests", serve_requests(requests, egress, ingress))?,
@@ -131,7 +134,11 @@
     /// Ends the process: it says that it is not ready, still serves who comes,
     /// then ends what is in flight, all within the grace.
     pub fn stop(self) {
-        self.host.journal.write(Event::Stopping, format_args!(""));
+        note!(
+            self.host.journal,
+            Event::Stopping,
+            grace = self.host.settings.grace
+        );
         self.host.leave();
         self.phase.send_replace(Phase::Leaving);
         thread::sleep(LEAVE);
@@ -139,8 +146,7 @@
         let grace = self.host.settings.grace.duration();
         let left = grace.saturating_sub(LEAVE + LAST);
         let ended = wait_for(left, || self.requests.is_finished());
-        let details = format_args!("all_ended={ended}");
-        self.host.journal.write(Event::Stopped, details);
+        note!(self.host.journal, Event::Stopped, all_ended = ended);
         self.host.journal.stop();
         // The duties hold nothing that lasts; they end with the process.
         drop(self.control);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -93,6 +93,7 @@
 pub mod files;
 pub mod host;
 pub mod id;
+pub mod journal;
 pub mod logging;
 pub mod metrics;
 pub mod protocol;
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -5,7 +5,6 @@
 use log::LevelFilter;
 use log4rs::{
     append::{
-        Append,
         console::{ConsoleAppender, Target},
         file::FileAppender,
     },
@@ -23,32 +22,16 @@
 ///
 /// If the file can't be written or logging was started before.
 pub fn start(file: Option<&Path>) -> Result<(), Box<dyn Error>> {
-    let appender: Box<dyn Append> = match file {
-        Some(path) => Box::new(FileAppender::builder().encoder(encoder()).build(path)?),
-        None => console(Target::Stderr),
+    let encoder = Box::new(PatternEncoder::new(PATTERN));
+    let appender: Box<dyn log4rs::append::Append> = match file {
+        Some(path) => Box::new(FileAppender::builder().encoder(encoder).build(path)?),
+        None => Box::new(
+            ConsoleAppender::builder()
+                .encoder(encoder)
+                .target(Target::Stderr)
+                .build(),
+        ),
     };
-    install(appender)
-}
-
-/// Sends log lines to standard output.
-///
-/// # Errors
-///
-/// If logging was started before.
-pub fn start_on_stdout() -> Result<(), Box<dyn Error>> {
-    install(console(Target::Stdout))
-}
-
-fn encoder() -> Box<PatternEncoder> {
-    Box::new(PatternEncoder::new(PATTERN))
-}
-
-fn console(target: Target) -> Box<dyn Append> {
-    let console = ConsoleAppender::builder().encoder(encoder());
-    Box::new(console.target(target).build())
-}
-
-fn install(appender: Box<dyn Append>) -> Result<(), Box<dyn Error>> {
     let config = Config::builder()
         .appender(Appender::builder().build("main", appender))
         .logger(Logger::builder().build("rilltrack", LevelFilter::Info))
--- a/src/transport/relay/control.rs
+++ b/src/transport/relay/control.rs
@@ -25,6 +25,7 @@
         source,
     },
     event::Event,
+    journal::note,
     protocol::announce::Message,
     transport::relay::{
         body::{self, Body, Read},
@@ -153,8 +154,12 @@
             plain(StatusCode::OK)
         }
         Err(error) => {
-            let details = format_args!("from=reader why={:?}", error.to_string());
-            host.journal.write(Event::ChangeRejected, details);
+            note!(
+                host.journal,
+                Event::ChangeRejected,
+                from = "reader",
+                why = error
+            );
             plain(StatusCode::BAD_REQUEST)
         }
     }
@@ -200,15 +205,22 @@
         Ok(message) => message,
         Err(error) => {
             let why = crate::logging::chain(&error);
-            let details = format_args!("reason=bad why={why:?}");
-            host.journal.write(Event::TargetChanged, details);
+            note!(
+                host.journal,
+                Event::TargetChanged,
+                reason = "bad",
+                why = why
+            );
             return plain(StatusCode::BAD_REQUEST);
         }
     };
     let change = take(&host, &message);
     if change == Change::Told {
-        let details = format_args!("said={message:?}");
-        host.journal.write(Event::TargetChanged, details);
+        note!(
+            host.journal,
+            Event::TargetChanged,
+            said = format_args!("{message:?}")
+        );
         host.changed.notify_one();
     }
     host.set_gate();
--- a/src/transport/relay/egress.rs
+++ b/src/transport/relay/egress.rs
@@ -17,6 +17,7 @@
     },
     event::Event,
     id::{Name, Node},
+    journal::note,
     protocol::{
         answer::{Outcome, Refusal},
         dialect::{Load, hop},
@@ -162,8 +163,15 @@
         let Some(route) = table.find(&host, head.uri.path()).cloned() else {
             let path = head.uri.path();
             let version = table.version;
-            let details = format_args!("host={host:?} path={path:?} version={version}");
-            self.host.journal.write(Event::NoRoute, details);
+            let id = http::get(&head.headers, self.host.words.dialect.id.as_str()).unwrap_or("-");
+            note!(
+                self.host.journal,
+                Event::NoRoute,
+                id = id,
+                host = host,
+                path = path,
+                version = version
+            );
             return Err(plain(StatusCode::NOT_FOUND));
         };
         let dialect = &self.host.words.dialect;
@@ -312,18 +320,21 @@
         };
         watch.finish(&tried, since.elapsed());
         if let Tried::Refused(refused) = &tried {
-            let details = format_args!(
-                "id={} route={} service={} to={} try={} outcome={} arrived={} reason={:?}",
-                self.id(call),
-                call.route.name,
-                call.service,
-                member.node,
-                tries.nodes.len(),
-                refused.refusal.outcome,
-                refused.arrived,
-                refused.refusal.reason,
+            note!(
+                self.host.journal,
+                Event::Retried,
+                id = self.id(call),
+                route = call.route.name,
+                service = call.service,
+                to = member.node,
+                tried = tries.nodes.len(),
+                usage = format_args!("{:.2}", choice.usage),
+                candidates = choice.candidates,
+                outcome = refused.refusal.outcome,
+                arrived = refused.arrived,
+                reason = refused.refusal.reason,
+                ms = since.elapsed().as_millis(),
             );
-            self.host.journal.write(Event::Retried, details);
         }
         tried
     }
@@ -426,11 +437,20 @@
         match result {
             Ok(response) => {
                 let status = response.status().as_u16();
-                let details = format_args!(
-                    "id={id} route={route} service={service} priority={priority} version={version} \
-                     tries={nodes} outcome=answered status={status} ms={took}"
+                note!(
+                    self.host.journal,
+                    Event::Routed,
+                    id = id,
+                    route = route,
+                    service = service,
+                    priority = priority,
+                    version = version,
+                    tries = nodes,
+                    arrivals = tries.arrivals,
+                    outcome = Outcome::Answered,
+                    status = status,
+                    took = took,
                 );
-                self.host.journal.write(Event::Routed, details);
                 response
             }
             Err(refusal) => {
@@ -440,11 +460,22 @@
                     reason,
                     ..
                 } = &refusal;
-                let details = format_args!(
-                    "id={id} route={route} service={service} priority={priority} version={version} \
-                     tries={nodes} outcome={outcome} status={status} ms={took} reason={reason:?}"
+                note!(
+                    self.host.journal,
+                    Event::Refused,
+                    id = id,
+                    route = route,
+                    service = service,
+                    priority = priority,
+                    version = version,
+                    tries = nodes,
+                    arrivals = tries.arrivals,
+                    outcome = outcome,
+                    status = status,
+                    reason = reason,
+                    left = left.as_millis(),
+                    took = took,
                 );
-                self.host.journal.write(Event::Refused, details);
                 refused(&refusal, left)
             }
         }
@@ -547,8 +578,12 @@
         let mut balance = self.host.balance.lock();
         let is_out = balance.finish(self.member, self.route, self.end, self.load, now);
         if is_out {
-            let details = format_args!("target={} end={:?}", self.member.node, self.end);
-            self.host.journal.write(Event::Ejected, details);
+            note!(
+                self.host.journal,
+                Event::Ejected,
+                target = self.member.node,
+                end = format_args!("{:?}", self.end)
+            );
         }
     }
 }
--- a/src/transport/relay/ingress.rs
+++ b/src/transport/relay/ingress.rs
@@ -15,6 +15,7 @@
     },
     event::Event,
     id::{Name, Node},
+    journal::note,
     protocol::{
         answer::{Outcome, Refusal},
         dialect::{Load, hop},
@@ -164,8 +165,12 @@
     fn failed(&self, permit: &Permit, failure: &Failure) -> Refused {
         match failure {
             Failure::NotSent(_) => {
-                let details = format_args!("instance={} reason={failure}", permit.target.instance);
-                self.host.journal.write(Event::TargetChanged, details);
+                note!(
+                    self.host.journal,
+                    Event::TargetChanged,
+                    instance = permit.target.instance,
+                    reason = failure
+                );
                 Refused::before(Refusal::not_run(NO_TARGET, Span::from_millis(100)))
             }
             Failure::Broken(_) => Refused::after(Refusal::unknown(502, "target broke off")),
--- a/src/unit.rs
+++ b/src/unit.rs
@@ -107,15 +107,31 @@
     }
 }
 
+/// Reads a span with a fraction, as in `2.5s`; what is below a millisecond is
+/// cut off.
+fn fraction(text: &str) -> Option<u64> {
+    let (whole, rest) = text.split_once('.')?;
+    let digits = rest.bytes().take_while(u8::is_ascii_digit).count();
+    let (fraction, unit) = rest.split_at(digits);
+    let (_, factor) = SPAN_UNITS.iter().find(|(name, _)| *name == unit)?;
+    let whole: u64 = whole.parse().ok()?;
+    let ten = 10_u64.checked_pow(u32::try_from(digits).ok()?)?;
+    let part = fraction.parse::<u64>().ok()?.checked_mul(*factor)? / ten;
+    whole.checked_mul(*factor)?.checked_add(part)
+}
+
 impl FromStr for Span {
     type Err = Error;
 
     fn from_str(text: &str) -> Result<Self, Error> {
-        scaled(text, &SPAN_UNITS).map(Self).ok_or_else(|| Error {
-            what: "span of time",
-            example: "250ms",
-            text: text.into(),
-        })
+        scaled(text, &SPAN_UNITS)
+            .or_else(|| fraction(text))
+            .map(Self)
+            .ok_or_else(|| Error {
+                what: "span of time",
+                example: "250ms",
+                text: text.into(),
+            })
     }
 }
 
--- a/tests/product.rs
+++ b/tests/product.rs
@@ -130,6 +130,12 @@
         for text in ["1B", "64KiB", "3MiB", "2GiB"] {
             assert_eq!(text.parse::<Size>().unwrap().to_string(), text);
         }
+        for (text, millis) in [("2.5s", 2500), ("0.25s", 250), ("1.5min", 90_000), ("0.4ms", 0)] {
+            assert_eq!(text.parse::<Span>().unwrap().as_millis(), millis, "{text}");
+        }
+        for text in [".5s", "2.s", "2.5", "-2.5s", "2.5.1s", "2.99999999999999999999999s"] {
+            assert!(text.parse::<Span>().is_err(), "{text}");
+        }
         assert_eq!("10%".parse::<Percent>().unwrap().to_string(), "10%");
         for text in ["", "5", "5 s", "s", "-1s", "99999999999999999999d"] {
             assert!(text.parse::<Span>().is_err(), "{text}");
