The target at which an answer is expected soonest; metrics on an address of their own

Change: a few are drawn, the soonest expected counts; the way to another domain counts 20 ms and 7 ms a KB. Metrics: requests, tries, allowance, store calls, gate, version and its age.

--- a/src/coordination/balance.rs
+++ b/src/coordination/balance.rs
@@ -1,10 +1,11 @@
 //! Which node a request goes to, by what this one has seen of each.
 //!
-//! Nearest first, since a longer way costs time and is paid for by the byte;
-//! further away once the near ones have no room. Among equals two are drawn and
-//! the cheaper one counts, so that not all nodes rush to the same target.
-//! A node that can't be reached, or owes answers for long, gets nothing until it
-//! is heard of again.
+//! A few targets are drawn, near ones and some further away, and the one counts
+//! at which an answer is expected soonest. Drawing keeps all nodes from rushing to
+//! the same target. The longer way costs its time, and since it is paid for by
+//! the byte, a time for each kilobyte: an upload stays near where a lookup goes to
+//! a faster target elsewhere. A node that can't be reached, or owes answers for
+//! long, gets nothing until it is heard of again.
 
 use std::{
     collections::HashMap,
@@ -18,9 +19,28 @@
     state::member::{Member, Status, Table},
 };
 
-/// Share of a target's slots from which another failure domain is worth its
-/// longer way: the last slots go to what other nodes send meanwhile.
-const SPILL: f64 = 0.85;
+/// Near targets that are drawn for one request. Two spread load well; a third
+/// finds a fast one more often where speeds differ by three times.
+const NEAR: usize = 3;
+
+/// Targets of other failure domains that are drawn.
+const FAR: usize = 2;
+
+/// What the way to another failure domain and back counts as, in seconds: 3 ms
+/// that it takes, and the bytes of an ordinary answer. At 3 ms alone lookups went
+/// far for gains of a few milliseconds and cost more than they brought
+/// (docs/MEASURES.md).
+const FAR_WAY: f64 = 0.02;
+
+/// What a kilobyte of a request to another failure domain counts as, in seconds:
+/// an upload of 60 KB goes there only if it would fail here.
+const FAR_KILOBYTE: f64 = 0.007;
+
+/// How much slower a target gets on the way to its last slot, as a share.
+const NEARLY_FULL: f64 = 0.3;
+
+/// What an answer takes on a route of which nothing is known, in seconds.
+const FIRST_MEAN: f64 = 0.15;
 
 /// The weight of the newest request in what is known of a target's speed.
 const NEWEST: f64 = 0.1;
@@ -42,9 +62,6 @@
 /// Failures of the target itself, in a row, after which it is passed over.
 const FAILURES: u32 = 4;
 
-/// The added cost of a further failure domain, as a share of the cost.
-const FAR_COST: f64 = 1.15;
-
 /// What is known of the other nodes, and of the own target.
 #[derive(Debug, Default)]
 pub struct Balance {
@@ -86,6 +103,33 @@
     Abandoned,
 }
 
+impl End {
+    /// Returns the word for it in metrics.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Answered(_) => "answered",
+            Self::Refused => "refused",
+            Self::Leaving => "leaving",
+            Self::Failed => "failed",
+            Self::Absent => "absent",
+            Self::Abandoned => "abandoned",
+        }
+    }
+}
+
+/// What a choice is made for.
+#[derive(Clone, Copy, Debug)]
+pub struct Wish<'a> {
+    /// The route of the request.
+    pub route: &'a Name,
+    /// The service that is to run it.
+    pub service: &'a Name,
+    /// The failure domain that it comes from.
+    pub domain: &'a Name,
+    /// The bytes of its body.
+    pub bytes: usize,
+}
+
 /// The node that was chosen, and on what grounds.
 #[derive(Clone, Debug)]
 pub struct Choice {
@@ -93,7 +137,7 @@
     pub member: Arc<Member>,
     /// Its expected use of slots, 1 being full.
     pub usage: f64,
-    /// Its cost: the smaller one won.
+    /// How long an answer is expected to take, in seconds; the shortest won.
     pub cost: f64,
     /// How many there were to choose from.
     pub candidates: usize,
@@ -153,49 +197,33 @@
         peer
     }
 
-    /// Returns the node to send a request for `service` to, if there is one
-    /// that was not `tried` and is not passed over.
+    /// Returns the node to send a request to, if there is one that was not `tried`
+    /// and is not passed over.
     pub fn choose(
         &mut self,
         table: &Table,
-        service: &Name,
-        domain: &Name,
+        wish: Wish<'_>,
         tried: &[Node],
         now: Instant,
     ) -> Option<Choice> {
-        let mut near = Vec::new();
-        let mut far = Vec::new();
-        for member in table.offers(service) {
-            let Some(target) = member.targets.iter().find(|t| t.service == *service) else {
-                continue;
-            };
-            let serves = member.status == Status::Alive && !target.draining;
-            if !serves || tried.contains(&member.node) {
-                continue;
-            }
-            let slots = f64::from(target.slots.max(1));
-            let peer = self.peer(member, now);
-            if peer.is_out(now) {
-                continue;
-            }
-            let usage = f64::from(peer.held(now) + 1) / slots;
-            let cost = peer.slowness * (1.0 + usage) * (1.0 + f64::from(peer.failures));
-            let is_near = member.domain == *domain;
-            let side = if is_near { &mut near } else { &mut far };
-            side.push((member, usage, cost));
-        }
-        let candidates = near.len() + far.len();
-        let near_one = cheaper_of_two(&near);
-        let has_room = |(_, usage, _): &(_, f64, _)| *usage <= SPILL;
-        let (member, usage, cost) = match near_one {
-            Some(one) if has_room(&one) => one,
-            Some(one) => match cheaper_of_two(&far) {
-                Some(other) if other.2 * FAR_COST < one.2 => other,
-                _ => one,
-            },
-            None => cheaper_of_two(&far)?,
+        let serves = |member: &&Arc<Member>| {
+            let mut targets = member.targets.iter();
+            let offered = targets.any(|t| t.service == *wish.service && !t.draining);
+            offered && member.status == Status::Alive && !tried.contains(&member.node)
         };
-        Some(Choice {
+        let offers = table.offers(wish.service).iter().filter(serves);
+        let (near, far): (Vec<_>, Vec<_>) = offers
+            .filter(|member| !self.peer(member, now).is_out(now))
+            .partition(|member| member.domain == *wish.domain);
+        let candidates = near.len() + far.len();
+        let mut drawn = fastrand::choose_multiple(near, NEAR);
+        drawn.extend(fastrand::choose_multiple(far, FAR));
+        let weighed = drawn.into_iter().map(|member| {
+            let (usage, cost) = self.weigh(member, &wish, now);
+            (member, usage, cost)
+        });
+        let best = weighed.min_by(|(_, _, one), (_, _, other)| one.total_cmp(other));
+        best.map(|(member, usage, cost)| Choice {
             member: member.clone(),
             usage,
             cost,
@@ -203,6 +231,25 @@
         })
     }
 
+    /// Returns a target's use of slots with one more request, 1 being full, and the
+    /// time in which an answer is expected, in seconds.
+    fn weigh(&mut self, member: &Member, wish: &Wish<'_>, now: Instant) -> (f64, f64) {
+        let mean = self.routes.get(wish.route).copied().unwrap_or(FIRST_MEAN);
+        let slots = member.targets.iter().find(|t| t.service == *wish.service);
+        let slots = f64::from(slots.map_or(1, |target| target.slots.max(1)));
+        let peer = self.peer(member, now);
+        let usage = f64::from(peer.held(now) + 1) / slots;
+        let work = mean * peer.slowness * f64::from(1 + peer.failures);
+        // Beyond the last slot each turn of all slots costs a whole request.
+        let time = work * (1.0 + NEARLY_FULL * usage + (usage - 1.0).max(0.0));
+        let way = if member.domain == *wish.domain {
+            0.0
+        } else {
+            FAR_WAY + FAR_KILOBYTE * wish.bytes as f64 / 1024.0
+        };
+        (usage, time + way)
+    }
+
     /// Notes that a request is sent.
     pub fn start(&mut self, member: &Member, now: Instant) {
         let peer = self.peer(member, now);
@@ -278,16 +325,3 @@
         relative.clamp(BOUNDS.0, BOUNDS.1)
     }
 }
-
-fn cheaper_of_two<'a, T: Copy + 'a>(tier: &[(T, f64, f64)]) -> Option<(T, f64, f64)> {
-    match tier {
-        [] => None,
-        [only] => Some(*only),
-        _ => {
-            let first = fastrand::usize(..tier.len());
-            let second = (first + 1 + fastrand::usize(..tier.len() - 1)) % tier.len();
-            let (first, second) = (tier[first], tier[second]);
-            Some(if second.2 < first.2 { second } else { first })
-        }
-    }
-}
--- a/src/coordination/host.rs
+++ b/src/coordination/host.rs
@@ -25,7 +25,10 @@
         watch::Silent,
     },
     event::{Event, Journal},
-    host::Settings,
+    host::{
+        Settings,
+        metrics::{self, Metrics},
+    },
     id::{Name, Node},
     journal::note,
     protocol::news::Seen,
@@ -51,6 +54,8 @@
     pub words: Words,
     /// Log lines.
     pub journal: Journal,
+    /// Counters and histograms.
+    pub metrics: Metrics,
     /// The gate before the target here.
     pub gate: Gate,
     /// The target here.
@@ -68,6 +73,7 @@
     leaving: AtomicBool,
     routes: ArcSwapOption<routing::Table>,
     past: Mutex<VecDeque<Arc<routing::Table>>>,
+    in_force_at: Mutex<Option<Instant>>,
     at: [watch::Sender<Option<u64>>; 2],
     settled: watch::Sender<bool>,
     reading: watch::Sender<bool>,
@@ -95,6 +101,7 @@
         Self {
             words,
             journal,
+            metrics: Metrics::new(),
             gate: Gate::new(),
             local: Mutex::new(Local::new(settings.heartbeat)),
             members: RwLock::default(),
@@ -105,6 +112,7 @@
             leaving: AtomicBool::new(false),
             routes: ArcSwapOption::empty(),
             past: Mutex::default(),
+            in_force_at: Mutex::default(),
             at: [watch::Sender::new(None), watch::Sender::new(None)],
             settled: watch::Sender::new(false),
             reading: watch::Sender::new(false),
@@ -190,6 +198,7 @@
         // Only the duty that follows the store and peers writes here, so
         // nothing newer can have come between.
         self.routes.store(Some(Arc::new(table)));
+        *self.in_force_at.lock() = Some(Instant::now());
         let mut past = self.past.lock();
         past.extend(self.routes());
         if past.len() > PAST {
@@ -368,6 +377,41 @@
         }
     }
 
+    /// Counts a call to the store, and its time where it did not wait there.
+    pub fn count_store(&self, call: &'static str, is_ok: bool, took: Option<Duration>) {
+        let result = if is_ok { "ok" } else { "failed" };
+        let call = metrics::Call { call, result };
+        self.metrics.store.get_or_create(&call).inc();
+        if let Some(took) = took {
+            self.metrics.store_latency.observe(took.as_secs_f64());
+        }
+    }
+
+    /// Returns the metrics as text.
+    pub fn metrics(&self) -> String {
+        let now = Instant::now();
+        let members = self.members.read();
+        let silent = members
+            .iter()
+            .filter(|m| self.is_silent(&m.node, now))
+            .count();
+        self.metrics.text(&metrics::Now {
+            version: self.version(),
+            version_age: self
+                .routes_since_when()
+                .map_or(Duration::ZERO, |at| now - at),
+            load: self.gate.load(),
+            reading: *self.reading.borrow(),
+            lines_lost: self.journal.lost(),
+            members: (members.len() - silent, silent),
+        })
+    }
+
+    /// Returns when the version in force was put there.
+    fn routes_since_when(&self) -> Option<Instant> {
+        *self.in_force_at.lock()
+    }
+
     /// Notes that the process leaves: other nodes are refused from now on.
     pub fn leave(&self) {
         self.leaving.store(true, Ordering::Relaxed);
--- a/src/coordination/link.rs
+++ b/src/coordination/link.rs
@@ -64,17 +64,20 @@
     pub next: u64,
 }
 
+/// Decodes a version of the routes.
+pub type DecodeRoutes = dyn Fn(&[u8]) -> Result<routing::Table, protocol::Error> + Send + Sync;
+
+/// Decodes a call of a target: method, path and body.
+pub type DecodeCall =
+    dyn Fn(&http::Method, &str, &[u8]) -> Result<announce::Message, protocol::Error> + Send + Sync;
+
 /// What the outside says, put into the product's terms.
 #[derive(Clone)]
 pub struct Words {
-    /// Decodes a version of the routes.
-    pub routes: Arc<dyn Fn(&[u8]) -> Result<routing::Table, protocol::Error> + Send + Sync>,
-    /// Decodes a call of a target: method, path and body.
-    pub announcement: Arc<
-        dyn Fn(&http::Method, &str, &[u8]) -> Result<announce::Message, protocol::Error>
-            + Send
-            + Sync,
-    >,
+    /// Versions of the routes.
+    pub routes: Arc<DecodeRoutes>,
+    /// Calls of a target.
+    pub announcement: Arc<DecodeCall>,
     /// The body of an acknowledgement to a target.
     pub acknowledgement: Bytes,
     /// The headers of callers and targets.
--- a/src/coordination/presence.rs
+++ b/src/coordination/presence.rs
@@ -1,7 +1,10 @@
 //! Writes what this node says of itself to the store, and knows how far that
 //! has come.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use tokio::sync::watch;
 
@@ -51,7 +54,10 @@
         }
         let record = rmp_serde::to_vec_named(&wanted).expect("plain data always encodes");
         let key = host.settings.node.to_string();
-        match (store.put)(key, record.into()).await {
+        let since = Instant::now();
+        let put = (store.put)(key, record.into()).await;
+        host.count_store("put", put.is_ok(), Some(since.elapsed()));
+        match put {
             Ok(()) => {
                 failures = 0;
                 host.take_member(wanted.clone(), "self");
@@ -111,7 +117,7 @@
         {
             return;
         }
-        let fell_silent = host.local.lock().fell_silent(std::time::Instant::now());
+        let fell_silent = host.local.lock().fell_silent(Instant::now());
         if fell_silent {
             note!(host.journal, Event::TargetChanged, reason = "silent");
             host.set_gate();
--- a/src/coordination/source.rs
+++ b/src/coordination/source.rs
@@ -6,7 +6,10 @@
 //! reached, and whenever another node names something newer, peers are asked
 //! instead.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
 
@@ -90,7 +93,10 @@
 async fn read_newest(host: &Arc<Host>, store: &Store, ask: &Ask, stream: Stream) {
     let mut failures = 0;
     loop {
-        match (store.newest)(stream).await {
+        let since = Instant::now();
+        let read = (store.newest)(stream).await;
+        host.count_store("newest", read.is_ok(), Some(since.elapsed()));
+        match read {
             Ok(records) => {
                 note_up(host, stream, failures);
                 take(host, stream, records.records);
@@ -124,6 +130,7 @@
             read = read => read,
             () = host.until_doubted(), if stream == Stream::Members => continue,
         };
+        host.count_store("tail", read.is_ok(), None);
         match read {
             Ok(records) => {
                 note_up(host, stream, failures);
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -5,6 +5,7 @@
 //! snapshotted here; what is left are the target beside the process and the
 //! requests.
 
+pub mod metrics;
 mod settings;
 
 use std::{
@@ -108,6 +109,11 @@
                 Whose::Others,
                 control::ready(host.clone(), phase_seen.clone()),
             ),
+            (
+                listen.metrics,
+                Whose::Others,
+                control::metrics(host.clone()),
+            ),
         ];
         let server = servers(&host, &phase_seen);
         let requests = bind(requests, &server)?;
--- a/src/transport/relay/control.rs
+++ b/src/transport/relay/control.rs
@@ -178,6 +178,16 @@
     })
 }
 
+/// Returns the handler that shows metrics, whatever path is asked for.
+pub fn metrics(host: Arc<Host>) -> Handler {
+    Arc::new(move |_| {
+        let mut response = Response::new(Body::whole(host.metrics()));
+        let kind = HeaderValue::from_static("application/openmetrics-text; version=1.0.0");
+        response.headers_mut().insert(CONTENT_TYPE, kind);
+        std::future::ready(response).boxed()
+    })
+}
+
 /// Returns the handler of the target's calls.
 pub fn targets(host: Arc<Host>, written: watch::Receiver<Written>) -> Handler {
     Arc::new(move |request| {
--- a/src/transport/relay/egress.rs
+++ b/src/transport/relay/egress.rs
@@ -7,15 +7,16 @@
 
 use bytes::Bytes;
 use futures_util::FutureExt;
-use hyper::{Request, Response, StatusCode, header::HeaderValue, http::request};
+use hyper::{Request, Response, header::HeaderValue, http::request};
 
 use crate::{
     coordination::{
-        balance::{Choice, End},
+        balance::{Choice, End, Wish},
         gate::Arrival,
         host::Host,
     },
     event::Event,
+    host::metrics,
     id::{Name, Node},
     journal::note,
     protocol::{
@@ -32,7 +33,7 @@
             KEPT_BODY,
             body::{self, Body, Read, ReadError},
             ingress::{self, Ingress, Refused, Visit},
-            onward, plain,
+            onward,
             pool::{Exchange, Failure, Pool, Settings},
             refused,
             serve::Handler,
@@ -142,7 +143,7 @@
         let (head, incoming) = request.into_parts();
         let (call, version) = match self.call(head, arrived) {
             Ok(found) => found,
-            Err(response) => return response,
+            Err(refusal) => return refused(&refusal, NO_VERSION_AGAIN.duration() * 3),
         };
         let body = match self.body(incoming, &call).await {
             Ok(body) => body,
@@ -153,11 +154,10 @@
         self.end(&call, version, &tries, result)
     }
 
-    /// Finds the route of a request.
-    fn call(&self, head: request::Parts, arrived: Instant) -> Result<(Call, u64), Response<Body>> {
+    /// Finds the route of a request, in the version that is in force now.
+    fn call(&self, head: request::Parts, arrived: Instant) -> Result<(Call, u64), Refusal> {
         let Some(table) = self.host.routes() else {
-            let refusal = Refusal::not_run("no version is in force", NO_VERSION_AGAIN);
-            return Err(refused(&refusal, NO_VERSION_AGAIN.duration() * 3));
+            return Err(Refusal::not_run("no version is in force", NO_VERSION_AGAIN));
         };
         let host = host_of(&head);
         let Some(route) = table.find(&host, head.uri.path()).cloned() else {
@@ -172,7 +172,7 @@
                 path = path,
                 version = version
             );
-            return Err(plain(StatusCode::NOT_FOUND));
+            return Err(Refusal::rejected(404, "no route matches"));
         };
         let dialect = &self.host.words.dialect;
         let left = http::parse(&head.headers, dialect.deadline.as_str());
@@ -225,8 +225,10 @@
             Read::Whole(bytes) => (None, Some(bytes)),
             Read::Start(first, rest) => (Some(Body::streamed(first, rest, call.deadline)), None),
         };
+        // A longer body is as long as what is kept at the least.
+        let bytes = whole.as_ref().map_or(KEPT_BODY, Bytes::len);
         while tries.nodes.len() < ASKED {
-            let Some(choice) = self.choose(call, &tries.nodes) else {
+            let Some(choice) = self.choose(call, bytes, &tries.nodes) else {
                 break;
             };
             if !self.may_send(call, tries) {
@@ -270,13 +272,16 @@
         }
     }
 
-    fn choose(&self, call: &Call, tried: &[Node]) -> Option<Choice> {
+    fn choose(&self, call: &Call, bytes: usize, tried: &[Node]) -> Option<Choice> {
+        let wish = Wish {
+            route: &call.route.name,
+            service: &call.service,
+            domain: &self.host.settings.domain,
+            bytes,
+        };
         let members = self.host.members.read();
-        let domain = &self.host.settings.domain;
-        self.host
-            .balance
-            .lock()
-            .choose(&members, &call.service, domain, tried, Instant::now())
+        let mut balance = self.host.balance.lock();
+        balance.choose(&members, wish, tried, Instant::now())
     }
 
     /// Returns whether a request may be sent to one more target. What a node
@@ -290,14 +295,23 @@
             }
             return true;
         }
-        let nodes = self.host.nodes();
-        tries.arrivals < call.route.attempts && allowance.spend(&call.service, nodes, now)
+        if tries.arrivals >= call.route.attempts {
+            return false;
+        }
+        let is_allowed = allowance.spend(&call.service, self.host.nodes(), now);
+        if !is_allowed {
+            let service = metrics::Service {
+                service: call.service.to_string(),
+            };
+            self.host.metrics.unallowed.get_or_create(&service).inc();
+        }
+        is_allowed
     }
 
     async fn try_one(&self, call: &Call, choice: &Choice, body: Body, tries: &Tries) -> Tried {
         let member = &choice.member;
         let since = Instant::now();
-        let mut watch = Watch::start(&self.host, member, &call.route.name);
+        let mut watch = Watch::start(&self.host, member, call);
         let waited = since - call.arrived;
         let objective = call.route.objective.duration();
         let patience = (objective / PATIENCE).max(MIN_PATIENCE);
@@ -434,6 +448,7 @@
         let (route, service) = (&call.route.name, &call.service);
         let priority = call.route.priority;
         let nodes = Nodes(&tries.nodes);
+        self.count(call, &result);
         match result {
             Ok(response) => {
                 let status = response.status().as_u16();
@@ -481,6 +496,25 @@
         }
     }
 
+    fn count(&self, call: &Call, result: &Result<Response<Body>, Refusal>) {
+        let (outcome, reason) = match result {
+            Ok(_) => (Outcome::Answered, ""),
+            Err(refusal) => (refusal.outcome, refusal.reason.as_str()),
+        };
+        let metrics = &self.host.metrics;
+        let request = metrics::Request {
+            route: call.route.name.to_string(),
+            outcome: outcome.to_string(),
+            reason: reason.into(),
+        };
+        metrics.requests.get_or_create(&request).inc();
+        let outcome = metrics::Outcome {
+            outcome: outcome.to_string(),
+        };
+        let took = call.arrived.elapsed().as_secs_f64();
+        metrics.latency.get_or_create(&outcome).observe(took);
+    }
+
     fn id<'a>(&self, call: &'a Call) -> &'a str {
         http::get(&call.head.headers, self.host.words.dialect.id.as_str()).unwrap_or("-")
     }
@@ -540,18 +574,20 @@
     host: &'a Host,
     member: &'a Member,
     route: &'a Name,
+    service: &'a Name,
     load: Option<Load>,
     is_absent: bool,
     end: End,
 }
 
 impl<'a> Watch<'a> {
-    fn start(host: &'a Host, member: &'a Member, route: &'a Name) -> Self {
+    fn start(host: &'a Host, member: &'a Member, call: &'a Call) -> Self {
         host.balance.lock().start(member, Instant::now());
         Self {
             host,
             member,
-            route,
+            route: &call.route.name,
+            service: &call.service,
             load: None,
             is_absent: false,
             end: End::Abandoned,
@@ -575,6 +611,11 @@
 impl Drop for Watch<'_> {
     fn drop(&mut self) {
         let now = Instant::now();
+        let tried = metrics::Try {
+            service: self.service.to_string(),
+            end: self.end.name(),
+        };
+        self.host.metrics.tries.get_or_create(&tried).inc();
         let mut balance = self.host.balance.lock();
         let is_out = balance.finish(self.member, self.route, self.end, self.load, now);
         if is_out {
--- a/tests/coordination.rs
+++ b/tests/coordination.rs
@@ -72,6 +72,7 @@
         inbound: address(i),
         labels: BTreeMap::new(),
         targets: Vec::new(),
+        bandwidth: 0,
     }
 }
 
