--- a/src/coordination/allowance.rs
+++ b/src/coordination/allowance.rs
@@ -70,6 +70,11 @@
         }
     }
 
+    /// Takes another rule; what was sent counts on.
+    pub fn set_rule(&mut self, rule: Rule) {
+        self.rule = rule;
+    }
+
     /// Notes the first send of a request for `service`.
     pub fn earn(&mut self, service: &Name, now: Instant) {
         self.step(service, now).first += 1;
--- a/src/coordination/host.rs
+++ b/src/coordination/host.rs
@@ -36,6 +36,7 @@
         member::{Member, Table},
         routing::{self, Delta},
     },
+    unit::Span,
 };
 
 /// How long after a hint another one from anywhere is passed over: about the
@@ -70,6 +71,7 @@
     pub split: Mutex<Split>,
     /// Wakes the duty that writes what this node says of itself.
     pub changed: Notify,
+    grace: Mutex<Span>,
     leaving: AtomicBool,
     routes: ArcSwapOption<routing::Table>,
     past: Mutex<VecDeque<Arc<routing::Table>>>,
@@ -91,13 +93,44 @@
 }
 
 impl Host {
+    /// Takes over what can change while the process runs, and names what differs.
+    pub fn reload(&self, new: &Settings) {
+        self.allowance.lock().set_rule(rule(new));
+        self.local.lock().set_heartbeat(new.heartbeat);
+        *self.grace.lock() = new.grace;
+        let differs = |name: &'static str, is_same: bool| (!is_same).then_some(name);
+        let held = &self.settings;
+        let kept: Vec<&str> = [
+            differs("node", held.node == new.node),
+            differs("domain", held.domain == new.domain),
+            differs("service", held.service == new.service),
+            differs("labels", held.labels == new.labels),
+            differs("listen", held.listen == new.listen),
+            differs("store", held.store == new.store),
+            differs("descriptors", held.descriptors == new.descriptors),
+            differs("bandwidth", held.bandwidth() == new.bandwidth()),
+        ]
+        .into_iter()
+        .flatten()
+        .collect();
+        note!(
+            self.journal,
+            Event::Reloaded,
+            heartbeat = new.heartbeat,
+            grace = new.grace,
+            resend_ratio = new.resend.ratio,
+            resend_slack = new.resend.slack,
+            needs_restart = kept.join(","),
+        );
+    }
+
+    /// Returns how long a shutdown may take.
+    pub fn grace(&self) -> Duration {
+        self.grace.lock().duration()
+    }
+
     /// Returns a process that knows nothing yet.
     pub fn new(settings: Settings, words: Words, journal: Journal) -> Self {
-        let rule = Rule {
-            ratio: settings.resend.ratio,
-            slack: f64::from(settings.resend.slack),
-            window: settings.resend.window.duration(),
-        };
         Self {
             words,
             journal,
@@ -106,7 +139,8 @@
             local: Mutex::new(Local::new(settings.heartbeat)),
             members: RwLock::default(),
             balance: Mutex::default(),
-            allowance: Mutex::new(Allowance::new(rule)),
+            allowance: Mutex::new(Allowance::new(rule(&settings))),
+            grace: Mutex::new(settings.grace),
             split: Mutex::default(),
             changed: Notify::new(),
             leaving: AtomicBool::new(false),
@@ -433,6 +467,14 @@
     }
 }
 
+fn rule(settings: &Settings) -> Rule {
+    Rule {
+        ratio: settings.resend.ratio,
+        slack: f64::from(settings.resend.slack),
+        window: settings.resend.window.duration(),
+    }
+}
+
 /// Returns a member's targets for a log line.
 fn told(member: &Member) -> String {
     let targets = member.targets.iter().map(|target| {
--- a/src/coordination/local.rs
+++ b/src/coordination/local.rs
@@ -59,6 +59,11 @@
         }
     }
 
+    /// Notes how often a target sends a heartbeat from now on.
+    pub fn set_heartbeat(&mut self, every: Span) {
+        self.heartbeat_every = every;
+    }
+
     /// Takes in what an earlier life of this process wrote down, if any.
     pub fn recall(&mut self, written: Option<&Member>) {
         if std::mem::replace(&mut self.recalled, true) {
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -137,6 +137,16 @@
         })
     }
 
+    /// Takes over what of other settings can change while the process runs.
+    pub fn reload(&self, settings: &Settings) {
+        self.host.reload(settings);
+    }
+
+    /// Notes that settings could not be read again; the former stay.
+    pub fn refuse_reload(&self, faults: &str) {
+        note!(self.host.journal, Event::Reloaded, refused = faults);
+    }
+
     /// Ends the process: it says that it is not ready, still serves who comes,
     /// then ends what is in flight, all within the grace.
     pub fn stop(self) {
@@ -149,7 +159,7 @@
         self.phase.send_replace(Phase::Leaving);
         thread::sleep(LEAVE);
         self.phase.send_replace(Phase::Closing);
-        let grace = self.host.settings.grace.duration();
+        let grace = self.host.grace();
         let left = grace.saturating_sub(LEAVE + LAST);
         let ended = wait_for(left, || self.requests.is_finished());
         note!(self.host.journal, Event::Stopped, all_ended = ended);
--- a/src/host/settings.rs
+++ b/src/host/settings.rs
@@ -42,7 +42,7 @@
 }
 
 /// Where a host process listens. Port 0 takes a free one.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Listen {
     /// For callers on this host, and calls of the target.
--- a/src/tool/mod.rs
+++ b/src/tool/mod.rs
@@ -4,6 +4,7 @@
 
 mod desk;
 mod show;
+pub mod trace;
 
 use std::{net::SocketAddr, path::PathBuf, process::ExitCode, time::Duration};
 
@@ -81,6 +82,7 @@
     History(HistoryJob),
     Rollback(Rollback),
     Recover(Recover),
+    Trace(TraceJob),
 }
 
 /// Check configuration files, without any daemon.
@@ -92,6 +94,18 @@
     files: Vec<PathBuf>,
 }
 
+/// Show what the logs of some nodes say of one request, without any daemon.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "trace")]
+struct TraceJob {
+    /// the request's id
+    #[argh(positional)]
+    id: String,
+    /// the logs
+    #[argh(positional)]
+    logs: Vec<PathBuf>,
+}
+
 /// Show how files differ from what is in force.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "diff")]
@@ -244,9 +258,12 @@
     if let Job::Check(check) = &args.job {
         return check_files(check, json);
     }
+    if let Job::Trace(job) = &args.job {
+        return trace::run(&job.id, &job.logs, json);
+    }
     let desk = Desk::new(args.daemon, &security, json)?;
     match args.job {
-        Job::Check(_) => Ok(Code::Accepted),
+        Job::Check(_) | Job::Trace(_) => Ok(Code::Accepted),
         Job::Diff(job) => diff(&desk, &job).await,
         Job::Publish(job) => publish(&desk, job).await,
         Job::Label(job) => label(&desk, job).await,
--- a/src/transport/relay/ingress.rs
+++ b/src/transport/relay/ingress.rs
@@ -123,7 +123,10 @@
             let refusal = Refusal::not_run(OTHER_NODE, Span::from_millis(0));
             return Err(Refused::before(refusal));
         }
+        let id = head.headers.get(&self.host.words.dialect.id);
+        let since = Instant::now();
         let entered = self.host.gate.enter(visit.arrival).await;
+        self.note(id, visit, since, &entered);
         let permit = entered.map_err(Refused::before)?;
         let request = self.request(visit, &permit, head, body);
         let sent = self
@@ -131,11 +134,47 @@
             .send(permit.target.address, request, visit.deadline)
             .await;
         let exchange = sent.map_err(|failure| self.failed(&permit, &failure))?;
-        let id = head.headers.get(&self.host.words.dialect.id);
         self.check(id, &exchange.response)?;
         self.pass(visit, permit, exchange).await
     }
 
+    /// Writes down what the gate decided.
+    fn note(
+        &self,
+        id: Option<&HeaderValue>,
+        visit: &Visit,
+        since: Instant,
+        entered: &Result<Permit, Refusal>,
+    ) {
+        let id = id.and_then(|id| id.to_str().ok()).unwrap_or("-");
+        let load = self.host.gate.load();
+        let waited = since.elapsed().as_millis();
+        let priority = visit.arrival.priority;
+        match entered {
+            Ok(permit) => note!(
+                self.host.journal,
+                Event::Admitted,
+                id = id,
+                service = visit.service,
+                priority = priority,
+                instance = permit.target.instance,
+                load = load,
+                waited = waited,
+            ),
+            Err(refusal) => note!(
+                self.host.journal,
+                Event::Shed,
+                id = id,
+                service = visit.service,
+                priority = priority,
+                load = load,
+                waited = waited,
+                patience = visit.arrival.patience.as_millis(),
+                reason = refusal.reason,
+            ),
+        }
+    }
+
     fn request(
         &self,
         visit: &Visit,
--- a/tests/product.rs
+++ b/tests/product.rs
@@ -123,6 +123,76 @@
         assert!(faults.starts_with("f.jsonc:2: is not JSON"), "{faults}");
     }
 
+    request_is_traced_over_several_logs => {
+        let mut trace = rilltrack::tool::trace::Trace::default();
+        let lines: [&[u8]; 7] = [
+            br#"{"ms":12,"code":410,"event":"Admitted","level":"INFO","node":"n2","id":"a1"}"#,
+            br#"{"ms":10,"code":403,"event":"Retried","level":"INFO","node":"n1","id":"a1","to":"n3"}"#,
+            br#"collector: {"ms":14,"code":400,"event":"Routed","level":"INFO","node":"n1","id":"a1","tries":"n3,n2"}"#,
+            br#"{"ms":13,"code":400,"event":"Routed","level":"INFO","node":"n2","id":"a1.b2"}"#,
+            br#"{"ms":13,"code":400,"event":"Routed","level":"INFO","node":"n2","id":"a12"}"#,
+            br#"{"ms":13,"code":400,"event":"Rou"#,
+            b"another program's line",
+        ];
+        for line in lines {
+            trace.take(line, "a1");
+        }
+        trace.sort();
+        assert_eq!((trace.read, trace.passed_over), (7, 2));
+        assert_eq!(trace.text(), [
+            "+0 ms n1 E403 Retried: id=a1 to=n3",
+            "+2 ms n2 E410 Admitted: id=a1",
+            "+3 ms n2 E400 Routed: id=a1.b2",
+            "+4 ms n1 E400 Routed: id=a1 tries=n3,n2",
+            "gap: no line of n3, where the request was sent",
+        ]);
+    }
+
+    lines_are_bounded_and_never_wait_for_their_reader => {
+        // A reader that takes nothing: the writer's thread hangs in its first write.
+        struct Stuck(std::sync::mpsc::Receiver<()>);
+        impl std::io::Write for Stuck {
+            fn write(&mut self, _: &[u8]) -> std::io::Result<usize> {
+                let _ = self.0.recv();
+                Err(std::io::ErrorKind::BrokenPipe.into())
+            }
+            fn flush(&mut self) -> std::io::Result<()> {
+                Ok(())
+            }
+        }
+        let (release, stuck) = std::sync::mpsc::channel();
+        let journal = rilltrack::journal::Journal::start_json("n1", Box::new(Stuck(stuck)));
+        for i in 0..100_000 {
+            journal.record(Event::Routed, &[("id", &i)]);
+        }
+        // It came through, and nearly all were passed over and counted.
+        assert!(journal.lost() > 90_000, "{}", journal.lost());
+        drop(release);
+    }
+
+    lines_are_objects_with_their_fields => {
+        #[derive(Clone, Default)]
+        struct Kept(std::sync::Arc<std::sync::Mutex<Vec<u8>>>);
+        impl std::io::Write for Kept {
+            fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+                self.0.lock().unwrap().extend_from_slice(bytes);
+                Ok(bytes.len())
+            }
+            fn flush(&mut self) -> std::io::Result<()> {
+                Ok(())
+            }
+        }
+        let kept = Kept::default();
+        let journal = rilltrack::journal::Journal::start_json("n1", Box::new(kept.clone()));
+        journal.record(Event::Refused, &[("id", &"a\"b\n"), ("status", &503), ("version", &7)]);
+        journal.stop();
+        let text = String::from_utf8(kept.0.lock().unwrap().clone()).unwrap();
+        let line: serde_json::Value = serde_json::from_str(text.trim_end()).unwrap();
+        assert_eq!(line["id"], "a\"b\n");
+        assert_eq!((line["status"].as_u64(), line["code"].as_u64()), (Some(503), Some(404)));
+        assert_eq!(line["event"], "Refused");
+    }
+
     quantities_are_written_as_they_are_read => {
         for text in ["0ms", "250ms", "17s", "10min", "3h", "2d"] {
             assert_eq!(text.parse::<Span>().unwrap().to_string(), text);
