--- a/src/coordination/balance.rs
+++ b/src/coordination/balance.rs
@@ -117,6 +117,17 @@
     }
 }
 
+/// What there is of a service.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Count {
+    /// Targets that are known.
+    pub known: usize,
+    /// Those that drain.
+    pub draining: usize,
+    /// Others that are passed over: absent, or owing answers for long.
+    pub passed_over: usize,
+}
+
 /// What a choice is made for.
 #[derive(Clone, Copy, Debug)]
 pub struct Wish<'a> {
@@ -231,6 +242,20 @@
         })
     }
 
+    /// Returns what there is of a service.
+    pub fn count(&mut self, table: &Table, service: &Name, now: Instant) -> Count {
+        let mut count = Count::default();
+        for member in table.offers(service) {
+            let mut targets = member.targets.iter();
+            let is_draining = targets.any(|t| t.service == *service && t.draining);
+            count.known += 1;
+            count.draining += usize::from(is_draining);
+            let is_out = self.peer(member, now).is_out(now);
+            count.passed_over += usize::from(!is_draining && is_out);
+        }
+        count
+    }
+
     /// Returns a target's use of slots with one more request, 1 being full, and the
     /// time in which an answer is expected, in seconds.
     fn weigh(&mut self, member: &Member, wish: &Wish<'_>, now: Instant) -> (f64, f64) {
--- a/src/transport/relay/egress.rs
+++ b/src/transport/relay/egress.rs
@@ -14,6 +14,7 @@
         balance::{Choice, End, Wish},
         gate::Arrival,
         host::Host,
+        link::Stream,
     },
     event::Event,
     host::metrics,
@@ -43,11 +44,12 @@
 };
 
 /// How connections to other nodes are made and kept. A connection within a
-/// region takes a few milliseconds; one that takes longer goes nowhere.
+/// region takes a few milliseconds; one that takes longer goes nowhere. Each one
+/// that is kept holds some 20 KB at both ends, and a new one costs a round trip.
 const POOL: Settings = Settings {
     connect: Duration::from_millis(250),
-    keep: Duration::from_secs(12),
-    kept: 32,
+    keep: Duration::from_secs(5),
+    kept: 8,
 };
 
 /// Part of a route's objective that a request may wait for room: refused within
@@ -229,6 +231,7 @@
         let bytes = whole.as_ref().map_or(KEPT_BODY, Bytes::len);
         while tries.nodes.len() < ASKED {
             let Some(choice) = self.choose(call, bytes, &tries.nodes) else {
+                self.note_no_target(call, tries);
                 break;
             };
             if !self.may_send(call, tries) {
@@ -284,6 +287,27 @@
         balance.choose(&members, wish, tried, Instant::now())
     }
 
+    /// Writes down why there was nobody to choose.
+    fn note_no_target(&self, call: &Call, tries: &Tries) {
+        let members = self.host.members.read();
+        let count = self
+            .host
+            .balance
+            .lock()
+            .count(&members, &call.service, Instant::now());
+        note!(
+            self.host.journal,
+            Event::NoTarget,
+            id = self.id(call),
+            service = call.service,
+            known = count.known,
+            draining = count.draining,
+            passed_over = count.passed_over,
+            tried = tries.nodes.len(),
+            members_at = self.host.at(Stream::Members).unwrap_or(0),
+        );
+    }
+
     /// Returns whether a request may be sent to one more target. What a node
     /// refused before its target saw it costs nothing.
     fn may_send(&self, call: &Call, tries: &Tries) -> bool {
@@ -347,7 +371,7 @@
                 outcome = refused.refusal.outcome,
                 arrived = refused.arrived,
                 reason = refused.refusal.reason,
-                ms = since.elapsed().as_millis(),
+                took = since.elapsed().as_millis(),
             );
         }
         tried
--- a/src/transport/relay/front.rs
+++ b/src/transport/relay/front.rs
@@ -16,7 +16,7 @@
 use http_body_util::BodyExt;
 use hyper::{Method, Response, StatusCode, Version};
 use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
+    io::AsyncWriteExt,
     net::{
         TcpStream,
         tcp::{OwnedReadHalf, OwnedWriteHalf},
@@ -40,8 +40,8 @@
 /// Bytes read ahead of what is under way. Beyond it the caller is made to wait.
 const AHEAD: usize = 64 << 10;
 
-/// Bytes read at a time.
-const READ: usize = 8 << 10;
+/// Bytes read at a time: several heads, or a tenth of an upload.
+const READ: usize = 4 << 10;
 
 /// Pieces of a body that wait to be taken on.
 const PIECES: usize = 4;
@@ -143,6 +143,9 @@
         loop {
             self.take_requests(writer).await?;
             self.cut_piece();
+            if self.bytes.is_empty() {
+                self.bytes = BytesMut::new();
+            }
             if self.closing && self.answers.is_empty() {
                 return Err(End::Done);
             }
@@ -359,9 +362,17 @@
     true
 }
 
+/// Reads what has come. Room for it is made only then: a connection that waits,
+/// of which there are a thousand at times, holds no buffer.
 async fn read(reader: &mut OwnedReadHalf, bytes: &mut BytesMut) -> io::Result<usize> {
-    bytes.reserve(READ);
-    reader.read_buf(bytes).await
+    loop {
+        reader.readable().await?;
+        bytes.reserve(READ);
+        match reader.try_read_buf(bytes) {
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+            done => return done,
+        }
+    }
 }
 
 /// Writes an answer: small ones with one call to the system.
