Stand-ins and whole-path tests in a crate of their own; requests under way apart from egress; pages

platform/ holds translation alone again; the stand-ins of the store and of targets, the tests over them and the soak are in standins/.

--- a/src/protocol/log.rs
+++ b/src/protocol/log.rs
@@ -1,4 +1,4 @@
-//! The platform's log as rilltrack uses it; see docs/PLATFORM.md.
+//! The platform's log as rilltrack uses it; see docs/LOG.md.
 
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
--- a/src/transport/log.rs
+++ b/src/transport/log.rs
@@ -1,4 +1,4 @@
-//! The platform's log over HTTP; see docs/PLATFORM.md.
+//! The platform's log over HTTP; see docs/LOG.md.
 
 use std::sync::Arc;
 
--- a/src/transport/relay/egress.rs
+++ b/src/transport/relay/egress.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     coordination::{
-        balance::{Choice, End, Wish},
+        balance::{Choice, Wish},
         gate::Arrival,
         host::Host,
         link::Stream,
@@ -22,7 +22,7 @@
     journal::note,
     protocol::{
         answer::{Outcome, Refusal},
-        dialect::{Load, hop},
+        dialect::hop,
     },
     state::{
         member::Member,
@@ -35,6 +35,7 @@
             body::{self, Body, Read, ReadError},
             ingress::{self, Ingress, Refused, Visit},
             onward,
+            outstanding::{Tried, Watch},
             pool::{Exchange, Failure, Pool, Settings},
             refused,
             serve::Handler,
@@ -103,12 +104,6 @@
     Answered(Response<Body>),
 }
 
-/// How one try ended.
-enum Tried {
-    Answered(Response<Body>),
-    Refused(Refused),
-}
-
 impl Egress {
     /// Returns the way out of `host`; requests for its own target go straight to
     /// `ingress`.
@@ -335,7 +330,7 @@
     async fn try_one(&self, call: &Call, choice: &Choice, body: Body, tries: &Tries) -> Tried {
         let member = &choice.member;
         let since = Instant::now();
-        let mut watch = Watch::start(&self.host, member, call);
+        let mut watch = Watch::start(&self.host, member, &call.route.name, &call.service);
         let waited = since - call.arrived;
         let objective = call.route.objective.duration();
         let patience = (objective / PATIENCE).max(MIN_PATIENCE);
@@ -592,63 +587,3 @@
     let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
     name.to_ascii_lowercase()
 }
-
-/// Counts a request as outstanding at a node until it ends, however it ends.
-struct Watch<'a> {
-    host: &'a Host,
-    member: &'a Member,
-    route: &'a Name,
-    service: &'a Name,
-    load: Option<Load>,
-    is_absent: bool,
-    end: End,
-}
-
-impl<'a> Watch<'a> {
-    fn start(host: &'a Host, member: &'a Member, call: &'a Call) -> Self {
-        host.balance.lock().start(member, Instant::now());
-        Self {
-            host,
-            member,
-            route: &call.route.name,
-            service: &call.service,
-            load: None,
-            is_absent: false,
-            end: End::Abandoned,
-        }
-    }
-
-    fn finish(mut self, tried: &Tried, took: Duration) {
-        self.end = match tried {
-            Tried::Answered(response) if response.status().is_server_error() => End::Failed,
-            Tried::Answered(_) => End::Answered(took),
-            Tried::Refused(_) if self.is_absent => End::Absent,
-            Tried::Refused(refused) => match refused.refusal.outcome {
-                Outcome::NotRun if ingress::is_leaving(&refused.refusal.reason) => End::Leaving,
-                Outcome::NotRun => End::Refused,
-                _ => End::Failed,
-            },
-        };
-    }
-}
-
-impl Drop for Watch<'_> {
-    fn drop(&mut self) {
-        let now = Instant::now();
-        let tried = metrics::Try {
-            service: self.service.to_string(),
-            end: self.end.name(),
-        };
-        self.host.metrics.tries.get_or_create(&tried).inc();
-        let mut balance = self.host.balance.lock();
-        let is_out = balance.finish(self.member, self.route, self.end, self.load, now);
-        if is_out {
-            note!(
-                self.host.journal,
-                Event::Ejected,
-                target = self.member.node,
-                end = format_args!("{:?}", self.end)
-            );
-        }
-    }
-}
--- /dev/null
+++ b/src/transport/relay/outstanding.rs
@@ -0,0 +1,91 @@
+//! Requests under way at other nodes, and how each ended.
+
+use std::time::{Duration, Instant};
+
+use hyper::Response;
+
+use crate::{
+    coordination::{balance::End, host::Host},
+    event::Event,
+    host::metrics,
+    id::Name,
+    journal::note,
+    protocol::{answer::Outcome, dialect::Load},
+    state::member::Member,
+    transport::relay::{
+        body::Body,
+        ingress::{self, Refused},
+    },
+};
+
+/// How one try ended.
+pub enum Tried {
+    /// With the target's answer.
+    Answered(Response<Body>),
+    /// Without one.
+    Refused(Refused),
+}
+
+/// Counts a request as outstanding at a node until it ends, however it ends.
+pub struct Watch<'a> {
+    host: &'a Host,
+    member: &'a Member,
+    route: &'a Name,
+    service: &'a Name,
+    /// The load that the node reported.
+    pub load: Option<Load>,
+    /// The node could not be reached, or fell silent.
+    pub is_absent: bool,
+    end: End,
+}
+
+impl<'a> Watch<'a> {
+    /// Notes that a request of `route` for `service` is sent to a member.
+    pub fn start(host: &'a Host, member: &'a Member, route: &'a Name, service: &'a Name) -> Self {
+        host.balance.lock().start(member, Instant::now());
+        Self {
+            host,
+            member,
+            route,
+            service,
+            load: None,
+            is_absent: false,
+            end: End::Abandoned,
+        }
+    }
+
+    /// Notes how it ended, after this time.
+    pub fn finish(mut self, tried: &Tried, took: Duration) {
+        self.end = match tried {
+            Tried::Answered(response) if response.status().is_server_error() => End::Failed,
+            Tried::Answered(_) => End::Answered(took),
+            Tried::Refused(_) if self.is_absent => End::Absent,
+            Tried::Refused(refused) => match refused.refusal.outcome {
+                Outcome::NotRun if ingress::is_leaving(&refused.refusal.reason) => End::Leaving,
+                Outcome::NotRun => End::Refused,
+                _ => End::Failed,
+            },
+        };
+    }
+}
+
+impl Drop for Watch<'_> {
+    fn drop(&mut self) {
+        let now = Instant::now();
+        let tried = metrics::Try {
+            service: self.service.to_string(),
+            end: self.end.name(),
+        };
+        self.host.metrics.tries.get_or_create(&tried).inc();
+        let mut balance = self.host.balance.lock();
+        let is_out = balance.finish(self.member, self.route, self.end, self.load, now);
+        if is_out {
+            note!(
+                self.host.journal,
+                Event::Ejected,
+                target = self.member.node,
+                end = format_args!("{:?}", self.end)
+            );
+        }
+    }
+}
--- a/platform/examples/soak.rs
+++ b/standins/examples/soak.rs
@@ -6,9 +6,6 @@
 //! It needs `rilltrack-node` built beside it, and ends only processes that it
 //! started, by their ids.
 
-#[path = "../tests/support/mod.rs"]
-mod support;
-
 use std::{
     collections::{BTreeMap, HashMap},
     net::{IpAddr, Ipv4Addr, SocketAddr},
@@ -24,12 +21,12 @@
 use argh::FromArgs;
 use fastrand::Rng;
 use parking_lot::Mutex;
-use serde_json::json;
-use support::{
+use rilltrack_standins::{
     fleet::version,
     store::{Mode as StoreMode, Store},
     target::{Mode, Target},
 };
+use serde_json::json;
 
 /// Plays random faults against real processes and checks the promises.
 #[derive(FromArgs)]
--- a/platform/tests/support/fleet.rs
+++ b/standins/src/fleet.rs
@@ -16,7 +16,7 @@
 use rilltrack_platform::{config, heartbeat, request, store};
 use serde_json::{Value, json};
 
-use super::{raw, store::Store, target::Target, until};
+use crate::{raw, store::Store, target::Target, until};
 
 const CALLERS: u16 = 7001;
 const INBOUND: u16 = 7002;
--- a/platform/tests/support/mod.rs
+++ b/standins/src/lib.rs
@@ -1,11 +1,10 @@
 //! Stand-ins of the platform: its store, targets, and a small fleet on loopback.
-#![allow(dead_code, reason = "every test file uses its own part of this")]
 
 pub mod fleet;
 pub mod store;
 pub mod target;
 
-#[path = "../../../tests/support/raw.rs"]
+#[path = "../../tests/support/raw.rs"]
 pub mod raw;
 
 use std::time::{Duration, Instant};
--- a/platform/tests/whole_path.rs
+++ b/standins/tests/whole_path.rs
@@ -1,9 +1,7 @@
 //! The whole path over stand-ins of the store and of targets: several host
 //! processes, each with its own listeners.
 
-mod support;
-
-use support::{
+use rilltrack_standins::{
     fleet::{Host, version},
     raw,
     store::{Mode as StoreMode, Store},
--- a/tests/product.rs
+++ b/tests/product.rs
@@ -123,6 +123,31 @@
         assert!(faults.starts_with("f.jsonc:2: is not JSON"), "{faults}");
     }
 
+    faults_of_a_host_process_come_at_once => {
+        let text = r#"{ "node": "n1", "domain": "x", "service": "A B",
+  "listen": {"callers": "127.0.0.1:1"},
+  "store": "10.200.1.7", "heartbeat": "1500ms",
+  "resend": {"ratio": 0.2, "slack": 62, "window": "10s"}, "descriptors": 4100 }"#;
+        let document = Document::parse("host.json", text).unwrap();
+        let faults = rilltrack::host::Settings::from_document(&document).unwrap_err();
+        let fields: Vec<&str> = faults.iter().map(|fault| fault.field.as_str()).collect();
+        assert_eq!(fields, ["service", "listen", "store", "grace"]);
+        let good = text
+            .replace("A B", "a")
+            .replace("10.200.1.7", "10.200.1.7:80")
+            .replace(r#""resend""#, r#""grace": "10ms", "resend""#)
+            .replace("0.2", "1.2")
+            .replace(
+                r#"{"callers": "127.0.0.1:1"}"#,
+                r#"{"callers": "127.0.0.1:1", "inbound": "127.0.0.1:2", "peers": "127.0.0.1:3",
+                    "targets": "127.0.0.1:4", "ready": "127.0.0.1:5", "metrics": "127.0.0.1:6"}"#,
+            );
+        let document = Document::parse("host.json", &good).unwrap();
+        let faults = rilltrack::host::Settings::from_document(&document).unwrap_err();
+        let fields: Vec<&str> = faults.iter().map(|fault| fault.field.as_str()).collect();
+        assert_eq!(fields, ["grace", "resend.ratio"]);
+    }
+
     request_is_traced_over_several_logs => {
         let mut trace = rilltrack::tool::trace::Trace::default();
         let lines: [&[u8]; 7] = [
