A target that leaves before its restarted node knows it stays gone

Ruled out: a write done late over a newer one (no write of the node was pending). Change: before the record is known a leave is not acknowledged; an instance that left is remembered and opens nothing, whatever is heard or read of it later. Test: target_that_left_before_its_node_knew_it_stays_gone.

--- a/src/coordination/local.rs
+++ b/src/coordination/local.rs
@@ -78,8 +78,11 @@
             }
             Some(_) => self.former.push(target.instance.clone()),
             None => {
+                let has_left = self.former.contains(&target.instance);
+                let mut target = target.clone();
+                target.draining |= has_left;
                 self.current = Some(Current {
-                    target: target.clone(),
+                    target,
                     sequence: 0,
                     heard: None,
                 });
@@ -135,18 +138,28 @@
     pub fn leave(&mut self, instance: &str) -> Change {
         match &mut self.current {
             Some(current) if current.target.instance == instance => {
-                let changed = !current.target.draining;
-                current.target.draining = true;
-                if changed {
-                    Change::Told
-                } else {
+                let was_draining = std::mem::replace(&mut current.target.draining, true);
+                if was_draining {
                     Change::Nothing
+                } else {
+                    Change::Told
                 }
             }
-            _ => Change::Nothing,
+            // Another instance, or one of which this life has not heard: a late
+            // heartbeat of it must open nothing.
+            _ => {
+                self.retire(instance.into());
+                Change::Nothing
+            }
         }
     }
 
+    /// Returns whether what an earlier life wrote down is known. Before that, a
+    /// drain can't be told from one of an instance that nobody knows.
+    pub fn is_recalled(&self) -> bool {
+        self.recalled
+    }
+
     /// Returns whether the target fell silent since it was last looked at.
     pub fn fell_silent(&mut self, now: Instant) -> bool {
         let patience = self.heartbeat_every.duration() * MISSED;
@@ -183,7 +196,15 @@
 
     fn replace(&mut self, current: Option<Current>) {
         let old = std::mem::replace(&mut self.current, current);
-        self.former.extend(old.map(|old| old.target.instance));
+        if let Some(old) = old {
+            self.retire(old.target.instance);
+        }
+    }
+
+    fn retire(&mut self, instance: String) {
+        if !self.former.contains(&instance) {
+            self.former.push(instance);
+        }
         let beyond = self.former.len().saturating_sub(FORMER);
         self.former.drain(..beyond);
     }
--- a/src/transport/relay/control.rs
+++ b/src/transport/relay/control.rs
@@ -234,7 +234,16 @@
         host.changed.notify_one();
     }
     host.set_gate();
-    let is_leaving = host.local.lock().is_leaving();
+    let (is_leaving, is_recalled) = {
+        let local = host.local.lock();
+        (local.is_leaving(), local.is_recalled())
+    };
+    let leaves = is_leaving || matches!(message, Message::Leave(_));
+    if leaves && !is_recalled {
+        // What it leaves may stand in the store as ready; asked again, it will
+        // be known here.
+        return plain(StatusCode::SERVICE_UNAVAILABLE);
+    }
     if is_leaving && !is_written(&host, &mut written).await {
         // Not kept, so not acknowledged: the target asks again.
         return plain(StatusCode::SERVICE_UNAVAILABLE);
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -486,6 +486,32 @@
         assert!(local.open().is_none() && local.is_leaving());
     }
 
+    target_that_left_before_its_node_knew_it_stays_gone => {
+        // A node starts anew; the first that it hears of its target is that it
+        // leaves, and a heartbeat from before comes after that.
+        let now = Instant::now();
+        let mut written = member("n1", "here", 4);
+        written.targets[0].instance = "i1".into();
+        for recalled_first in [false, true] {
+            let mut local = Local::new(Span::from_millis(1500));
+            if recalled_first {
+                local.recall(Some(&written));
+            }
+            local.leave("i1");
+            assert_eq!(local.is_recalled(), recalled_first);
+            local.recall(Some(&written));
+            local.hear(&heartbeat("i1", 9, false), now);
+            assert!(local.open().is_none());
+            assert!(local.told()[0].draining);
+        }
+        // One that nobody knew.
+        let mut local = Local::new(Span::from_millis(1500));
+        local.recall(None);
+        local.leave("i1");
+        local.hear(&heartbeat("i1", 9, false), now);
+        assert!(local.open().is_none());
+    }
+
     silent_target_is_taken_for_gone => {
         let mut local = Local::new(Span::from_millis(1500));
         local.recall(None);
