--- a/src/coordination/gate.rs
+++ b/src/coordination/gate.rs
@@ -16,10 +16,7 @@
 use tokio::sync::oneshot;
 
 use crate::{
-    protocol::{
-        answer::{Outcome, Refusal},
-        dialect::Load,
-    },
+    protocol::{answer::Refusal, dialect::Load},
     unit::Span,
 };
 
@@ -289,10 +286,7 @@
 
     fn full(&self, arrival: &Arrival) -> Refusal {
         let wait = Span::from_millis((self.expected_wait(arrival) * 1000.0) as u64);
-        Refusal {
-            outcome: Outcome::NotRun,
-            ..Refusal::not_run(FULL, wait.max(MIN_RETRY_AFTER))
-        }
+        Refusal::not_run(FULL, wait.max(MIN_RETRY_AFTER))
     }
 
     fn queue(&mut self, arrival: Arrival) -> Result<Ticket, Refusal> {
--- a/src/coordination/source.rs
+++ b/src/coordination/source.rs
@@ -281,38 +281,33 @@
 }
 
 fn take_routes(host: &Host, answer: &[u8]) {
-    match rmp_serde::from_slice::<Delta>(answer) {
-        Ok(delta) => {
-            host.take_routes(delta, "peer");
-        }
-        Err(error) => {
-            note!(
-                host.journal,
-                Event::ChangeRejected,
-                from = "peer",
-                why = error
-            );
-        }
+    if let Some(delta) = decode::<Delta>(host, answer) {
+        host.take_routes(delta, "peer");
     }
 }
 
 fn take_table(host: &Host, answer: &[u8]) {
-    match rmp_serde::from_slice::<Members<Member>>(answer) {
-        Ok(answer) => {
-            for member in answer.members {
-                host.take_member(member, "peer");
-            }
-            host.known_to(Stream::Members, answer.at);
-        }
-        Err(error) => {
-            note!(
-                host.journal,
-                Event::ChangeRejected,
-                from = "peer",
-                why = error
-            );
-        }
+    let Some(answer) = decode::<Members<Member>>(host, answer) else {
+        return;
+    };
+    for member in answer.members {
+        host.take_member(member, "peer");
+    }
+    host.known_to(Stream::Members, answer.at);
+}
+
+/// Decodes the answer of a peer; one that can't be decoded is written down.
+fn decode<T: serde::de::DeserializeOwned>(host: &Host, answer: &[u8]) -> Option<T> {
+    let decoded = rmp_serde::from_slice(answer);
+    if let Err(error) = &decoded {
+        note!(
+            host.journal,
+            Event::ChangeRejected,
+            from = "peer",
+            why = error
+        );
     }
+    decoded.ok()
 }
 
 /// Takes in records of the store; returns what others are to be told of them.
--- a/src/transport/relay/ingress.rs
+++ b/src/transport/relay/ingress.rs
@@ -26,7 +26,7 @@
             KEPT_BODY,
             body::{self, Body, Read},
             onward,
-            pool::{Connection, Exchange, Failure, Pool, Settings},
+            pool::{Exchange, Failure, Pool, Settings},
             serve::Handler,
         },
     },
@@ -273,7 +273,7 @@
         })?;
         let body = match read {
             Read::Whole(bytes) => {
-                self.put_back(connection);
+                self.pool.put_back(connection);
                 Body::whole(bytes)
             }
             Read::Start(first, rest) => {
@@ -286,10 +286,6 @@
         Ok(response)
     }
 
-    fn put_back(&self, connection: Connection) {
-        self.pool.put_back(connection);
-    }
-
     /// Answers a request of another node.
     async fn answer(&self, request: Request<Body>) -> Response<Body> {
         let (head, incoming) = request.into_parts();
