Large bodies are offered before they are sent, and come in as far as the link has room

A body of 60 KB went in full to each of up to four nodes that were asked for room, and was refused there after its transfer; several came at once. The links filled, connections to the store and to peers did not come about within 0.25 and 0.5 s, versions and calls waited behind uploads. Ruled out: a store that turned the node away (another stream was read in between), a row of readers without a head (the node had become a reader itself). Change: a body of 14 KB or more waits for 100 Continue, which comes once the gate has room; what is let in at a time keeps the link busy for 150 ms at the most. Test: offered_body_is_sent_only_where_it_is_taken (without the wait 20480 bytes came to a node that refused by the head), bodies_come_in_as_far_as_the_link_has_room.

--- a/src/transport/relay/body.rs
+++ b/src/transport/relay/body.rs
@@ -12,7 +12,10 @@
 use http_body::{Body as _, Frame, SizeHint};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use tokio::{sync::mpsc, time::Sleep};
+use tokio::{
+    sync::{mpsc, oneshot},
+    time::Sleep,
+};
 
 /// The error of a body that ends early. It ends the connection too, so that
 /// nobody takes what came for the whole.
@@ -23,6 +26,8 @@
     first: Option<Bytes>,
     rest: Option<Rest>,
     deadline: Option<Pin<Box<Sleep>>>,
+    /// Nothing is given before this has come.
+    leave: Option<oneshot::Receiver<()>>,
     /// Kept until the body has ended.
     _held: Option<Box<dyn Any + Send + Sync>>,
 }
@@ -69,6 +74,7 @@
             first: Some(bytes).filter(|bytes| !bytes.is_empty()),
             rest: None,
             deadline: None,
+            leave: None,
             _held: None,
         }
     }
@@ -104,6 +110,26 @@
         }
     }
 
+    /// Returns how many bytes there are in all, if that is known.
+    pub fn length(&self) -> Option<usize> {
+        let exact = http_body::Body::size_hint(self).exact();
+        exact.and_then(|length| usize::try_from(length).ok())
+    }
+
+    /// Returns whether nothing of it is still to come.
+    pub fn is_whole(&self) -> bool {
+        self.rest.is_none()
+    }
+
+    /// Gives nothing until `leave` has come. Without it nobody takes the body, and
+    /// the connection ends.
+    pub fn after(self, leave: oneshot::Receiver<()>) -> Self {
+        Self {
+            leave: Some(leave),
+            ..self
+        }
+    }
+
     /// Keeps `held` until the body has ended.
     pub fn holding(self, held: impl Any + Send + Sync) -> Self {
         Self {
@@ -121,6 +147,15 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Fault>>> {
+        if let Some(leave) = &mut self.leave {
+            match Pin::new(leave).poll(cx) {
+                Poll::Pending => return Poll::Pending,
+                Poll::Ready(Ok(())) => self.leave = None,
+                Poll::Ready(Err(_)) => {
+                    return Poll::Ready(Some(Err("the other node takes no body".into())));
+                }
+            }
+        }
         if let Some(first) = self.first.take() {
             return Poll::Ready(Some(Ok(Frame::data(first))));
         }
--- a/src/transport/relay/egress.rs
+++ b/src/transport/relay/egress.rs
@@ -34,7 +34,7 @@
             KEPT_BODY,
             body::{self, Body, Read, ReadError},
             ingress::{self, Ingress, Refused, Visit},
-            onward,
+            offer, onward,
             outstanding::{Tried, Watch},
             pool::{Exchange, Failure, Pool, Settings},
             refused,
@@ -381,7 +381,11 @@
         body: Body,
         watch: &mut Watch<'_>,
     ) -> Tried {
-        let request = self.request(call, member, visit, body);
+        let is_offered = body.length().is_none_or(offer::is_worth_asking);
+        let mut request = self.request(call, member, visit, body);
+        if is_offered {
+            request = offer::offer(request);
+        }
         let sent = self
             .pool
             .send(member.inbound, request, visit.deadline)
@@ -410,10 +414,12 @@
         let left = call.deadline.saturating_duration_since(Instant::now());
         let read = body::read(incoming, KEPT_BODY, left).await;
         let body = match (read, refused) {
-            (Ok(Read::Whole(_)), Some(refused)) => {
+            (Ok(Read::Whole(_)), Some(refused)) if !is_offered => {
                 self.pool.put_back(connection);
                 return Tried::Refused(refused);
             }
+            // A refused offer ends its connection: the body that was told of is
+            // still due on it.
             (_, Some(refused)) => return Tried::Refused(refused),
             (Ok(Read::Whole(bytes)), None) => {
                 self.pool.put_back(connection);
--- a/src/transport/relay/ingress.rs
+++ b/src/transport/relay/ingress.rs
@@ -25,6 +25,7 @@
         relay::{
             KEPT_BODY,
             body::{self, Body, Read},
+            offer::Inflow,
             onward,
             pool::{Exchange, Failure, Pool, Settings},
             serve::Handler,
@@ -66,6 +67,7 @@
 /// The way to the target on this host.
 pub struct Ingress {
     host: Arc<Host>,
+    inflow: Inflow,
     pool: Pool,
 }
 
@@ -89,6 +91,7 @@
     /// Returns the way to the target of `host`.
     pub fn new(host: Arc<Host>) -> Arc<Self> {
         Arc::new(Self {
+            inflow: Inflow::new(host.settings.bandwidth()),
             host,
             pool: Pool::new(POOL),
         })
@@ -108,7 +111,8 @@
         self.pool.tidy();
     }
 
-    /// Gives a request to the target, once the gate has room.
+    /// Gives a request to the target, once the gate has room. What of the body has
+    /// not come yet is asked for only then.
     ///
     /// # Errors
     ///
@@ -128,6 +132,7 @@
         let entered = self.host.gate.enter(visit.arrival).await;
         self.note(id, visit, since, &entered);
         let permit = entered.map_err(Refused::before)?;
+        let body = self.body(visit, head, body).await?;
         let request = self.request(visit, &permit, head, body);
         let sent = self
             .pool
@@ -290,14 +295,7 @@
     async fn answer(&self, request: Request<Body>) -> Response<Body> {
         let (head, incoming) = request.into_parts();
         let result = match self.visit(&head) {
-            Ok(visit) => {
-                let length = http::parse::<usize>(&head.headers, "content-length");
-                let body = self.body(incoming, length, visit.deadline).await;
-                match body {
-                    Ok(body) => self.deliver(&visit, &head, body).await,
-                    Err(refused) => Err(refused),
-                }
-            }
+            Ok(visit) => self.deliver(&visit, &head, incoming).await,
             Err(refusal) => Err(Refused::before(refusal)),
         };
         let mut response = match result {
@@ -313,23 +311,35 @@
         response
     }
 
+    /// Reads a body that is not large, as far as the link has room for it.
     async fn body(
         &self,
-        incoming: Body,
-        length: Option<usize>,
-        deadline: Instant,
+        visit: &Visit,
+        head: &request::Parts,
+        body: Body,
     ) -> Result<Body, Refused> {
+        if body.is_whole() {
+            return Ok(body);
+        }
+        let length = http::parse::<usize>(&head.headers, "content-length");
         if length.is_some_and(|length| length > KEPT_BODY) {
-            return Ok(Body::streamed(Default::default(), incoming, deadline));
+            return Ok(Body::streamed(Default::default(), body, visit.deadline));
         }
-        let left = deadline.saturating_duration_since(Instant::now());
-        match body::read(incoming, KEPT_BODY, left).await {
-            Ok(Read::Whole(bytes)) => Ok(Body::whole(bytes)),
-            Ok(Read::Start(first, rest)) => Ok(Body::streamed(first, rest, deadline)),
-            Err(error) => {
-                let refusal = Refusal::not_run(error.to_string(), Span::from_millis(100));
-                Err(Refused::before(refusal))
-            }
+        let is_offered = head.headers.contains_key(hyper::header::EXPECT);
+        let read = async {
+            let _room = match is_offered {
+                true => self.inflow.enter(length).await,
+                false => None,
+            };
+            let left = visit.deadline.saturating_duration_since(Instant::now());
+            body::read(body, KEPT_BODY, left).await
+        };
+        let refuse = |why: String| Refused::before(Refusal::not_run(why, Span::from_millis(100)));
+        match tokio::time::timeout_at(visit.deadline.into(), read).await {
+            Ok(Ok(Read::Whole(bytes))) => Ok(Body::whole(bytes)),
+            Ok(Ok(Read::Start(first, rest))) => Ok(Body::streamed(first, rest, visit.deadline)),
+            Ok(Err(error)) => Err(refuse(error.to_string())),
+            Err(_) => Err(refuse("the link has no room for the body".into())),
         }
     }
 
--- /dev/null
+++ b/src/transport/relay/offer.rs
@@ -0,0 +1,82 @@
+//! Bodies that are offered before they are sent.
+//!
+//! A large body that goes to a node only to be refused there has cost its link as
+//! much as one that is served; with several nodes asked for room, thin links fill
+//! up with uploads that nobody takes, and heartbeats and changes wait behind them.
+//! So a sender gives the head alone, with `Expect: 100-continue`, and the body
+//! once the other node has room for it.
+
+use std::sync::Arc;
+
+use hyper::{
+    Request, StatusCode,
+    header::{EXPECT, HeaderValue},
+};
+use parking_lot::Mutex;
+use tokio::sync::{Semaphore, SemaphorePermit, oneshot};
+
+use crate::{transport::relay::body::Body, unit::Span};
+
+/// The smallest body that is offered, in bytes. What is smaller goes out with the
+/// first packets of a connection (ten of 1.4 KB), so asking would cost a round trip
+/// and save nothing.
+const SMALLEST: usize = 14 << 10;
+
+/// How long the bodies that are let in at a time may keep the link busy: short
+/// against the 0.25 s within which a connection must come about.
+const IN_TRANSIT: Span = Span::from_millis(150);
+
+/// What a body of unknown length is counted as, in bytes: one of the largest that
+/// are kept whole.
+const UNKNOWN: usize = super::KEPT_BODY;
+
+/// Lets bodies in as far as the host's link carries them.
+pub struct Inflow {
+    /// A permit for each KiB; none if the link is not known.
+    room: Option<(Semaphore, u32)>,
+}
+
+impl Inflow {
+    /// Returns what lets in as much as a link of `bandwidth` Mbit/s carries; 0 is a
+    /// link that is not known, which bounds nothing.
+    pub fn new(bandwidth: u32) -> Self {
+        let bytes = u64::from(bandwidth) * 1_000_000 / 8 * IN_TRANSIT.as_millis() / 1000;
+        let kib = u32::try_from(bytes >> 10).unwrap_or(u32::MAX);
+        let room = (bandwidth > 0).then(|| (Semaphore::new(kib as usize), kib));
+        Self { room }
+    }
+
+    /// Waits until a body of `length` may come; it has come when the permit is
+    /// dropped. One that is larger than all the room waits until it is alone.
+    pub async fn enter(&self, length: Option<usize>) -> Option<SemaphorePermit<'_>> {
+        let (room, all) = self.room.as_ref()?;
+        let kib = length.unwrap_or(UNKNOWN).div_ceil(1 << 10);
+        let kib = u32::try_from(kib).unwrap_or(u32::MAX).min(*all);
+        // It is never closed.
+        room.acquire_many(kib).await.ok()
+    }
+}
+
+/// Returns whether a body of this many bytes is offered first.
+pub fn is_worth_asking(bytes: usize) -> bool {
+    bytes >= SMALLEST
+}
+
+/// Makes `request` an offer: its body waits for the other node's leave.
+pub fn offer(request: Request<Body>) -> Request<Body> {
+    let (leave, given) = oneshot::channel();
+    let mut request = request.map(|body| body.after(given));
+    request
+        .headers_mut()
+        .insert(EXPECT, HeaderValue::from_static("100-continue"));
+    let leave = Arc::new(Mutex::new(Some(leave)));
+    hyper::ext::on_informational(&mut request, move |response| {
+        if response.status() == StatusCode::CONTINUE
+            && let Some(leave) = leave.lock().take()
+        {
+            // The body may be gone already, with its request.
+            let _ = leave.send(());
+        }
+    });
+    request
+}
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -34,13 +34,18 @@
     transport::relay::{
         body::{self, Body, Read},
         codec::{self, Decoder, Framing, Piece},
+        offer::{self, Inflow},
         pool::{Failure, Pool, Settings},
         serve::{self, Handler, Phase, Server, Whose},
     },
     unit::{Size, Span},
 };
 use support::raw;
-use tokio::sync::{Barrier, watch};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpListener,
+    sync::{Barrier, watch},
+};
 
 fn name(text: &str) -> Name {
     text.parse().unwrap()
@@ -821,6 +826,56 @@
         }
     }
 
+    offered_body_is_sent_only_where_it_is_taken => {
+        // Refuses by the head alone, and counts what comes after it.
+        let refuses = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = refuses.local_addr().unwrap();
+        let rest = tokio::spawn(async move {
+            let (mut stream, _) = refuses.accept().await.unwrap();
+            let mut head = Vec::new();
+            while !head.ends_with(b"\r\n\r\n") {
+                head.push(stream.read_u8().await.unwrap());
+            }
+            stream.write_all(b"HTTP/1.1 503 Full\r\ncontent-length: 0\r\n\r\n").await.unwrap();
+            let mut rest = Vec::new();
+            stream.read_to_end(&mut rest).await.unwrap();
+            rest.len()
+        });
+        let pool = Pool::new(POOL);
+        let until = Instant::now() + Duration::from_secs(5);
+        let request = offer::offer(Request::new(Body::whole(vec![b'x'; 20 << 10])));
+        let exchange = pool.send(address, request, until).await.unwrap();
+        assert_eq!(exchange.response.status(), 503);
+        drop(exchange);
+        assert_eq!(rest.await.unwrap(), 0);
+        let (address, _phase) = serve(Whose::Others, Limits::default(), echo()).await;
+        for length in [15 << 10, 200 << 10] {
+            let request = Request::new(Body::whole(vec![b'x'; length]));
+            let until = Instant::now() + Duration::from_secs(5);
+            let exchange = pool.send(address, offer::offer(request), until).await.unwrap();
+            let read = body::read(exchange.response.into_body(), 1 << 20, Duration::from_secs(5)).await;
+            let Ok(Read::Whole(bytes)) = read else { panic!("no answer") };
+            assert_eq!(bytes.len(), "/=".len() + length);
+            pool.put_back(exchange.connection);
+        }
+    }
+
+    bodies_come_in_as_far_as_the_link_has_room => {
+        // 150 ms of 10 Mbit/s are 183 KiB.
+        let thin = Inflow::new(10);
+        let first = thin.enter(Some(120 << 10)).await;
+        assert!(thin.enter(Some(100 << 10)).now_or_never().is_none());
+        assert!(thin.enter(None).now_or_never().is_none());
+        drop(first);
+        let second = thin.enter(Some(100 << 10)).now_or_never();
+        assert!(second.is_some());
+        drop(second);
+        // The largest waits until it is alone, and not for ever.
+        assert!(thin.enter(Some(10 << 20)).now_or_never().is_some());
+        let unknown = Inflow::new(0);
+        assert!(unknown.enter(Some(10 << 20)).now_or_never().is_some());
+    }
+
     refused_connection_is_not_sent_and_a_broken_one_is_in_doubt => {
         let pool = Pool::new(POOL);
         let free = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
