A silent row is passed over in rounds; a reader that failed reads the newest version alone

Once it read the store, it asked for all versions that had come meanwhile, 150 KB each, and ran into its deadline on a thin link. Change: twice as many nodes are asked with each round; after a failed read of the routes the newest version is read, not all between. What is read so is told to the domain as well.

--- a/src/coordination/rank.rs
+++ b/src/coordination/rank.rs
@@ -99,8 +99,8 @@
     far.into_iter().map(|(_, member)| member.clone()).collect()
 }
 
-/// Returns the one before `node` among `members`, ranked for `job`; nothing if it
-/// is the first.
+/// Returns those before `node` among `members`, ranked for `job`, the nearest
+/// first; nothing if it is the first itself.
 ///
 /// Wide links go first: the first one carries what all others need to know.
 pub fn before<'a>(
@@ -108,12 +108,17 @@
     job: &str,
     node: &Node,
     bandwidth: u32,
-) -> Option<Arc<Member>> {
+) -> Vec<Arc<Member>> {
     let seed = seed(job);
-    let key = |bandwidth, node| (Reverse(bandwidth), weight(seed, node), node);
+    let key = |bandwidth, node| (Reverse(bandwidth), weight(seed, node));
     let mine = key(bandwidth, node);
-    let lower = members.filter(|member| key(member.bandwidth, &member.node) < mine);
-    let last = lower
-        .max_by(|one, other| key(one.bandwidth, &one.node).cmp(&key(other.bandwidth, &other.node)));
-    last.cloned()
+    let keyed = members.map(|member| (key(member.bandwidth, &member.node), member));
+    let mut lower: Vec<_> = keyed
+        .filter(|(key, member)| (*key, &member.node) < (mine, node))
+        .collect();
+    lower.sort_unstable_by(|(one, a), (other, b)| (other, &b.node).cmp(&(one, &a.node)));
+    lower
+        .into_iter()
+        .map(|(_, member)| member.clone())
+        .collect()
 }
--- a/src/coordination/source.rs
+++ b/src/coordination/source.rs
@@ -120,32 +120,39 @@
 /// Reads a stream on and tells the failure domain; never returns.
 async fn read_on(host: &Arc<Host>, store: &Store, ask: &Ask, stream: Stream) {
     let mut failures = 0;
+    let mut is_behind = false;
     loop {
-        let Some(from) = host.at(stream) else {
-            read_newest(host, store, ask, stream).await;
-            continue;
+        // What is read as a whole leaves nothing out that came before it.
+        let from = host.at(stream).filter(|_| !is_behind);
+        let read = match from {
+            Some(from) => (store.tail)(stream, from, wait(stream)),
+            None => (store.newest)(stream),
         };
-        let read = (store.tail)(stream, from, wait(stream));
         let read = tokio::select! {
             read = read => read,
             () = host.until_doubted(), if stream == Stream::Members => continue,
         };
-        host.count_store("tail", read.is_ok(), None);
+        let call = if from.is_some() { "tail" } else { "newest" };
+        host.count_store(call, read.is_ok(), None);
         match read {
             Ok(records) => {
                 note_up(host, stream, failures);
                 failures = 0;
+                is_behind = false;
                 host.set_blind(false);
-                take_on(host, ask, stream, from, records);
+                take_on(host, ask, stream, from.unwrap_or(0), records);
                 tokio::time::sleep(gather(stream)).await;
             }
-            Err(Error::Expired(_)) => read_newest(host, store, ask, stream).await,
+            Err(Error::Expired(_)) => is_behind = true,
             Err(error) => {
                 note_down(host, stream, failures, &error);
                 host.set_blind(true);
                 host.doubt();
-                ask_around(host, ask).await;
-                tokio::time::sleep(pause(failures)).await;
+                // Versions that came meanwhile are long: a thin link takes seconds
+                // for all of them, and only the newest counts.
+                is_behind = stream == Stream::Routes;
+                let rest = tokio::time::sleep(pause(failures));
+                tokio::join!(ask_around(host, ask), rest);
                 failures += 1;
             }
         }
--- a/src/coordination/watch.rs
+++ b/src/coordination/watch.rs
@@ -2,8 +2,9 @@
 //!
 //! The nodes of a failure domain stand in a row, by a hash of their names. The
 //! first one reads the store for all. Each other node checks the one before it
-//! once a second; when that one is silent it is left out of the row, so the row
-//! closes up whoever dies. The first ones check each other across failure
+//! once a second; when that one is silent it is left out of the row and those
+//! before it are checked, twice as many at a time with each round, so the row
+//! closes up whoever dies and however many. The first ones check each other across failure
 //! domains. So each node is checked by one or two others however large the fleet
 //! is, and every check also compares how far both are: whatever was missed is
 //! found within a second or two.
@@ -13,6 +14,8 @@
     time::{Duration, Instant},
 };
 
+use futures_util::future::join_all;
+
 use crate::{
     coordination::{
         host::Host,
@@ -33,6 +36,10 @@
 /// How long a silent node is left out of the row.
 const SILENT: Duration = Duration::from_secs(6);
 
+/// Nodes that are asked at a time once those nearest in the row are silent. Thirty
+/// that are cut off are passed over in five rounds of 0.25 s.
+const AT_ONCE: usize = 16;
+
 /// The job by which nodes are ranked.
 const JOB: &str = "reader";
 
@@ -47,19 +54,27 @@
 }
 
 async fn check(host: &Host, ask: &Ask) {
+    let mut at_once = 1;
     loop {
-        let Some(before) = before(host) else {
+        let mut before = before(host);
+        if before.is_empty() {
             host.set_reading(true);
             if let Some(other) = elsewhere(host) {
                 compare(host, ask, &other).await;
             }
             return;
-        };
-        if let Some(seen) = compare(host, ask, &before).await {
+        }
+        before.truncate(at_once);
+        let asked = before.iter().map(|member| compare(host, ask, member));
+        let nearest = join_all(asked).await.into_iter().flatten().next();
+        if let Some(seen) = nearest {
             // One that can't read is stood in for, and stays what it is.
             host.set_reading(seen.blind);
             return;
         }
+        // A dead herd, or a cut around this node: one after the other its whole
+        // failure domain would take longer to pass over than it stays left out.
+        at_once = (at_once * 2).min(AT_ONCE);
     }
 }
 
@@ -87,8 +102,9 @@
     }
 }
 
-/// Returns the node before this one in the row of its failure domain.
-fn before(host: &Host) -> Option<Arc<Member>> {
+/// Returns the nodes before this one in the row of its failure domain, the nearest
+/// first.
+fn before(host: &Host) -> Vec<Arc<Member>> {
     let settings = &host.settings;
     let members = host.members.read();
     let now = Instant::now();
--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -106,6 +106,11 @@
         self.process.as_ref().unwrap().host.version()
     }
 
+    /// Returns whether it is to read the store and can't.
+    pub fn is_blind(&self) -> bool {
+        self.process.as_ref().unwrap().host.seen().blind
+    }
+
     /// Returns whether this host knows a ready target on the named one.
     pub fn knows(&self, other: &str) -> bool {
         let members = self.process.as_ref().unwrap().host.members.read();
--- a/standins/src/store.rs
+++ b/standins/src/store.rs
@@ -54,6 +54,8 @@
 struct Log {
     topics: HashMap<String, Topic>,
     calls: BTreeMap<String, u64>,
+    /// Bytes given out by reads of the tail.
+    given: u64,
 }
 
 #[derive(Default)]
@@ -163,6 +165,11 @@
         self.log.lock().calls.get(call).copied().unwrap_or(0)
     }
 
+    /// Returns how many bytes reads of the tail gave out.
+    pub fn given(&self) -> u64 {
+        self.log.lock().given
+    }
+
     fn write(&self, topic: &str, key: &[u8], value: &[u8]) {
         let mut record = BytesMut::new();
         record.put_u8(key.len() as u8);
@@ -247,6 +254,7 @@
 
     fn read_now(&self, topic: &str, from: u64) -> Option<Response<Body>> {
         let mut log = self.log.lock();
+        let log = &mut *log;
         let topic = log.topics.entry(topic.into()).or_default();
         if from < topic.first {
             let mut gone = Response::new(Body::whole(json!({"first": topic.first}).to_string()));
@@ -263,6 +271,7 @@
             out.put_u32(record.len() as u32);
             out.put_slice(record);
         }
+        log.given += out.len() as u64;
         Some(Response::new(Body::whole(out.freeze())))
     }
 
--- a/standins/tests/whole_path.rs
+++ b/standins/tests/whole_path.rs
@@ -275,6 +275,22 @@
         assert!(since.elapsed().as_secs() < 20);
     }
 
+    versions_that_came_while_the_store_was_away_are_not_read_one_by_one => {
+        let (store, one, two) = pair("b").await;
+        store.set(StoreMode::Refusing);
+        until("a reader has failed", async || one.is_blind() || two.is_blind()).await;
+        let before = store.given();
+        let missed = 20;
+        for number in 10..10 + missed {
+            store.publish(&version(number, &["a", "b"]));
+        }
+        let length = version(10, &["a", "b"]).to_string().len() as u64;
+        store.set(StoreMode::Up);
+        let last = 9 + missed;
+        until("the last is in force", async || one.version() == last && two.version() == last).await;
+        assert!(store.given() - before < length * missed / 2, "{} bytes", store.given() - before);
+    }
+
     process_that_leaves_answers_what_it_has => {
         let (_store, mut one, two) = pair("b").await;
         two.target.set(Mode::Hangs);
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -17,15 +17,25 @@
 use hyper::{Request, Response};
 use rilltrack::{
     coordination::{
+        self,
         allowance::{Allowance, Rule},
         balance::{Balance, Choice, End, Wish},
         gate::{self, Arrival, Gate},
+        host::Host,
+        link::{Ask, Words},
         local::{Change, Local},
         rank,
         split::Split,
     },
+    document::Document,
+    event::Journal,
+    host::Settings,
     id::{Incarnation, Name},
-    protocol::{announce::Heartbeat, answer::Outcome, dialect::Load},
+    protocol::{
+        announce::Heartbeat,
+        answer::Outcome,
+        dialect::{Dialect, Load},
+    },
     state::{
         member::{Member, Status, Table, Target},
         routing::{self, Kind, Limits, Part, Route},
@@ -35,7 +45,7 @@
         body::{self, Body, Read},
         codec::{self, Decoder, Framing, Piece},
         offer::{self, Inflow},
-        pool::{Failure, Pool, Settings},
+        pool::{self, Failure, Pool},
         serve::{self, Handler, Phase, Server, Whose},
     },
     unit::{Size, Span},
@@ -124,6 +134,26 @@
     balance.choose(table, wish, &[], now)
 }
 
+/// A host process's state, without its duties.
+fn host(domain: &str) -> Host {
+    let settings = format!(
+        r#"{{"node": "me", "domain": "{domain}", "service": "a", "listen": {{
+            "callers": "127.0.0.1:1", "inbound": "127.0.0.1:1", "peers": "127.0.0.1:1",
+            "targets": "127.0.0.1:1", "ready": "127.0.0.1:1", "metrics": "127.0.0.1:1"}},
+            "store": "127.0.0.1:1", "heartbeat": "1500ms", "grace": "6s",
+            "resend": {{"ratio": 0.2, "slack": 62, "window": "10s"}}, "descriptors": 1024}}"#
+    );
+    let document = Document::parse("host", &settings).unwrap();
+    let words = Words {
+        routes: Arc::new(|_| unreachable!("no version is decoded")),
+        announcement: Arc::new(|_, _, _| unreachable!("no target calls")),
+        acknowledgement: Default::default(),
+        dialect: Dialect::default(),
+    };
+    let journal = Journal::start_json("me", Box::new(std::io::sink()));
+    Host::new(Settings::from_document(&document).unwrap(), words, journal)
+}
+
 fn target(instance: &str, slots: u32) -> gate::Target {
     gate::Target {
         instance: instance.into(),
@@ -286,18 +316,25 @@
             let row = list.iter().filter(|m| !left_out.contains(&m.node.as_str()));
             rank::before(row, "reader", &of.node, of.bandwidth)
         };
-        let first: Vec<_> = list.iter().filter(|m| before(m, &[]).is_none()).collect();
+        let first: Vec<_> = list.iter().filter(|m| before(m, &[]).is_empty()).collect();
         let [first] = first[..] else { panic!("one is first") };
         assert_eq!(first.bandwidth, 200);
-        // Each is before one other at most, so each is checked by one.
+        // Each has another nearest to it, so each is checked by one.
         let mut checked: Vec<String> =
-            list.iter().filter_map(|m| before(m, &[])).map(|m| m.node.to_string()).collect();
+            list.iter().filter_map(|m| Some(before(m, &[]).first()?.node.to_string())).collect();
         checked.sort();
         checked.dedup();
         assert_eq!(checked.len(), list.len() - 1);
+        // The row behind a node is that of the one before it, with that one.
+        for member in &list {
+            let row = before(member, &[]);
+            if let Some((nearest, rest)) = row.split_first() {
+                assert_eq!(before(nearest, &[]), rest);
+            }
+        }
         // Without the first one, exactly one other is.
         let gone = first.node.as_str();
-        let next = list.iter().filter(|m| m.node.as_str() != gone && before(m, &[gone]).is_none());
+        let next = list.iter().filter(|m| m.node.as_str() != gone && before(m, &[gone]).is_empty());
         assert_eq!(next.count(), 1);
     }
 
@@ -812,6 +849,36 @@
         assert_eq!(gate.load().waiting, 0);
     }
 
+    row_that_is_silent_is_passed_over_in_a_few_rounds => {
+        let host = Arc::new(host("here"));
+        for i in 0..40 {
+            // With wider links than this one, they all stand before it.
+            let other = Member { bandwidth: 100, ..member(&format!("n{i}"), "here", 4) };
+            host.take_member(other, "test");
+        }
+        // Counts the rounds: questions that are asked while no other is open.
+        let (open, rounds) = (Arc::new(AtomicUsize::new(0)), Arc::new(AtomicUsize::new(0)));
+        let counted = rounds.clone();
+        let ask: Ask = Arc::new(move |address, _| {
+            let open = open.clone();
+            if open.fetch_add(1, Ordering::SeqCst) == 0 {
+                counted.fetch_add(1, Ordering::SeqCst);
+            }
+            async move {
+                tokio::task::yield_now().await;
+                open.fetch_sub(1, Ordering::SeqCst);
+                Err(coordination::Error::NoAnswer(address.to_string()))
+            }
+            .boxed()
+        });
+        host.settle();
+        let mut reading = host.reading();
+        let keep = tokio::spawn(coordination::watch::keep(host.clone(), ask));
+        reading.wait_for(|reads| *reads).await.unwrap();
+        keep.abort();
+        assert!(rounds.load(Ordering::SeqCst) <= 7, "{rounds:?} rounds for 40 nodes");
+    }
+
     connection_with_bytes_of_no_request_is_not_used_again => {
         // Each answer is followed by another that nobody asked for.
         let twice = b"HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\n1HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\n2\r\n\r\nok";
@@ -887,7 +954,7 @@
     }
 }
 
-const POOL: Settings = Settings {
+const POOL: pool::Settings = pool::Settings {
     connect: Duration::from_secs(5),
     keep: Duration::from_secs(60),
     kept: 4,
