Lost nodes are asked beside the requests; a domain that falls silent is passed over as one

Ruled out: too few targets in the domain (its own were free while requests waited). Change: a lost node gets no request before it has answered a question of a duty of its own; three nodes of one domain silent in a row, with nothing heard between, pass over the whole domain, and one is asked for all. A host that refuses connections is no sign of a cut; a late answer loses a node only if it answered nobody else; a node at whose address another answers is passed over for 30 s (1,946 such tries).

One that fits the kept size is refused before any target; a longer one breaks off with 413 and no word on its run. A body that its caller broke off is not held against the node it was sent to. Test: chunked_body_beyond_the_limit_gets_413 (200 before).

--- a/src/coordination/balance.rs
+++ b/src/coordination/balance.rs
@@ -14,6 +14,7 @@
 };
 
 use crate::{
+    coordination::reach::{Loss, Reach},
     id::{Incarnation, Name, Node},
     protocol::dialect::Load,
     state::member::{Member, Status, Table},
@@ -52,13 +53,18 @@
 /// over: several times the mean work of the slowest service of both meshes.
 const SILENCE: Duration = Duration::from_millis(700);
 
-/// How long a node that can't be reached is passed over the first time. It
+/// How long a node whose target left or fails is passed over the first time. It
 /// doubles with each further failure, up to [`MAX_ABSENCE`].
 const ABSENCE: Duration = Duration::from_millis(200);
 
-/// The longest that a node is passed over before one request tries it again.
+/// The longest that it is passed over before one request tries it again.
 const MAX_ABSENCE: Duration = Duration::from_secs(3);
 
+/// How long a node is passed over at whose address another one answers: its host
+/// was replaced, and whoever takes its name again has another incarnation or writes
+/// itself down anew.
+const REPLACED: Duration = Duration::from_secs(30);
+
 /// Failures of the target itself, in a row, after which it is passed over.
 const FAILURES: u32 = 4;
 
@@ -68,6 +74,8 @@
     peers: HashMap<Node, Peer>,
     /// The mean time of an answer on each route, in seconds.
     routes: HashMap<Name, f64>,
+    /// Which nodes can't be reached.
+    pub reach: Reach,
 }
 
 #[derive(Debug)]
@@ -95,10 +103,14 @@
     Refused,
     /// The node says that its target leaves or is gone.
     Leaving,
+    /// Another node answers at its address.
+    Replaced,
     /// The target failed: it broke off, answered wrongly or with a fault.
     Failed,
-    /// The node could not be reached, or fell silent.
-    Absent,
+    /// No answer came in time.
+    Late,
+    /// The node could not be reached.
+    Lost(Loss),
     /// The caller went away, which says nothing.
     Abandoned,
 }
@@ -110,8 +122,11 @@
             Self::Answered(_) => "answered",
             Self::Refused => "refused",
             Self::Leaving => "leaving",
+            Self::Replaced => "replaced",
             Self::Failed => "failed",
-            Self::Absent => "absent",
+            Self::Late => "late",
+            Self::Lost(Loss::Silent) => "silent",
+            Self::Lost(Loss::Closed) => "closed",
             Self::Abandoned => "abandoned",
         }
     }
@@ -124,13 +139,15 @@
     pub known: usize,
     /// Those that drain.
     pub draining: usize,
-    /// Others that are passed over: absent, or owing answers for long.
+    /// Others that are passed over: out of reach, or owing answers for long.
     pub passed_over: usize,
 }
 
 /// What a choice is made for.
 #[derive(Clone, Copy, Debug)]
 pub struct Wish<'a> {
+    /// The node that chooses. Its own target needs no way to it.
+    pub node: &'a Node,
     /// The route of the request.
     pub route: &'a Name,
     /// The service that is to run it.
@@ -171,7 +188,7 @@
 
     fn is_out(&self, now: Instant) -> bool {
         let is_absent = self.absent_until.is_some_and(|until| now < until);
-        let is_silent = self.outstanding > 0 && now - self.heard > SILENCE;
+        let is_silent = self.outstanding > 0 && self.has_fallen_silent(now);
         is_absent || is_silent
     }
 
@@ -190,6 +207,10 @@
         self.absences += 1;
         self.absent_until = Some(now + span.min(MAX_ABSENCE));
     }
+
+    fn has_fallen_silent(&self, now: Instant) -> bool {
+        now - self.heard > SILENCE
+    }
 }
 
 impl Balance {
@@ -224,7 +245,7 @@
         };
         let offers = table.offers(wish.service).iter().filter(serves);
         let (near, far): (Vec<_>, Vec<_>) = offers
-            .filter(|member| !self.peer(member, now).is_out(now))
+            .filter(|member| !self.is_out(member, wish.node, now))
             .partition(|member| member.domain == *wish.domain);
         let candidates = near.len() + far.len();
         let mut drawn = fastrand::choose_multiple(near, NEAR);
@@ -242,15 +263,20 @@
         })
     }
 
-    /// Returns what there is of a service.
-    pub fn count(&mut self, table: &Table, service: &Name, now: Instant) -> Count {
+    fn is_out(&mut self, member: &Member, me: &Node, now: Instant) -> bool {
+        let is_lost = member.node != *me && self.reach.is_lost(member);
+        is_lost || self.peer(member, now).is_out(now)
+    }
+
+    /// Returns what there is of a service, as `me` sees it.
+    pub fn count(&mut self, table: &Table, service: &Name, me: &Node, now: Instant) -> Count {
         let mut count = Count::default();
         for member in table.offers(service) {
             let mut targets = member.targets.iter();
             let is_draining = targets.any(|t| t.service == *service && t.draining);
             count.known += 1;
             count.draining += usize::from(is_draining);
-            let is_out = self.peer(member, now).is_out(now);
+            let is_out = self.is_out(member, me, now);
             count.passed_over += usize::from(!is_draining && is_out);
         }
         count
@@ -306,11 +332,13 @@
             peer.report = Some((load, now));
             peer.since_report = 0;
         }
-        if !matches!(end, End::Absent | End::Abandoned) {
+        if !matches!(end, End::Lost(_) | End::Late | End::Abandoned) {
             peer.heard = now;
             peer.absences = 0;
             peer.absent_until = None;
+            self.reach.hear(member);
         }
+        let peer = self.peer(member, now);
         match end {
             End::Answered(_) => {
                 peer.slowness += NEWEST * (took.unwrap_or(1.0) - peer.slowness);
@@ -318,10 +346,17 @@
                 false
             }
             End::Refused | End::Abandoned => false,
-            End::Leaving | End::Absent => {
+            End::Leaving => {
                 peer.be_absent(now);
                 true
             }
+            End::Replaced => {
+                peer.absent_until = Some(now + REPLACED);
+                true
+            }
+            // One that has answered others meanwhile has but a slow target.
+            End::Late => peer.has_fallen_silent(now) && self.reach.lose(member, Loss::Silent, now),
+            End::Lost(loss) => self.reach.lose(member, loss, now),
             End::Failed => {
                 peer.failures = (peer.failures + 1).min(FAILURES);
                 let is_out = peer.failures == FAILURES;
@@ -337,6 +372,7 @@
     pub fn retain(&mut self, known: impl Fn(&Node) -> bool) {
         self.peers
             .retain(|node, peer| peer.outstanding > 0 || known(node));
+        self.reach.retain(known);
     }
 
     /// Returns `took` over the route's mean, and takes it into that.
--- a/src/coordination/host.rs
+++ b/src/coordination/host.rs
@@ -71,6 +71,8 @@
     pub split: Mutex<Split>,
     /// Wakes the duty that writes what this node says of itself.
     pub changed: Notify,
+    /// Wakes the duty that asks nodes which can't be reached.
+    pub lost: Notify,
     grace: Mutex<Span>,
     leaving: AtomicBool,
     routes: ArcSwapOption<routing::Table>,
@@ -143,6 +145,7 @@
             grace: Mutex::new(settings.grace),
             split: Mutex::default(),
             changed: Notify::new(),
+            lost: Notify::new(),
             leaving: AtomicBool::new(false),
             routes: ArcSwapOption::empty(),
             past: Mutex::default(),
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -22,7 +22,7 @@
         host,
         link::{Ask, Store, Stream, Words},
         presence::{self, Written},
-        source, watch as reader,
+        probe, source, watch as reader,
     },
     event::{Event, Journal},
     journal::note,
@@ -248,7 +248,8 @@
         tokio::spawn(follow);
     }
     tokio::spawn(source::follow_hints(host.clone(), ask.clone()));
-    tokio::spawn(reader::keep(host.clone(), ask));
+    tokio::spawn(reader::keep(host.clone(), ask.clone()));
+    tokio::spawn(probe::keep(host.clone(), ask));
     tokio::spawn(presence::keep_written(host, store, written));
     serve_all(listeners).await;
 }
--- a/src/transport/relay/body.rs
+++ b/src/transport/relay/body.rs
@@ -4,6 +4,10 @@
     any::Any,
     error::Error,
     pin::Pin,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     task::{Context, Poll},
     time::{Duration, Instant},
 };
@@ -28,10 +32,18 @@
     deadline: Option<Pin<Box<Sleep>>>,
     /// Nothing is given before this has come.
     leave: Option<oneshot::Receiver<()>>,
+    limit: Option<Limit>,
     /// Kept until the body has ended.
     _held: Option<Box<dyn Any + Send + Sync>>,
 }
 
+/// How much more may come of a body.
+struct Limit {
+    left: u64,
+    /// Set once more than that came.
+    passed: Arc<AtomicBool>,
+}
+
 /// What is still to come of a body.
 enum Rest {
     Incoming(Incoming),
@@ -75,6 +87,7 @@
             rest: None,
             deadline: None,
             leave: None,
+            limit: None,
             _held: None,
         }
     }
@@ -130,6 +143,14 @@
         }
     }
 
+    /// Breaks off and sets `passed` once more than `most` bytes come.
+    pub fn limited(self, most: u64, passed: Arc<AtomicBool>) -> Self {
+        Self {
+            limit: Some(Limit { left: most, passed }),
+            ..self
+        }
+    }
+
     /// Keeps `held` until the body has ended.
     pub fn holding(self, held: impl Any + Send + Sync) -> Self {
         Self {
@@ -139,6 +160,19 @@
     }
 }
 
+impl Body {
+    fn count(&mut self, data: Bytes) -> Result<Frame<Bytes>, Fault> {
+        if let Some(limit) = &mut self.limit {
+            let Some(left) = limit.left.checked_sub(data.len() as u64) else {
+                limit.passed.store(true, Ordering::Relaxed);
+                return Err("the body is larger than the limit".into());
+            };
+            limit.left = left;
+        }
+        Ok(Frame::data(data))
+    }
+}
+
 impl http_body::Body for Body {
     type Data = Bytes;
     type Error = Fault;
@@ -157,7 +191,7 @@
             }
         }
         if let Some(first) = self.first.take() {
-            return Poll::Ready(Some(Ok(Frame::data(first))));
+            return Poll::Ready(Some(self.count(first)));
         }
         if let Some(deadline) = &mut self.deadline
             && deadline.as_mut().poll(cx).is_ready()
@@ -168,7 +202,11 @@
         let Some(rest) = &mut self.rest else {
             return Poll::Ready(None);
         };
-        rest.poll(cx)
+        let frame = std::task::ready!(rest.poll(cx));
+        Poll::Ready(frame.map(|frame| match frame?.into_data() {
+            Ok(data) => self.count(data),
+            Err(other) => Ok(other),
+        }))
     }
 
     fn is_end_stream(&self) -> bool {
--- a/src/transport/relay/control.rs
+++ b/src/transport/relay/control.rs
@@ -92,7 +92,13 @@
     *request.uri_mut() = hyper::Uri::from_static(path);
     let deadline = Instant::now() + ANSWER;
     let sent = pool.send(address, request, deadline).await;
-    let exchange = sent.map_err(|_| Error::NoAnswer(whom()))?;
+    let exchange = sent.map_err(|failure| {
+        if failure.is_silence() {
+            Error::NoAnswer(whom())
+        } else {
+            Error::Unreachable(whom())
+        }
+    })?;
     if exchange.response.status() != StatusCode::OK {
         return Err(Error::Unexpected(whom()));
     }
--- a/src/transport/relay/egress.rs
+++ b/src/transport/relay/egress.rs
@@ -1,7 +1,10 @@
 //! Requests of callers on this host, and of its target.
 
 use std::{
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -11,10 +14,11 @@
 
 use crate::{
     coordination::{
-        balance::{Choice, Wish},
+        balance::{Choice, End, Wish},
         gate::Arrival,
         host::Host,
         link::Stream,
+        reach::Loss,
     },
     event::Event,
     host::metrics,
@@ -41,7 +45,7 @@
             serve::Handler,
         },
     },
-    unit::Span,
+    unit::{Size, Span},
 };
 
 /// How connections to other nodes are made and kept. A connection within a
@@ -194,17 +198,19 @@
     async fn body(&self, incoming: Body, call: &Call) -> Result<Read, Refusal> {
         let limits = self.host.limits();
         let most = limits.body.as_bytes();
+        let too_large = || Refusal::rejected(413, too_large(limits.body));
         let length: Option<u64> = http::parse(&call.head.headers, "content-length");
         if length.is_some_and(|length| length > most) {
-            let reason = format!("request body is larger than {}", limits.body);
-            return Err(Refusal::rejected(413, reason));
+            return Err(too_large());
         }
         if length.is_some_and(|length| length > KEPT_BODY as u64) {
             return Ok(Read::Start(Bytes::new(), incoming));
         }
         let idle = limits.idle_timeout.duration();
         let left = call.deadline.saturating_duration_since(Instant::now());
-        match body::read(incoming, KEPT_BODY, idle.min(left)).await {
+        let kept = usize::try_from(most).unwrap_or(KEPT_BODY).min(KEPT_BODY);
+        match body::read(incoming, kept, idle.min(left)).await {
+            Ok(Read::Start(first, _)) if first.len() as u64 > most => Err(too_large()),
             Ok(read) => Ok(read),
             Err(ReadError::Still) => Err(Refusal::rejected(408, "request body stood still")),
             Err(error @ ReadError::Broken(_)) => Err(Refusal::rejected(400, error.to_string())),
@@ -218,9 +224,14 @@
         body: Read,
         tries: &mut Tries,
     ) -> Result<Response<Body>, Refusal> {
+        let most = self.host.limits().body;
+        let passed = Arc::new(AtomicBool::new(false));
         let (mut streamed, whole) = match body {
             Read::Whole(bytes) => (None, Some(bytes)),
-            Read::Start(first, rest) => (Some(Body::streamed(first, rest, call.deadline)), None),
+            Read::Start(first, rest) => {
+                let body = Body::streamed(first, rest, call.deadline);
+                (Some(body.limited(most.as_bytes(), passed.clone())), None)
+            }
         };
         // A longer body is as long as what is kept at the least.
         let bytes = whole.as_ref().map_or(KEPT_BODY, Bytes::len);
@@ -250,6 +261,10 @@
                     }
                     tries.last = Some(Last::Answered(response));
                 }
+                Tried::Refused(_) if passed.load(Ordering::Relaxed) => {
+                    // Its target has seen a part, so nothing is said of its run.
+                    return Err(Refusal::unknown(413, too_large(most)));
+                }
                 Tried::Refused(refused) => {
                     tries.arrivals += u32::from(refused.arrived);
                     let may_have_run = refused.refusal.outcome != Outcome::NotRun;
@@ -272,6 +287,7 @@
 
     fn choose(&self, call: &Call, bytes: usize, tried: &[Node]) -> Option<Choice> {
         let wish = Wish {
+            node: &self.host.settings.node,
             route: &call.route.name,
             service: &call.service,
             domain: &self.host.settings.domain,
@@ -285,11 +301,12 @@
     /// Writes down why there was nobody to choose.
     fn note_no_target(&self, call: &Call, tries: &Tries) {
         let members = self.host.members.read();
-        let count = self
-            .host
-            .balance
-            .lock()
-            .count(&members, &call.service, Instant::now());
+        let count = self.host.balance.lock().count(
+            &members,
+            &call.service,
+            &self.host.settings.node,
+            Instant::now(),
+        );
         note!(
             self.host.journal,
             Event::NoTarget,
@@ -393,8 +410,8 @@
         let exchange = match sent {
             Ok(exchange) => exchange,
             Err(failure) => {
-                watch.is_absent = !matches!(failure, Failure::TimedOut);
-                if watch.is_absent {
+                watch.fault = Some(fault(&failure));
+                if matches!(watch.fault, Some(End::Lost(_))) {
                     self.pool.forget(member.inbound);
                 }
                 return Tried::Refused(failed(&failure));
@@ -587,6 +604,21 @@
     Refused { refusal, arrived }
 }
 
+fn too_large(most: Size) -> String {
+    format!("request body is larger than {most}")
+}
+
+/// Returns what a failure says of the node.
+fn fault(failure: &Failure) -> End {
+    match failure {
+        Failure::TimedOut => End::Late,
+        // The body was ours to give, and its caller left or sent too much.
+        Failure::Broken(error) if error.is_user() => End::Abandoned,
+        failure if failure.is_silence() => End::Lost(Loss::Silent),
+        _ => End::Lost(Loss::Closed),
+    }
+}
+
 fn host_of(head: &request::Parts) -> String {
     let host = http::get(&head.headers, "host").or_else(|| head.uri.host());
     let host = host.unwrap_or_default();
--- a/src/transport/relay/ingress.rs
+++ b/src/transport/relay/ingress.rs
@@ -44,7 +44,7 @@
 };
 
 /// The reason of a refusal by a node that is not the one that was meant.
-const OTHER_NODE: &str = "another node has this address";
+pub const OTHER_NODE: &str = "another node has this address";
 
 /// What is asked for the target here.
 pub struct Visit {
@@ -372,7 +372,7 @@
 
 /// Returns whether a refusal says that the target can't be had at this node.
 pub fn is_leaving(reason: &str) -> bool {
-    [LEAVING, NO_TARGET, OTHER_NODE].contains(&reason)
+    [LEAVING, NO_TARGET].contains(&reason)
 }
 
 /// What a node has seen: its version of the routes, and how far it follows the
--- a/src/transport/relay/pool.rs
+++ b/src/transport/relay/pool.rs
@@ -55,6 +55,22 @@
     TimedOut,
 }
 
+impl Failure {
+    /// Returns whether the other host said nothing at all, not even that it takes no
+    /// connection.
+    pub fn is_silence(&self) -> bool {
+        match self {
+            Self::NotSent(error) => error.kind() == std::io::ErrorKind::TimedOut,
+            Self::Broken(error) => {
+                let source = std::error::Error::source(error);
+                let source = source.and_then(|source| source.downcast_ref::<std::io::Error>());
+                source.is_some_and(|error| error.kind() == std::io::ErrorKind::TimedOut)
+            }
+            Self::TimedOut => true,
+        }
+    }
+}
+
 /// An answer's head, and the connection it comes from.
 pub struct Exchange {
     /// The head, with the body to come.
--- a/standins/tests/whole_path.rs
+++ b/standins/tests/whole_path.rs
@@ -209,6 +209,30 @@
         assert_eq!(two.target.seen().last().unwrap().body.len(), large.len());
     }
 
+    chunked_body_beyond_the_limit_gets_413 => {
+        let (store, one, two) = pair("b").await;
+        let chunked = |id: &str, length: usize| {
+            let chunk = "z".repeat(100_000);
+            let chunks = format!("186a0\r\n{chunk}\r\n").repeat(length / 100_000);
+            format!(
+                "POST /post/b/ HTTP/1.1\r\nHost: fares.example\r\nRilltrack-Attempt-Id: {id}\r\n\
+                 Transfer-Encoding: chunked\r\nConnection: close\r\n\r\n{chunks}0\r\n\r\n"
+            )
+        };
+        let answer = raw::until_closed(one.callers(), chunked("id1", 2_100_000).as_bytes()).await;
+        assert_eq!(status(&answer), "413", "{answer}");
+        assert_eq!(runs([&one, &two], "id1"), 0);
+        let answer = raw::until_closed(one.callers(), chunked("id2", 1_900_000).as_bytes()).await;
+        assert_eq!(status(&answer), "200", "{answer}");
+        let mut small = version(6, &["a", "b"]);
+        small["resources"][0]["spec"]["maxBodyBytes"] = 300_000.into();
+        store.publish(&small);
+        until("6 is in force", async || one.version() == 6).await;
+        let answer = raw::until_closed(one.callers(), chunked("id3", 400_000).as_bytes()).await;
+        assert_eq!(status(&answer), "413", "{answer}");
+        assert_eq!(runs([&one, &two], "id3"), 0);
+    }
+
     drained_target_gets_nothing_also_after_a_restart => {
         let (_store, one, mut two) = pair("b").await;
         assert_eq!(status(&two.heartbeat("i1", 2, "draining").await), "200");
