Requests that run once are offered; a store that is down is asked by few; peers tell a first version

Change: the body of a request that runs once waits for 100 Continue as large ones do. While it is here the request has not run, and after its wait for room and 0.25 s it goes elsewhere. Test: request_that_a_silent_node_did_not_take_runs_elsewhere (504 before). Change: four in a row stand in at the most; one duty of a process finds out that the store is back; a starting node has its first version from peers, within 0.15 s, and their offset. Test: store_that_is_down_is_asked_by_few (all nine before), restarted_node_has_its_first_version_from_a_peer (one call more before). Change: seven tenths in all, a quarter for what may have run.

--- a/src/coordination/allowance.rs
+++ b/src/coordination/allowance.rs
@@ -12,9 +12,15 @@
 
 use crate::id::Name;
 
-/// Part of the allowed share that is used. The rest covers calls which a
-/// request that ran twice makes twice, at services that can't tell.
-const USED: f64 = 0.5;
+/// Part of the allowed share that is used. The rest, with what windows of different
+/// nodes differ by, covers calls which a request that ran twice makes twice, at
+/// services that can't tell: as much as [`REPEATED`] at each of their callers.
+const USED: f64 = 0.7;
+
+/// Part of the allowed share for requests that may have run already. The larger
+/// part goes to those that certainly did not: they cost no second work, and nothing
+/// further down.
+const REPEATED: f64 = 0.25;
 
 /// Steps into which a window is cut; one more is kept, so that the sum is over
 /// a little more than the window.
@@ -38,14 +44,16 @@
 /// ```
 /// use std::time::{Duration, Instant};
 ///
-/// use rilltrack::coordination::allowance::{Allowance, Rule};
+/// use rilltrack::coordination::allowance::{Again, Allowance, Rule};
 ///
 /// let rule = Rule { ratio: 0.2, slack: 10.0, window: Duration::from_secs(10) };
 /// let mut allowance = Allowance::new(rule);
 /// let (service, now) = ("ledger".parse()?, Instant::now());
-/// // Alone in the fleet, half of the slack is this node's.
-/// let spent = (0..20).filter(|_| allowance.spend(&service, 1, now)).count();
-/// assert_eq!(spent, 5);
+/// // Alone in the fleet, seven tenths of the slack are this node's, and a quarter
+/// // for what may have run.
+/// let repeated = (0..20).filter(|_| allowance.spend(&service, Again::Repeated, 1, now)).count();
+/// let unrun = (0..20).filter(|_| allowance.spend(&service, Again::NotRun, 1, now)).count();
+/// assert_eq!((repeated, unrun), (2, 5));
 /// # Ok::<(), rilltrack::id::Error>(())
 /// ```
 #[derive(Debug)]
@@ -59,6 +67,17 @@
     begins: Instant,
     first: u32,
     again: u32,
+    /// Of those, requests that may have run before.
+    repeated: u32,
+}
+
+/// What a request that is sent again did before.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Again {
+    /// It certainly did not run.
+    NotRun,
+    /// It ran, or may have.
+    Repeated,
 }
 
 impl Allowance {
@@ -82,16 +101,19 @@
 
     /// Takes one further send for `service`; returns whether there was one.
     /// `nodes` is the size of the fleet.
-    pub fn spend(&mut self, service: &Name, nodes: usize, now: Instant) -> bool {
-        let slack = self.rule.slack * USED / nodes.max(1) as f64;
-        let ratio = self.rule.ratio * USED;
+    pub fn spend(&mut self, service: &Name, again: Again, nodes: usize, now: Instant) -> bool {
         self.step(service, now);
         let steps = &self.services[service];
-        let first: u32 = steps.iter().map(|step| step.first).sum();
-        let again: u32 = steps.iter().map(|step| step.again).sum();
-        let is_left = f64::from(again) + 1.0 <= ratio * f64::from(first) + slack;
+        let sum = |of: fn(&Step) -> u32| f64::from(steps.iter().map(of).sum::<u32>());
+        let first = sum(|step| step.first);
+        let allowed = self.rule.ratio * first + self.rule.slack / nodes.max(1) as f64;
+        let has_room = sum(|step| step.again) + 1.0 <= USED * allowed;
+        let is_left = has_room
+            && (again == Again::NotRun || sum(|step| step.repeated) + 1.0 <= REPEATED * allowed);
         if is_left {
-            self.step(service, now).again += 1;
+            let step = self.step(service, now);
+            step.again += 1;
+            step.repeated += u32::from(again == Again::Repeated);
         }
         is_left
     }
@@ -109,6 +131,7 @@
                 begins: now,
                 first: 0,
                 again: 0,
+                repeated: 0,
             });
         }
         steps.back_mut().expect("just pushed")
--- a/src/coordination/host.rs
+++ b/src/coordination/host.rs
@@ -5,7 +5,7 @@
     net::SocketAddr,
     sync::{
         Arc,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicU8, Ordering},
     },
     time::{Duration, Instant},
 };
@@ -16,6 +16,7 @@
 
 use crate::{
     coordination::{
+        Error,
         allowance::{Allowance, Rule},
         balance::Balance,
         gate::Gate,
@@ -81,7 +82,11 @@
     at: [watch::Sender<Option<u64>>; 2],
     settled: watch::Sender<bool>,
     reading: watch::Sender<bool>,
+    /// Nodes in a row that can't read the store: how many this one stands in for,
+    /// and whether it can't either.
+    stands_in_for: AtomicU8,
     blind: AtomicBool,
+    store_up: watch::Sender<bool>,
     doubted: Notify,
     silent: Mutex<Silent>,
     hint: Mutex<Hint>,
@@ -153,7 +158,9 @@
             at: [watch::Sender::new(None), watch::Sender::new(None)],
             settled: watch::Sender::new(false),
             reading: watch::Sender::new(false),
+            stands_in_for: AtomicU8::new(0),
             blind: AtomicBool::new(false),
+            store_up: watch::Sender::new(true),
             doubted: Notify::new(),
             silent: Mutex::default(),
             hint: Mutex::default(),
@@ -318,8 +325,10 @@
         let _ = self.settled.subscribe().wait_for(|settled| *settled).await;
     }
 
-    /// Notes whether this node reads the store for its failure domain.
-    pub fn set_reading(&self, reads: bool) {
+    /// Notes whether this node reads the store for its failure domain, and how many
+    /// in a row before it can't.
+    pub fn set_reading(&self, reads: bool, stands_in_for: u8) {
+        self.stands_in_for.store(stands_in_for, Ordering::Relaxed);
         let changed = self
             .reading
             .send_if_modified(|held| std::mem::replace(held, reads) != reads);
@@ -356,7 +365,18 @@
         Seen {
             version: self.version(),
             members: self.at(Stream::Members).unwrap_or(0),
-            blind: *self.reading.borrow() && self.blind.load(Ordering::Relaxed),
+            routes: self.at(Stream::Routes).unwrap_or(0),
+            blind: self.blind_in_a_row(),
+        }
+    }
+
+    fn blind_in_a_row(&self) -> u8 {
+        let is_blind = *self.reading.borrow() && self.blind.load(Ordering::Relaxed);
+        let before = self.stands_in_for.load(Ordering::Relaxed);
+        if is_blind {
+            before.saturating_add(1)
+        } else {
+            0
         }
     }
 
@@ -414,9 +434,17 @@
         }
     }
 
-    /// Counts a call to the store, and its time where it did not wait there.
-    pub fn count_store(&self, call: &'static str, is_ok: bool, took: Option<Duration>) {
-        let result = if is_ok { "ok" } else { "failed" };
+    /// Notes how a call to the store ended, and its time where it did not wait there.
+    pub fn note_store<T>(
+        &self,
+        call: &'static str,
+        result: &Result<T, Error>,
+        took: Option<Duration>,
+    ) {
+        let is_up = matches!(result, Ok(_) | Err(Error::Expired(_)));
+        self.store_up
+            .send_if_modified(|held| std::mem::replace(held, is_up) != is_up);
+        let result = if result.is_ok() { "ok" } else { "failed" };
         let call = metrics::Call { call, result };
         self.metrics.store.get_or_create(&call).inc();
         if let Some(took) = took {
@@ -424,6 +452,18 @@
         }
     }
 
+    /// Waits until a call to the store succeeds, or for `most`.
+    pub async fn until_store_answers(&self, most: Duration) {
+        let mut up = self.store_up.subscribe();
+        // Either way the caller tries again.
+        let _ = tokio::time::timeout(most, up.wait_for(|up| *up)).await;
+    }
+
+    /// Returns whether another duty asks the store again and again while it fails.
+    pub fn is_watching_store(&self) -> bool {
+        *self.reading.borrow() || self.at(Stream::Members).is_none()
+    }
+
     /// Returns the metrics as text.
     pub fn metrics(&self) -> String {
         let now = Instant::now();
--- a/src/coordination/presence.rs
+++ b/src/coordination/presence.rs
@@ -56,7 +56,7 @@
         let key = host.settings.node.to_string();
         let since = Instant::now();
         let put = (store.put)(key, record.into()).await;
-        host.count_store("put", put.is_ok(), Some(since.elapsed()));
+        host.note_store("put", &put, Some(since.elapsed()));
         match put {
             Ok(()) => {
                 failures = 0;
@@ -74,7 +74,8 @@
                         why = why
                     );
                 }
-                tokio::time::sleep(source::pause(failures)).await;
+                host.until_store_answers(source::pause_beside(&host, failures))
+                    .await;
                 failures += 1;
             }
         }
--- a/src/coordination/source.rs
+++ b/src/coordination/source.rs
@@ -7,11 +7,13 @@
 //! instead.
 
 use std::{
+    net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
 };
 
 use bytes::Bytes;
+use futures_util::future::join_all;
 
 use crate::{
     coordination::{
@@ -22,7 +24,7 @@
     },
     event::Event,
     journal::note,
-    protocol::news::{Load, Members, News},
+    protocol::news::{Load, Members, News, Seen},
     state::{member::Member, routing::Delta},
     unit::Span,
 };
@@ -46,6 +48,15 @@
 /// noticed well within the 2 s in which changes are to be in force.
 const MAX_PAUSE: Duration = Duration::from_millis(800);
 
+/// How long peers are waited for at a start. One that is there answers within a few
+/// milliseconds; after a loss of power none is, and the store tells as well.
+const FIRST: Duration = Duration::from_millis(150);
+
+/// How long a duty relies on another one of this process that asks a store which
+/// fails: one call in a round is enough to find out that it is back. Longer than
+/// [`MAX_PAUSE`] and a call's time.
+const RELY: Duration = Duration::from_secs(2);
+
 /// Peers that are asked at a time while the store fails.
 const PEERS: usize = 2;
 
@@ -63,9 +74,12 @@
 
 /// Follows one stream of the store; never returns.
 pub async fn follow(host: Arc<Host>, store: Store, ask: Ask, stream: Stream) {
-    read_newest(&host, &store, &ask, stream).await;
-    if stream == Stream::Members {
-        settle(&host, &store, &ask).await;
+    match stream {
+        Stream::Routes => first_routes(&host, &store, &ask).await,
+        Stream::Members => {
+            read_newest(&host, &store, &ask, stream).await;
+            settle(&host, &store, &ask).await;
+        }
     }
     host.until_settled().await;
     let mut reading = host.reading();
@@ -79,6 +93,19 @@
     }
 }
 
+/// Takes a first version from peers, or from the store if they have none.
+///
+/// A peer tells it in half the bytes and without a call to the store; a fleet that
+/// starts as one finds nobody who has it.
+async fn first_routes(host: &Arc<Host>, store: &Store, ask: &Ask) {
+    host.until_members_known().await;
+    // None of them having answered in time is what the store is there for.
+    let _ = tokio::time::timeout(FIRST, ask_around(host, ask)).await;
+    if host.version() == 0 {
+        read_newest(host, store, ask, Stream::Routes).await;
+    }
+}
+
 /// Gives a fleet that starts as one the time to write itself down.
 async fn settle(host: &Arc<Host>, store: &Store, ask: &Ask) {
     let is_known = host.members.read().get(&host.settings.node).is_some();
@@ -95,7 +122,7 @@
     loop {
         let since = Instant::now();
         let read = (store.newest)(stream).await;
-        host.count_store("newest", read.is_ok(), Some(since.elapsed()));
+        host.note_store("newest", &read, Some(since.elapsed()));
         match read {
             Ok(records) => {
                 note_up(host, stream, failures);
@@ -130,10 +157,13 @@
         };
         let read = tokio::select! {
             read = read => read,
-            () = host.until_doubted(), if stream == Stream::Members => continue,
+            () = host.until_doubted(), if stream == Stream::Members => {
+                host.until_store_answers(RELY).await;
+                continue;
+            }
         };
         let call = if from.is_some() { "tail" } else { "newest" };
-        host.count_store(call, read.is_ok(), None);
+        host.note_store(call, &read, None);
         match read {
             Ok(records) => {
                 note_up(host, stream, failures);
@@ -151,7 +181,12 @@
                 // Versions that came meanwhile are long: a thin link takes seconds
                 // for all of them, and only the newest counts.
                 is_behind = stream == Stream::Routes;
-                let rest = tokio::time::sleep(pause(failures));
+                let rest = async {
+                    match stream {
+                        Stream::Routes => tokio::time::sleep(pause(failures)).await,
+                        Stream::Members => host.until_store_answers(RELY).await,
+                    }
+                };
                 tokio::join!(ask_around(host, ask), rest);
                 failures += 1;
             }
@@ -228,6 +263,16 @@
     span.mul_f64(0.8 + 0.4 * fastrand::f64())
 }
 
+/// Returns the pause of a duty that has not to find out by itself when the store is
+/// back, where another one of this process does.
+pub fn pause_beside(host: &Host, failures: u32) -> Duration {
+    if host.is_watching_store() {
+        RELY
+    } else {
+        pause(failures)
+    }
+}
+
 fn note_up(host: &Host, stream: Stream, failures: u32) {
     if failures > 0 {
         note!(
@@ -251,35 +296,61 @@
     }
 }
 
+/// Asks a few peers how far they are, and the first of them for what it has.
 async fn ask_around(host: &Arc<Host>, ask: &Ask) {
     let peers = {
         let members = host.members.read();
         let others = members
             .iter()
             .filter(|member| member.node != host.settings.node && member.is_present());
-        fastrand::choose_multiple(others.map(|member| member.peers), PEERS)
+        let (near, far): (Vec<_>, Vec<_>) =
+            others.partition(|member| member.domain == host.settings.domain);
+        // Far ones last, to be asked for the whole only if they are ahead.
+        let mut drawn = fastrand::choose_multiple(near, PEERS);
+        drawn.extend(fastrand::choose_multiple(far, PEERS));
+        drawn.iter().map(|member| member.peers).collect::<Vec<_>>()
     };
-    for peer in peers {
-        ask_one(host, ask, peer).await;
+    let asked = peers.into_iter().map(|peer| seen_by(host, ask, peer));
+    let seen: Vec<_> = join_all(asked).await.into_iter().flatten().collect();
+    let newest = |of: fn(&Seen) -> u64| seen.iter().rev().max_by_key(|(_, seen)| of(seen));
+    if let Some((peer, seen)) = newest(|seen| seen.version) {
+        fetch_routes(host, ask, *peer, seen).await;
+    }
+    if let Some((peer, seen)) = newest(|seen| seen.members) {
+        fetch_members(host, ask, *peer, seen).await;
     }
 }
 
 /// Takes what a peer has that is newer than what is held here.
+async fn ask_one(host: &Arc<Host>, ask: &Ask, peer: SocketAddr) {
+    if let Some((_, seen)) = seen_by(host, ask, peer).await {
+        fetch_routes(host, ask, peer, &seen).await;
+        fetch_members(host, ask, peer, &seen).await;
+    }
+}
+
+/// Asks a peer how far it is.
 ///
-/// A peer that does not answer is no loss: the next one that names something
-/// newer is asked, or the next round asks others.
-async fn ask_one(host: &Arc<Host>, ask: &Ask, peer: std::net::SocketAddr) {
-    let Ok(seen) = ask(peer, Question::Seen).await else {
-        return;
-    };
-    let Ok(seen) = rmp_serde::from_slice::<crate::protocol::news::Seen>(&seen) else {
-        return;
-    };
+/// One that does not answer is no loss: the next one that names something newer is
+/// asked, or the next round asks others.
+async fn seen_by(host: &Host, ask: &Ask, peer: SocketAddr) -> Option<(SocketAddr, Seen)> {
+    let answer = ask(peer, Question::Seen).await.ok()?;
+    Some((peer, decode(host, &answer)?))
+}
+
+async fn fetch_routes(host: &Host, ask: &Ask, peer: SocketAddr, seen: &Seen) {
     if seen.version > host.version()
         && let Ok(answer) = ask(peer, Question::Routes(host.version())).await
     {
         take_routes(host, &answer);
+        // Its offset was told before its version, so nothing lies between.
+        if host.version() >= seen.version && seen.routes > 0 {
+            host.known_to(Stream::Routes, seen.routes);
+        }
     }
+}
+
+async fn fetch_members(host: &Host, ask: &Ask, peer: SocketAddr, seen: &Seen) {
     if Some(seen.members) > host.at(Stream::Members)
         && let Ok(answer) = ask(peer, Question::Members).await
     {
--- a/src/coordination/watch.rs
+++ b/src/coordination/watch.rs
@@ -40,6 +40,11 @@
 /// that are cut off are passed over in five rounds of 0.25 s.
 const AT_ONCE: usize = 16;
 
+/// Nodes in a row that read the store when those before them can't. A store that
+/// turns away a third of all nodes turns all of them away once in 81; one that is
+/// down altogether is asked by so many of each failure domain, and not by all.
+const STAND_INS: u8 = 4;
+
 /// The job by which nodes are ranked.
 const JOB: &str = "reader";
 
@@ -58,7 +63,7 @@
     loop {
         let mut before = before(host);
         if before.is_empty() {
-            host.set_reading(true);
+            host.set_reading(true, 0);
             if let Some(other) = elsewhere(host) {
                 compare(host, ask, &other).await;
             }
@@ -69,7 +74,7 @@
         let nearest = join_all(asked).await.into_iter().flatten().next();
         if let Some(seen) = nearest {
             // One that can't read is stood in for, and stays what it is.
-            host.set_reading(seen.blind);
+            host.set_reading((1..STAND_INS).contains(&seen.blind), seen.blind);
             return;
         }
         // A dead herd, or a cut around this node: one after the other its whole
--- a/src/protocol/news.rs
+++ b/src/protocol/news.rs
@@ -57,8 +57,12 @@
     pub version: u64,
     /// The offset up to which it knows the members.
     pub members: u64,
-    /// It is to read the store for others and can't.
-    pub blind: bool,
+    /// The offset up to which it knows the routes; 0 if it does not know where its
+    /// version stands.
+    pub routes: u64,
+    /// How many nodes in a row, this one last, are to read the store for others and
+    /// can't; 0 if it can, or need not.
+    pub blind: u8,
 }
 
 /// The members that a node knows, and how far it follows them.
--- a/src/transport/relay/egress.rs
+++ b/src/transport/relay/egress.rs
@@ -14,6 +14,7 @@
 
 use crate::{
     coordination::{
+        allowance::Again,
         balance::{Choice, End, Wish},
         gate::Arrival,
         host::Host,
@@ -71,6 +72,10 @@
 /// and costs the target nothing, but each further one finds less time.
 const ASKED: usize = 4;
 
+/// How long a node may take to give leave for a body, besides the time for which the
+/// request may wait for room there: as long as a connection may take.
+const LEAVE: Duration = Duration::from_millis(250);
+
 /// When callers are asked to come back while no version is in force.
 const NO_VERSION_AGAIN: Span = Span::from_millis(300);
 
@@ -334,7 +339,14 @@
         if tries.arrivals >= call.route.attempts {
             return false;
         }
-        let is_allowed = allowance.spend(&call.service, self.host.nodes(), now);
+        let again = match tries.last {
+            Some(Last::Refused(Refusal {
+                outcome: Outcome::NotRun,
+                ..
+            })) => Again::NotRun,
+            _ => Again::Repeated,
+        };
+        let is_allowed = allowance.spend(&call.service, again, self.host.nodes(), now);
         if !is_allowed {
             let service = metrics::Service {
                 service: call.service.to_string(),
@@ -398,15 +410,14 @@
         body: Body,
         watch: &mut Watch<'_>,
     ) -> Tried {
-        let is_offered = body.length().is_none_or(offer::is_worth_asking);
-        let mut request = self.request(call, member, visit, body);
-        if is_offered {
-            request = offer::offer(request);
-        }
-        let sent = self
-            .pool
-            .send(member.inbound, request, visit.deadline)
-            .await;
+        let is_offered = is_offered(call, &body);
+        let request = self.request(call, member, visit, body);
+        let sent = if is_offered {
+            self.send_offer(member, visit, request).await
+        } else {
+            let sent = self.pool.send(member.inbound, request, visit.deadline);
+            sent.await
+        };
         let exchange = match sent {
             Ok(exchange) => exchange,
             Err(failure) => {
@@ -459,6 +470,39 @@
         Tried::Answered(response)
     }
 
+    /// Sends a request whose body waits for the other node's leave. Without it
+    /// nothing has left, whatever the failure.
+    async fn send_offer(
+        &self,
+        member: &Member,
+        visit: &Visit,
+        request: Request<Body>,
+    ) -> Result<Exchange, Failure> {
+        let (request, offer) = offer::offer(request);
+        let leave_by = Instant::now() + visit.arrival.patience + LEAVE;
+        let sent = self.pool.send(member.inbound, request, visit.deadline);
+        let mut sent = std::pin::pin!(sent);
+        let early = tokio::time::timeout_at(leave_by.into(), sent.as_mut()).await;
+        let sent = match early {
+            Ok(sent) => sent,
+            Err(_) if offer.take_back() => return Err(Failure::Untaken),
+            Err(_) => sent.await,
+        };
+        sent.map_err(|failure| match failure {
+            Failure::Broken(error) if offer.take_back() => {
+                let silence = Failure::Broken(error).is_silence();
+                let kind = if silence {
+                    std::io::ErrorKind::TimedOut
+                } else {
+                    std::io::ErrorKind::ConnectionReset
+                };
+                Failure::NotSent(kind.into())
+            }
+            Failure::TimedOut if offer.take_back() => Failure::Untaken,
+            failure => failure,
+        })
+    }
+
     fn request(&self, call: &Call, member: &Member, visit: &Visit, body: Body) -> Request<Body> {
         let mut request = Request::new(body);
         *request.method_mut() = call.head.method.clone();
@@ -592,8 +636,19 @@
     }
 }
 
+/// Returns whether a body waits for the other node's leave.
+fn is_offered(call: &Call, body: &Body) -> bool {
+    let is_large = body.length().is_none_or(offer::is_large);
+    let is_once = call.route.kind == Kind::Once && body.length() != Some(0);
+    is_large || is_once
+}
+
 fn failed(failure: &Failure) -> Refused {
     let (refusal, arrived) = match failure {
+        Failure::Untaken => (
+            Refusal::not_run("node does not take it", NO_TARGET_AGAIN),
+            false,
+        ),
         Failure::NotSent(_) => (
             Refusal::not_run("node can't be reached", NO_TARGET_AGAIN),
             false,
@@ -611,7 +666,7 @@
 /// Returns what a failure says of the node.
 fn fault(failure: &Failure) -> End {
     match failure {
-        Failure::TimedOut => End::Late,
+        Failure::TimedOut | Failure::Untaken => End::Late,
         // The body was ours to give, and its caller left or sent too much.
         Failure::Broken(error) if error.is_user() => End::Abandoned,
         failure if failure.is_silence() => End::Lost(Loss::Silent),
--- a/src/transport/relay/ingress.rs
+++ b/src/transport/relay/ingress.rs
@@ -218,7 +218,7 @@
                 Refused::before(Refusal::not_run(NO_TARGET, Span::from_millis(100)))
             }
             Failure::Broken(_) => Refused::after(Refusal::unknown(502, "target broke off")),
-            Failure::TimedOut => {
+            Failure::TimedOut | Failure::Untaken => {
                 Refused::after(Refusal::unknown(504, "target did not answer in time"))
             }
         }
--- a/src/transport/relay/offer.rs
+++ b/src/transport/relay/offer.rs
@@ -1,10 +1,14 @@
 //! Bodies that are offered before they are sent.
 //!
-//! A large body that goes to a node only to be refused there has cost its link as
-//! much as one that is served; with several nodes asked for room, thin links fill
-//! up with uploads that nobody takes, and heartbeats and changes wait behind them.
-//! So a sender gives the head alone, with `Expect: 100-continue`, and the body
-//! once the other node has room for it.
+//! The head goes alone, with `Expect: 100-continue`, and the body once the other node
+//! has room for the request. Two kinds are offered:
+//!
+//! * Large ones. A body that goes to a node only to be refused there has cost its
+//!   link as much as one that is served; with several nodes asked for room, thin
+//!   links fill up with uploads that nobody takes, and heartbeats and changes wait
+//!   behind them.
+//! * Those of requests that may run only once. While the body is here, the request
+//!   certainly has not run, whatever became of the other node, and may go elsewhere.
 
 use std::sync::Arc;
 
@@ -57,19 +61,42 @@
     }
 }
 
-/// Returns whether a body of this many bytes is offered first.
-pub fn is_worth_asking(bytes: usize) -> bool {
+/// A body that waits for the other node's leave.
+pub struct Offer {
+    leave: Leave,
+}
+
+type Leave = Arc<Mutex<Option<oneshot::Sender<()>>>>;
+
+impl Offer {
+    /// Takes the offer back. Returns whether that was in time: nothing of the body
+    /// has left, nor ever will.
+    pub fn take_back(&self) -> bool {
+        self.leave.lock().take().is_some()
+    }
+
+    /// Returns whether the other node has taken it.
+    pub fn is_taken(&self) -> bool {
+        self.leave.lock().is_none()
+    }
+}
+
+/// Returns whether a body of this many bytes is offered for its size.
+pub fn is_large(bytes: usize) -> bool {
     bytes >= SMALLEST
 }
 
-/// Makes `request` an offer: its body waits for the other node's leave.
-pub fn offer(request: Request<Body>) -> Request<Body> {
+/// Makes `request` an offer.
+pub fn offer(request: Request<Body>) -> (Request<Body>, Offer) {
     let (leave, given) = oneshot::channel();
     let mut request = request.map(|body| body.after(given));
     request
         .headers_mut()
         .insert(EXPECT, HeaderValue::from_static("100-continue"));
     let leave = Arc::new(Mutex::new(Some(leave)));
+    let offer = Offer {
+        leave: leave.clone(),
+    };
     hyper::ext::on_informational(&mut request, move |response| {
         if response.status() == StatusCode::CONTINUE
             && let Some(leave) = leave.lock().take()
@@ -78,5 +105,5 @@
             let _ = leave.send(());
         }
     });
-    request
+    (request, offer)
 }
--- a/src/transport/relay/pool.rs
+++ b/src/transport/relay/pool.rs
@@ -50,6 +50,9 @@
     /// The connection broke after something may have been sent.
     #[error("connection broke")]
     Broken(#[source] hyper::Error),
+    /// The other end gave no leave for the body, of which nothing was sent.
+    #[error("no leave in time")]
+    Untaken,
     /// The deadline passed after something may have been sent.
     #[error("no answer in time")]
     TimedOut,
@@ -66,7 +69,7 @@
                 let source = source.and_then(|source| source.downcast_ref::<std::io::Error>());
                 source.is_some_and(|error| error.kind() == std::io::ErrorKind::TimedOut)
             }
-            Self::TimedOut => true,
+            Self::TimedOut | Self::Untaken => true,
         }
     }
 }
--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -106,9 +106,14 @@
         self.process.as_ref().unwrap().host.version()
     }
 
+    /// Returns whether it reads the store for its failure domain.
+    pub fn reads(&self) -> bool {
+        *self.process.as_ref().unwrap().host.reading().borrow()
+    }
+
     /// Returns whether it is to read the store and can't.
     pub fn is_blind(&self) -> bool {
-        self.process.as_ref().unwrap().host.seen().blind
+        self.process.as_ref().unwrap().host.seen().blind > 0
     }
 
     /// Returns whether this host knows a ready target on the named one.
@@ -185,6 +190,11 @@
         raw::until_closed((self.ip, CALLERS).into(), request.as_bytes()).await
     }
 
+    /// Returns where other nodes send requests for its target.
+    pub fn inbound(&self) -> SocketAddr {
+        (self.ip, INBOUND).into()
+    }
+
     pub fn callers(&self) -> SocketAddr {
         (self.ip, CALLERS).into()
     }
--- a/standins/src/store.rs
+++ b/standins/src/store.rs
@@ -53,7 +53,8 @@
 #[derive(Default)]
 struct Log {
     topics: HashMap<String, Topic>,
-    calls: BTreeMap<String, u64>,
+    /// Calls by path and topic.
+    calls: BTreeMap<(String, String), u64>,
     /// Bytes given out by reads of the tail.
     given: u64,
 }
@@ -160,9 +161,17 @@
         self.changes.send_modify(|count| *count += 1);
     }
 
-    /// Returns how often a call was made.
+    /// Returns how often a call was made, on any topic.
     pub fn calls(&self, call: &str) -> u64 {
-        self.log.lock().calls.get(call).copied().unwrap_or(0)
+        let log = self.log.lock();
+        let calls = log.calls.iter().filter(|((path, _), _)| path == call);
+        calls.map(|(_, count)| count).sum()
+    }
+
+    /// Returns how often a call was made on a topic.
+    pub fn calls_on(&self, call: &str, topic: &str) -> u64 {
+        let key = (call.to_owned(), topic.to_owned());
+        self.log.lock().calls.get(&key).copied().unwrap_or(0)
     }
 
     /// Returns how many bytes reads of the tail gave out.
@@ -193,7 +202,13 @@
         }
         let path = request.uri().path().to_owned();
         let query = query(request.uri().query().unwrap_or_default());
-        *self.log.lock().calls.entry(path.clone()).or_default() += 1;
+        let topic = query.get("topic").cloned().unwrap_or_default();
+        *self
+            .log
+            .lock()
+            .calls
+            .entry((path.clone(), topic))
+            .or_default() += 1;
         match path.as_str() {
             "/api/log-append" => {
                 let answer = self.append(&query, request.into_body()).await;
--- a/standins/tests/whole_path.rs
+++ b/standins/tests/whole_path.rs
@@ -150,6 +150,27 @@
         }
     }
 
+    request_that_a_silent_node_did_not_take_runs_elsewhere => {
+        let (store, one, mut two) = pair("b").await;
+        let three = Host::start(&store, "n3", "here", "b").await;
+        until("it is known", async || one.knows("n3")).await;
+        two.stop().await;
+        // Takes connections and says nothing, as a host that is frozen.
+        let silent = tokio::net::TcpListener::bind(two.inbound()).await.unwrap();
+        let held = tokio::spawn(async move {
+            let mut held = Vec::new();
+            while let Ok((stream, _)) = silent.accept().await {
+                held.push(stream);
+            }
+        });
+        for i in 0..8 {
+            let answer = one.ask("POST", "/post/b/", &format!("id{i}"), "x").await;
+            assert_eq!(status(&answer), "200", "{answer}");
+        }
+        assert_eq!(three.target.seen().len(), 8);
+        held.abort();
+    }
+
     request_that_was_shed_runs_elsewhere => {
         let (_store, one, two) = pair("a").await;
         one.target.set(Mode::Sheds);
@@ -315,6 +336,37 @@
         assert!(store.given() - before < length * missed / 2, "{} bytes", store.given() - before);
     }
 
+    store_that_is_down_is_asked_by_few => {
+        let store = Store::start().await;
+        store.publish(&version(5, &["a"]));
+        let mut hosts = Vec::new();
+        for i in 0..9 {
+            hosts.push(Host::start(&store, &format!("n{i}"), "here", "a").await);
+        }
+        until("one reads", async || hosts.iter().filter(|host| host.reads()).count() == 1).await;
+        store.set(StoreMode::Refusing);
+        let readers = || hosts.iter().filter(|host| host.reads()).count();
+        until("others stand in", async || readers() == 4).await;
+        // Each further one would follow within a second.
+        tokio::time::sleep(std::time::Duration::from_secs(3)).await;
+        assert_eq!(readers(), 4);
+        store.set(StoreMode::Up);
+        until("one reads again", async || readers() == 1).await;
+        store.publish(&version(9, &["a"]));
+        until("9 is in force", async || hosts.iter().all(|host| host.version() == 9)).await;
+    }
+
+    restarted_node_has_its_first_version_from_a_peer => {
+        let (store, one, mut two) = pair("b").await;
+        let before = store.calls_on("/api/log-newest", "keyed.op");
+        two.stop().await;
+        two.run();
+        two.until_ready().await;
+        assert_eq!(two.version(), 5);
+        assert_eq!(store.calls_on("/api/log-newest", "keyed.op"), before);
+        let _ = &one;
+    }
+
     process_that_leaves_answers_what_it_has => {
         let (_store, mut one, two) = pair("b").await;
         two.target.set(Mode::Hangs);
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -18,7 +18,7 @@
 use rilltrack::{
     coordination::{
         self,
-        allowance::{Allowance, Rule},
+        allowance::{Again, Allowance, Rule},
         balance::{Balance, Choice, End, Wish},
         gate::{self, Arrival, Gate},
         host::Host,
@@ -372,7 +372,7 @@
             let node = if rng.bool() { busy } else { rng.usize(..nodes) };
             fleet[node].earn(&service, now);
             first.push(step);
-            if rng.f64() < 0.6 && fleet[node].spend(&service, nodes, now) {
+            if rng.f64() < 0.6 && fleet[node].spend(&service, Again::NotRun, nodes, now) {
                 again.push(step);
             }
         }
@@ -385,6 +385,38 @@
         }
     }
 
+    allowance_covers_what_repeated_requests_call_again => {
+        let rule = Rule { ratio: 0.2, slack: 62.0, window: Duration::from_secs(10) };
+        let mut rng = fastrand::Rng::with_seed(9);
+        let (parents, calls) = (name("a"), name("b"));
+        let begin = Instant::now();
+        let nodes = 13;
+        let mut fleet: Vec<Allowance> = (0..nodes).map(|_| Allowance::new(rule)).collect();
+        let (mut first, mut again) = (Vec::new(), Vec::new());
+        for step in 0..40_000u64 {
+            let now = begin + Duration::from_millis(step);
+            let allowance = &mut fleet[rng.usize(0..nodes)];
+            // Each request calls twice, and half of all fail at either service.
+            allowance.earn(&parents, now);
+            let repeats = rng.bool() && allowance.spend(&parents, Again::Repeated, nodes, now);
+            for run in 0..1 + u32::from(repeats) {
+                for _ in 0..2 {
+                    fleet[rng.usize(0..nodes)].earn(&calls, now);
+                    if run == 0 { first.push(step) } else { again.push(step) }
+                    if rng.bool() && fleet[rng.usize(0..nodes)].spend(&calls, Again::NotRun, nodes, now) {
+                        again.push(step);
+                    }
+                }
+            }
+        }
+        for end in (10_000..40_000).step_by(500) {
+            let within = |at: &&u64| **at > end - 10_000 && **at <= end;
+            let requests = first.iter().filter(within).count() as f64;
+            let sent = again.iter().filter(within).count() as f64;
+            assert!(sent <= 0.2 * requests + 62.0, "{sent} of {requests} at {end}");
+        }
+    }
+
     nearest_goes_first_until_it_has_no_room => {
         let table = members(&[("n1", "here"), ("f1", "there"), ("f2", "there")]);
         let mut balance = Balance::default();
@@ -992,16 +1024,19 @@
         });
         let pool = Pool::new(POOL);
         let until = Instant::now() + Duration::from_secs(5);
-        let request = offer::offer(Request::new(Body::whole(vec![b'x'; 20 << 10])));
+        let (request, offer) = offer::offer(Request::new(Body::whole(vec![b'x'; 20 << 10])));
         let exchange = pool.send(address, request, until).await.unwrap();
         assert_eq!(exchange.response.status(), 503);
         drop(exchange);
+        assert!(offer.take_back());
         assert_eq!(rest.await.unwrap(), 0);
         let (address, _phase) = serve(Whose::Others, Limits::default(), echo()).await;
         for length in [15 << 10, 200 << 10] {
             let request = Request::new(Body::whole(vec![b'x'; length]));
             let until = Instant::now() + Duration::from_secs(5);
-            let exchange = pool.send(address, offer::offer(request), until).await.unwrap();
+            let (request, offer) = offer::offer(request);
+            let exchange = pool.send(address, request, until).await.unwrap();
+            assert!(offer.is_taken() && !offer.take_back());
             let read = body::read(exchange.response.into_body(), 1 << 20, Duration::from_secs(5)).await;
             let Ok(Read::Whole(bytes)) = read else { panic!("no answer") };
             assert_eq!(bytes.len(), "/=".len() + length);
