Nodes tell how slow their targets are; the way to the next node is a module of its own

Change: a sender says how long such requests usually take, the node beside the target keeps how long its target takes over that, and tells it with each answer; it fades within 10 s. The own target's load is read from its gate. egress.rs is split: relay::next sends to nodes. Trial before, not taken: a second copy of lookups after 0.6 of the objective. Test: target_that_its_node_calls_slow_gets_little_and_is_tried_again_later, own_target_is_as_full_as_its_gate_says.

--- a/src/coordination/balance.rs
+++ b/src/coordination/balance.rs
@@ -16,7 +16,7 @@
 use crate::{
     coordination::reach::{Loss, Reach},
     id::{Incarnation, Name, Node},
-    protocol::dialect::Load,
+    protocol::dialect::{Load, Pace},
     state::member::{Member, Status, Table},
 };
 
@@ -46,6 +46,14 @@
 /// The weight of the newest request in what is known of a target's speed.
 const NEWEST: f64 = 0.1;
 
+/// How long it takes until two thirds of what is known of a target's pace are
+/// forgotten: longer than troubles of a target last in part, shorter than minutes.
+const PACE_LIFE: Duration = Duration::from_secs(10);
+
+/// The weight of a report in what is known of a target's pace. The target's node saw
+/// all its requests, where this one saw a few.
+const REPORTED: f64 = 0.7;
+
 /// How long a reported load is believed; the mean request lasts about as long.
 const LOAD_LIFE: Duration = Duration::from_millis(500);
 
@@ -87,8 +95,9 @@
     report: Option<(Load, Instant)>,
     /// Requests sent since the report.
     since_report: u32,
-    /// Its time for an answer over that of all, a smoothed mean.
-    slowness: f64,
+    /// How long it takes, and since when that is known.
+    pace: Pace,
+    paced: Instant,
     failures: u32,
     absences: u32,
     absent_until: Option<Instant>,
@@ -156,6 +165,17 @@
     pub domain: &'a Name,
     /// The bytes of its body.
     pub bytes: usize,
+    /// How full the target beside the node is.
+    pub own: Load,
+}
+
+/// What a node reports of its target with an answer.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Report {
+    /// How full it is.
+    pub load: Option<Load>,
+    /// How long it takes.
+    pub pace: Option<Pace>,
 }
 
 /// The node that was chosen, and on what grounds.
@@ -179,7 +199,8 @@
             heard: now,
             report: None,
             since_report: 0,
-            slowness: 1.0,
+            pace: Pace::default(),
+            paced: now,
             failures: 0,
             absences: 0,
             absent_until: None,
@@ -202,6 +223,14 @@
         }
     }
 
+    /// Returns how long the target is thought to take. What is known of it fades, so
+    /// that one that was slow is tried again.
+    fn pace(&self, now: Instant) -> f64 {
+        let age = now.saturating_duration_since(self.paced);
+        let known = (-age.as_secs_f64() / PACE_LIFE.as_secs_f64()).exp();
+        Pace::default().towards(self.pace, known).factor()
+    }
+
     fn be_absent(&mut self, now: Instant) {
         let span = ABSENCE * 2u32.saturating_pow(self.absences.min(8));
         self.absences += 1;
@@ -289,8 +318,13 @@
         let slots = member.targets.iter().find(|t| t.service == *wish.service);
         let slots = f64::from(slots.map_or(1, |target| target.slots.max(1)));
         let peer = self.peer(member, now);
-        let usage = f64::from(peer.held(now) + 1) / slots;
-        let work = mean * peer.slowness * f64::from(1 + peer.failures);
+        let held = if member.node == *wish.node {
+            wish.own.running + wish.own.waiting
+        } else {
+            peer.held(now)
+        };
+        let usage = f64::from(held + 1) / slots;
+        let work = mean * peer.pace(now) * f64::from(1 + peer.failures);
         // Beyond the last slot each turn of all slots costs a whole request.
         let time = work * (1.0 + NEARLY_FULL * usage + (usage - 1.0).max(0.0));
         let way = if member.domain == *wish.domain {
@@ -311,7 +345,7 @@
         peer.since_report += 1;
     }
 
-    /// Notes how a request ended, and the load that the node reported.
+    /// Notes how a request ended, and what the node reported of its target.
     ///
     /// Returns whether the node is passed over from now on.
     pub fn finish(
@@ -319,16 +353,16 @@
         member: &Member,
         route: &Name,
         end: End,
-        load: Option<Load>,
+        report: Report,
         now: Instant,
     ) -> bool {
         let took = match end {
-            End::Answered(took) => Some(self.relative(route, took)),
+            End::Answered(took) => Some(self.relate(route, took)),
             _ => None,
         };
         let peer = self.peer(member, now);
         peer.outstanding = peer.outstanding.saturating_sub(1);
-        if let Some(load) = load {
+        if let Some(load) = report.load {
             peer.report = Some((load, now));
             peer.since_report = 0;
         }
@@ -341,7 +375,12 @@
         let peer = self.peer(member, now);
         match end {
             End::Answered(_) => {
-                peer.slowness += NEWEST * (took.unwrap_or(1.0) - peer.slowness);
+                let (seen, weight) = match report.pace {
+                    Some(pace) => (pace, REPORTED),
+                    None => (took.unwrap_or_default(), NEWEST),
+                };
+                peer.pace = peer.pace.towards(seen, weight);
+                peer.paced = now;
                 peer.failures = peer.failures.saturating_sub(1);
                 false
             }
@@ -375,14 +414,22 @@
         self.reach.retain(known);
     }
 
-    /// Returns `took` over the route's mean, and takes it into that.
-    fn relative(&mut self, route: &Name, took: Duration) -> f64 {
-        /// Bounds on one request's say, lest a single outlier decide.
-        const BOUNDS: (f64, f64) = (0.2, 5.0);
-        let took = took.as_secs_f64().max(1e-4);
-        let mean = self.routes.entry(route.clone()).or_insert(took);
-        let relative = took / *mean;
-        *mean += NEWEST * (took - *mean);
-        relative.clamp(BOUNDS.0, BOUNDS.1)
+    /// Returns how long answers on a route usually take, if any came.
+    pub fn usual(&self, route: &Name) -> Option<Duration> {
+        self.routes
+            .get(route)
+            .map(|mean| Duration::from_secs_f64(*mean))
+    }
+
+    /// Returns the pace of a request that took so long, and takes it into the route's
+    /// mean.
+    fn relate(&mut self, route: &Name, took: Duration) -> Pace {
+        let mean = self
+            .routes
+            .entry(route.clone())
+            .or_insert(took.as_secs_f64());
+        let pace = Pace::of(took, Duration::from_secs_f64(*mean));
+        *mean += NEWEST * (took.as_secs_f64() - *mean);
+        pace
     }
 }
--- a/src/coordination/gate.rs
+++ b/src/coordination/gate.rs
@@ -16,7 +16,10 @@
 use tokio::sync::oneshot;
 
 use crate::{
-    protocol::{answer::Refusal, dialect::Load},
+    protocol::{
+        answer::Refusal,
+        dialect::{Load, Pace},
+    },
     unit::Span,
 };
 
@@ -82,6 +85,7 @@
     waiting: BTreeMap<Place, oneshot::Sender<()>>,
     next: u64,
     mean: f64,
+    pace: Pace,
 }
 
 /// A place in the queue: rank, due time, and a count that tells equals apart.
@@ -140,6 +144,7 @@
             .is_some_and(|held| held.instance != target.instance);
         if is_other || state.target.is_none() {
             state.mean = FIRST_MEAN;
+            state.pace = Pace::default();
         }
         state.target = Some(target);
         state.closed = false;
@@ -171,6 +176,17 @@
         }
     }
 
+    /// Notes how long a request ran that usually takes `usual`, where it came from.
+    pub fn note_run(&self, took: Duration, usual: Duration) {
+        let mut state = self.state.lock();
+        state.pace = state.pace.towards(Pace::of(took, usual), NEWEST);
+    }
+
+    /// Returns how long the target takes, over what is usual.
+    pub fn pace(&self) -> Pace {
+        self.state.lock().pace
+    }
+
     /// Waits for leave to send one request to the target.
     ///
     /// # Errors
--- a/src/protocol/dialect.rs
+++ b/src/protocol/dialect.rs
@@ -4,6 +4,8 @@
 //! values. What nodes say to each other stands in [`hop`] and is always the
 //! same.
 
+use std::time::Duration;
+
 use http::HeaderName;
 
 /// The names of the headers that have a meaning for the relay.
@@ -67,8 +69,71 @@
     pub const REASON: &str = "rilltrack-hop-reason";
     /// On a refusal: the target itself has seen the request.
     pub const ARRIVED: &str = "rilltrack-hop-arrived";
+    /// Milliseconds that the sender's requests of this route usually take.
+    pub const USUAL: &str = "rilltrack-hop-usual-ms";
     /// A [`Load`](super::Load) of the target, as its gate sees it.
     pub const LOAD: &str = "rilltrack-hop-load";
+    /// The [`Pace`](super::Pace) of the target.
+    pub const PACE: &str = "rilltrack-hop-pace";
+}
+
+/// How long a target takes for a request, over what is usual for it: 1 is as usual, 2
+/// twice as long. Never zero, negative or without end.
+#[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
+pub struct Pace(f64);
+
+impl Pace {
+    /// Bounds on one request's say, lest a single outlier decide.
+    const BOUNDS: (f64, f64) = (0.2, 8.0);
+
+    /// Returns the pace of one request.
+    pub fn of(took: Duration, usual: Duration) -> Self {
+        let usual = usual.as_secs_f64().max(1e-4);
+        let (least, most) = Self::BOUNDS;
+        Self((took.as_secs_f64() / usual).clamp(least, most))
+    }
+
+    /// Returns a mean of this pace and `other`, which has `weight` of 1.
+    pub fn towards(self, other: Self, weight: f64) -> Self {
+        Self(self.0 + weight * (other.0 - self.0))
+    }
+
+    /// Returns it as a factor.
+    pub fn factor(self) -> f64 {
+        self.0
+    }
+}
+
+impl Default for Pace {
+    /// As usual.
+    fn default() -> Self {
+        Self(1.0)
+    }
+}
+
+impl std::fmt::Display for Pace {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{:.2}", self.0)
+    }
+}
+
+/// A text that is no pace.
+#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+#[error("`{0}` is not a pace: a number above zero")]
+pub struct PaceError(String);
+
+impl std::str::FromStr for Pace {
+    type Err = PaceError;
+
+    fn from_str(text: &str) -> Result<Self, PaceError> {
+        let factor = text
+            .parse()
+            .ok()
+            .filter(|pace: &f64| pace.is_finite() && *pace > 0.0);
+        let factor = factor.ok_or_else(|| PaceError(text.into()))?;
+        let (least, most) = Self::BOUNDS;
+        Ok(Self(factor.clamp(least, most)))
+    }
 }
 
 /// How full a target is.
--- a/src/transport/relay/egress.rs
+++ b/src/transport/relay/egress.rs
@@ -15,33 +15,25 @@
 use crate::{
     coordination::{
         allowance::Again,
-        balance::{Choice, End, Wish},
+        balance::{Choice, Report, Wish},
         gate::Arrival,
         host::Host,
         link::Stream,
-        reach::Loss,
     },
     event::Event,
     host::metrics,
     id::{Name, Node},
     journal::note,
-    protocol::{
-        answer::{Outcome, Refusal},
-        dialect::hop,
-    },
-    state::{
-        member::Member,
-        routing::{Kind, Route},
-    },
+    protocol::answer::{Outcome, Refusal},
+    state::routing::{Kind, Route},
     transport::{
         http,
         relay::{
             KEPT_BODY,
             body::{self, Body, Read, ReadError},
-            ingress::{self, Ingress, Refused, Visit},
-            offer, onward,
+            ingress::{Ingress, Visit},
+            next::Next,
             outstanding::{Tried, Watch},
-            pool::{Exchange, Failure, Pool, Settings},
             refused,
             serve::Handler,
         },
@@ -49,15 +41,6 @@
     unit::{Size, Span},
 };
 
-/// How connections to other nodes are made and kept. A connection within a
-/// region takes a few milliseconds; one that takes longer goes nowhere. Each one
-/// that is kept holds some 20 KB at both ends, and a new one costs a round trip.
-const POOL: Settings = Settings {
-    connect: Duration::from_millis(250),
-    keep: Duration::from_secs(5),
-    kept: 8,
-};
-
 /// Part of a route's objective that a request may wait for room: refused within
 /// it, a caller can still be served in time by coming back.
 const PATIENCE: u32 = 4;
@@ -72,10 +55,6 @@
 /// and costs the target nothing, but each further one finds less time.
 const ASKED: usize = 4;
 
-/// How long a node may take to give leave for a body, besides the time for which the
-/// request may wait for room there: as long as a connection may take.
-const LEAVE: Duration = Duration::from_millis(250);
-
 /// When callers are asked to come back while no version is in force.
 const NO_VERSION_AGAIN: Span = Span::from_millis(300);
 
@@ -86,16 +65,21 @@
 pub struct Egress {
     host: Arc<Host>,
     ingress: Arc<Ingress>,
-    pool: Pool,
+    next: Next,
 }
 
 /// A request and what the version in force says about it.
-struct Call {
-    head: request::Parts,
-    route: Arc<Route>,
-    service: Name,
-    arrived: Instant,
-    deadline: Instant,
+pub struct Call {
+    /// The request's head, as its target gets it.
+    pub head: request::Parts,
+    /// Its route.
+    pub route: Arc<Route>,
+    /// The service that is to run it.
+    pub service: Name,
+    /// When it came.
+    pub arrived: Instant,
+    /// When its caller, or its route, has no more use for an answer.
+    pub deadline: Instant,
 }
 
 /// What was tried for a request so far.
@@ -118,9 +102,9 @@
     /// `ingress`.
     pub fn new(host: Arc<Host>, ingress: Arc<Ingress>) -> Arc<Self> {
         Arc::new(Self {
+            next: Next::new(host.clone()),
             host,
             ingress,
-            pool: Pool::new(POOL),
         })
     }
 
@@ -136,7 +120,7 @@
     /// Closes connections that were unused for long and forgets nodes that have
     /// left.
     pub fn tidy(&self) {
-        self.pool.tidy();
+        self.next.tidy();
         let members = self.host.members.read();
         self.host
             .balance
@@ -297,6 +281,7 @@
             service: &call.service,
             domain: &self.host.settings.domain,
             bytes,
+            own: self.host.gate.load(),
         };
         let members = self.host.members.read();
         let mut balance = self.host.balance.lock();
@@ -370,15 +355,18 @@
                 patience: patience.saturating_sub(waited),
                 due: call.arrived + objective,
             },
+            usual: self.host.balance.lock().usual(&call.route.name),
             deadline: call.deadline,
         };
         let tried = if member.node == self.host.settings.node {
-            match self.ingress.deliver(&visit, &call.head, body).await {
+            let delivered = self.ingress.deliver(&visit, &call.head, body).await;
+            watch.report = self.own_report();
+            match delivered {
                 Ok(response) => Tried::Answered(response),
                 Err(refused) => Tried::Refused(refused),
             }
         } else {
-            self.send(call, member, &visit, body, &mut watch).await
+            self.next.send(call, member, &visit, body, &mut watch).await
         };
         watch.finish(&tried, since.elapsed());
         if let Tried::Refused(refused) = &tried {
@@ -401,123 +389,11 @@
         tried
     }
 
-    /// Sends a request to the node beside the target.
-    async fn send(
-        &self,
-        call: &Call,
-        member: &Member,
-        visit: &Visit,
-        body: Body,
-        watch: &mut Watch<'_>,
-    ) -> Tried {
-        let is_offered = is_offered(call, &body);
-        let request = self.request(call, member, visit, body);
-        let sent = if is_offered {
-            self.send_offer(member, visit, request).await
-        } else {
-            let sent = self.pool.send(member.inbound, request, visit.deadline);
-            sent.await
-        };
-        let exchange = match sent {
-            Ok(exchange) => exchange,
-            Err(failure) => {
-                watch.fault = Some(fault(&failure));
-                if matches!(watch.fault, Some(End::Lost(_))) {
-                    self.pool.forget(member.inbound);
-                }
-                return Tried::Refused(failed(&failure));
-            }
-        };
-        let Exchange {
-            response,
-            connection,
-        } = exchange;
-        watch.load = ingress::load_of(&response);
-        let seen = http::get(response.headers(), hop::VERSION).and_then(ingress::parse_seen);
-        if let Some((version, members)) = seen {
-            self.host.hear_of(version, members, member.peers);
+    fn own_report(&self) -> Report {
+        Report {
+            load: Some(self.host.gate.load()),
+            pace: Some(self.host.gate.pace()),
         }
-        let refused = ingress::refusal_of_node(&response);
-        let (head, incoming) = response.into_parts();
-        let left = call.deadline.saturating_duration_since(Instant::now());
-        let read = body::read(incoming, KEPT_BODY, left).await;
-        let body = match (read, refused) {
-            (Ok(Read::Whole(_)), Some(refused)) if !is_offered => {
-                self.pool.put_back(connection);
-                return Tried::Refused(refused);
-            }
-            // A refused offer ends its connection: the body that was told of is
-            // still due on it.
-            (_, Some(refused)) => return Tried::Refused(refused),
-            (Ok(Read::Whole(bytes)), None) => {
-                self.pool.put_back(connection);
-                Body::whole(bytes)
-            }
-            (Ok(Read::Start(first, rest)), None) => {
-                Body::streamed(first, rest, call.deadline).holding(connection)
-            }
-            (Err(_), None) => {
-                let refusal = Refusal::unknown(502, "the answer broke off between nodes");
-                return Tried::Refused(Refused {
-                    refusal,
-                    arrived: true,
-                });
-            }
-        };
-        let mut response = Response::new(body);
-        *response.status_mut() = head.status;
-        *response.headers_mut() = onward(&head.headers);
-        Tried::Answered(response)
-    }
-
-    /// Sends a request whose body waits for the other node's leave. Without it
-    /// nothing has left, whatever the failure.
-    async fn send_offer(
-        &self,
-        member: &Member,
-        visit: &Visit,
-        request: Request<Body>,
-    ) -> Result<Exchange, Failure> {
-        let (request, offer) = offer::offer(request);
-        let leave_by = Instant::now() + visit.arrival.patience + LEAVE;
-        let sent = self.pool.send(member.inbound, request, visit.deadline);
-        let mut sent = std::pin::pin!(sent);
-        let early = tokio::time::timeout_at(leave_by.into(), sent.as_mut()).await;
-        let sent = match early {
-            Ok(sent) => sent,
-            Err(_) if offer.take_back() => return Err(Failure::Untaken),
-            Err(_) => sent.await,
-        };
-        sent.map_err(|failure| match failure {
-            Failure::Broken(error) if offer.take_back() => {
-                let silence = Failure::Broken(error).is_silence();
-                let kind = if silence {
-                    std::io::ErrorKind::TimedOut
-                } else {
-                    std::io::ErrorKind::ConnectionReset
-                };
-                Failure::NotSent(kind.into())
-            }
-            Failure::TimedOut if offer.take_back() => Failure::Untaken,
-            failure => failure,
-        })
-    }
-
-    fn request(&self, call: &Call, member: &Member, visit: &Visit, body: Body) -> Request<Body> {
-        let mut request = Request::new(body);
-        *request.method_mut() = call.head.method.clone();
-        *request.uri_mut() = ingress::origin_form(&call.head.uri);
-        *request.headers_mut() = onward(&call.head.headers);
-        let headers = request.headers_mut();
-        let left = visit.deadline.saturating_duration_since(Instant::now());
-        http::set(headers, hop::TO, &member.node);
-        http::set(headers, hop::SERVICE, &visit.service);
-        http::set(headers, hop::PRIORITY, visit.arrival.priority);
-        http::set(headers, hop::PATIENCE, visit.arrival.patience.as_millis());
-        let due = visit.arrival.due.saturating_duration_since(Instant::now());
-        http::set(headers, hop::DUE, due.as_millis());
-        http::set(headers, hop::DEADLINE, left.as_millis());
-        request
     }
 
     /// Ends a request: with the answer, or with what the caller is told instead.
@@ -636,44 +512,10 @@
     }
 }
 
-/// Returns whether a body waits for the other node's leave.
-fn is_offered(call: &Call, body: &Body) -> bool {
-    let is_large = body.length().is_none_or(offer::is_large);
-    let is_once = call.route.kind == Kind::Once && body.length() != Some(0);
-    is_large || is_once
-}
-
-fn failed(failure: &Failure) -> Refused {
-    let (refusal, arrived) = match failure {
-        Failure::Untaken => (
-            Refusal::not_run("node does not take it", NO_TARGET_AGAIN),
-            false,
-        ),
-        Failure::NotSent(_) => (
-            Refusal::not_run("node can't be reached", NO_TARGET_AGAIN),
-            false,
-        ),
-        Failure::Broken(_) => (Refusal::unknown(502, "node broke off"), true),
-        Failure::TimedOut => (Refusal::unknown(504, "no answer in time"), true),
-    };
-    Refused { refusal, arrived }
-}
-
 fn too_large(most: Size) -> String {
     format!("request body is larger than {most}")
 }
 
-/// Returns what a failure says of the node.
-fn fault(failure: &Failure) -> End {
-    match failure {
-        Failure::TimedOut | Failure::Untaken => End::Late,
-        // The body was ours to give, and its caller left or sent too much.
-        Failure::Broken(error) if error.is_user() => End::Abandoned,
-        failure if failure.is_silence() => End::Lost(Loss::Silent),
-        _ => End::Lost(Loss::Closed),
-    }
-}
-
 fn host_of(head: &request::Parts) -> String {
     let host = http::get(&head.headers, "host").or_else(|| head.uri.host());
     let host = host.unwrap_or_default();
--- a/src/transport/relay/ingress.rs
+++ b/src/transport/relay/ingress.rs
@@ -10,6 +10,7 @@
 
 use crate::{
     coordination::{
+        balance::Report,
         gate::{Arrival, LEAVING, NO_TARGET, Permit},
         host::Host,
     },
@@ -18,7 +19,7 @@
     journal::note,
     protocol::{
         answer::{Outcome, Refusal},
-        dialect::{Load, hop},
+        dialect::hop,
     },
     transport::{
         http,
@@ -52,6 +53,8 @@
     pub service: Name,
     /// What it brings to the gate.
     pub arrival: Arrival,
+    /// How long such a request usually takes, where it came from.
+    pub usual: Option<Duration>,
     /// When an answer is of no more use.
     pub deadline: Instant,
 }
@@ -134,13 +137,19 @@
         let permit = entered.map_err(Refused::before)?;
         let body = self.body(visit, head, body).await?;
         let request = self.request(visit, &permit, head, body);
+        let since = Instant::now();
         let sent = self
             .pool
             .send(permit.target.address, request, visit.deadline)
             .await;
         let exchange = sent.map_err(|failure| self.failed(&permit, &failure))?;
         self.check(id, &exchange.response)?;
-        self.pass(visit, permit, exchange).await
+        let answered = self.pass(visit, permit, exchange).await;
+        let is_success = answered.as_ref().is_ok_and(|a| a.status().is_success());
+        if let Some(usual) = visit.usual.filter(|_| is_success) {
+            self.host.gate.note_run(since.elapsed(), usual);
+        }
+        answered
     }
 
     /// Writes down what the gate decided.
@@ -307,6 +316,7 @@
         };
         let headers = response.headers_mut();
         http::set(headers, hop::LOAD, self.host.gate.load());
+        http::set(headers, hop::PACE, self.host.gate.pace());
         http::set(headers, hop::VERSION, seen(&self.host));
         response
     }
@@ -365,6 +375,7 @@
                 patience: Duration::from_millis(patience),
                 due: now + Duration::from_millis(due),
             },
+            usual: http::parse(headers, hop::USUAL).map(Duration::from_millis),
             deadline: now + Duration::from_millis(left),
         })
     }
@@ -426,9 +437,13 @@
     })
 }
 
-/// Returns the load that a node reported.
-pub fn load_of(response: &Response<Body>) -> Option<Load> {
-    http::parse(response.headers(), hop::LOAD)
+/// Returns what a node reported of its target.
+pub fn report_of(response: &Response<Body>) -> Report {
+    let headers = response.headers();
+    Report {
+        load: http::parse(headers, hop::LOAD),
+        pace: http::parse(headers, hop::PACE),
+    }
 }
 
 /// Returns the path and query alone, as requests to a server have them.
--- a/src/transport/relay/mod.rs
+++ b/src/transport/relay/mod.rs
@@ -17,6 +17,7 @@
 pub mod front;
 pub mod ingress;
 pub mod io;
+pub mod next;
 pub mod offer;
 pub mod outstanding;
 pub mod pool;
--- a/src/transport/relay/outstanding.rs
+++ b/src/transport/relay/outstanding.rs
@@ -5,12 +5,15 @@
 use hyper::Response;
 
 use crate::{
-    coordination::{balance::End, host::Host},
+    coordination::{
+        balance::{End, Report},
+        host::Host,
+    },
     event::Event,
     host::metrics,
     id::Name,
     journal::note,
-    protocol::{answer::Outcome, dialect::Load},
+    protocol::answer::Outcome,
     state::member::Member,
     transport::relay::{
         body::Body,
@@ -32,8 +35,8 @@
     member: &'a Member,
     route: &'a Name,
     service: &'a Name,
-    /// The load that the node reported.
-    pub load: Option<Load>,
+    /// What the node reported of its target.
+    pub report: Report,
     /// How the node failed, where it did and not its target.
     pub fault: Option<End>,
     end: End,
@@ -48,7 +51,7 @@
             member,
             route,
             service,
-            load: None,
+            report: Report::default(),
             fault: None,
             end: End::Abandoned,
         }
@@ -79,7 +82,7 @@
         };
         self.host.metrics.tries.get_or_create(&tried).inc();
         let mut balance = self.host.balance.lock();
-        let is_out = balance.finish(self.member, self.route, self.end, self.load, now);
+        let is_out = balance.finish(self.member, self.route, self.end, self.report, now);
         if is_out {
             self.host.lost.notify_one();
             note!(
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -19,7 +19,7 @@
     coordination::{
         self,
         allowance::{Again, Allowance, Rule},
-        balance::{Balance, Choice, End, Wish},
+        balance::{Balance, Choice, End, Report, Wish},
         gate::{self, Arrival, Gate},
         host::Host,
         link::{Ask, Words},
@@ -133,6 +133,7 @@
         service: &service,
         domain: &domain,
         bytes,
+        own: Load::default(),
     };
     balance.choose(table, wish, &[], now)
 }
@@ -443,7 +444,7 @@
                 let member = table.get(&node.parse().unwrap()).unwrap().clone();
                 balance.start(&member, now);
                 let end = End::Answered(Duration::from_millis(took));
-                balance.finish(&member, &name("r"), end, None, now);
+                balance.finish(&member, &name("r"), end, Report::default(), now);
             }
         }
         let lookup = choose(&mut balance, &table, 100, now).unwrap();
@@ -452,6 +453,49 @@
         assert_eq!(upload.member.node.as_str(), "n1");
     }
 
+    target_that_its_node_calls_slow_gets_little_and_is_tried_again_later => {
+        let table = members(&[("n1", "here"), ("n2", "here")]);
+        let mut balance = Balance::default();
+        let now = Instant::now();
+        for (node, pace) in [("n1", 3.0), ("n2", 0.8)] {
+            let member = table.get(&node.parse().unwrap()).unwrap().clone();
+            balance.start(&member, now);
+            let report = Report { load: None, pace: Some(pace.to_string().parse().unwrap()) };
+            // What this one request took says nothing against the report.
+            balance.finish(&member, &name("r"), End::Answered(Duration::from_millis(100)), report, now);
+        }
+        let fast = table.get(&"n2".parse().unwrap()).unwrap().clone();
+        // One more request at the fast one weighs less than the pace of the slow one,
+        // and more once that is forgotten.
+        for (later, expected) in [(0, "n2"), (60, "n1")] {
+            let at = now + Duration::from_secs(later);
+            balance.start(&fast, at);
+            let chosen = choose(&mut balance, &table, 0, at).unwrap();
+            assert_eq!(chosen.member.node.as_str(), expected);
+            balance.finish(&fast, &name("r"), End::Refused, Report::default(), at);
+        }
+    }
+
+    own_target_is_as_full_as_its_gate_says => {
+        let table = members(&[("me", "here"), ("n1", "here")]);
+        let mut balance = Balance::default();
+        let now = Instant::now();
+        let (me, route, service, domain) = ("me".parse().unwrap(), name("r"), name("a"), name("here"));
+        for (running, expected) in [(0, "me"), (9, "n1")] {
+            let own = Load { running, waiting: 0, slots: 10 };
+            let wish = Wish { node: &me, route: &route, service: &service, domain: &domain, bytes: 0, own };
+            let other = table.get(&"n1".parse().unwrap()).unwrap().clone();
+            for _ in 0..running / 3 {
+                balance.start(&other, now);
+            }
+            if running == 0 {
+                balance.start(&other, now);
+            }
+            let chosen = balance.choose(&table, wish, &[], now).unwrap();
+            assert_eq!(chosen.member.node.as_str(), expected);
+        }
+    }
+
     reported_load_is_believed => {
         let table = members(&[("n1", "here"), ("n2", "here")]);
         let mut balance = Balance::default();
@@ -459,7 +503,7 @@
         let full = Load { running: 10, waiting: 4, slots: 10 };
         let busy = table.get(&"n1".parse().unwrap()).unwrap().clone();
         balance.start(&busy, now);
-        balance.finish(&busy, &name("r"), End::Answered(Duration::from_millis(100)), Some(full), now);
+        balance.finish(&busy, &name("r"), End::Answered(Duration::from_millis(100)), Report { load: Some(full), pace: None }, now);
         for _ in 0..20 {
             let choice = choose(&mut balance, &table, 0, now).unwrap();
             assert_eq!(choice.member.node.as_str(), "n2");
@@ -474,7 +518,7 @@
         let is_there = |balance: &mut Balance, at| choose(balance, &table, 0, at).is_some();
         let end = |balance: &mut Balance, end| {
             balance.start(&only, now);
-            balance.finish(&only, &name("r"), end, None, now)
+            balance.finish(&only, &name("r"), end, Report::default(), now)
         };
         assert!(end(&mut balance, End::Leaving));
         assert!(!is_there(&mut balance, now + Duration::from_millis(100)));
@@ -491,7 +535,7 @@
         let now = Instant::now();
         let lost = table.get(&"n1".parse().unwrap()).unwrap().clone();
         balance.start(&lost, now);
-        assert!(balance.finish(&lost, &name("r"), End::Lost(Loss::Silent), None, now));
+        assert!(balance.finish(&lost, &name("r"), End::Lost(Loss::Silent), Report::default(), now));
         let at = |ms| now + Duration::from_millis(ms);
         for ms in [0, 300, 60_000] {
             let choice = choose(&mut balance, &table, 0, at(ms)).unwrap();
@@ -560,8 +604,8 @@
             let member = table.get(&node.parse().unwrap()).unwrap().clone();
             balance.start(&member, now);
             balance.start(&member, now);
-            balance.finish(&member, &name("r"), End::Refused, None, heard);
-            assert_eq!(balance.finish(&member, &name("r"), End::Late, None, late), is_lost);
+            balance.finish(&member, &name("r"), End::Refused, Report::default(), heard);
+            assert_eq!(balance.finish(&member, &name("r"), End::Late, Report::default(), late), is_lost);
             assert_eq!(balance.reach.is_lost(&member), is_lost);
         }
     }
