Large bodies go by what was seen of their way; one header between nodes; three quarters full is crowded

Change: how long a target runs a request is told apart from what the way takes; large bodies go by the latter, as this node saw it, others by the pace that the target's node tells. A target that seems three quarters full counts as crowded; the far way counts 40 ms. Tried on the way, figures in docs/MEASURES.md: pace by the run alone (uploads at the fast target again). Test: way_to_a_target_is_no_part_of_its_pace, what_nodes_say_to_each_other_is_read_as_it_was_said.

--- a/src/coordination/balance.rs
+++ b/src/coordination/balance.rs
@@ -31,7 +31,7 @@
 /// that it takes, and the bytes of an ordinary answer. At 3 ms alone lookups went
 /// far for gains of a few milliseconds and cost more than they brought
 /// (docs/MEASURES.md).
-const FAR_WAY: f64 = 0.02;
+const FAR_WAY: f64 = 0.04;
 
 /// What a kilobyte of a request to another failure domain counts as, in seconds:
 /// an upload of 60 KB goes there only if it would fail here.
@@ -40,6 +40,15 @@
 /// How much slower a target gets on the way to its last slot, as a share.
 const NEARLY_FULL: f64 = 0.3;
 
+/// The use of slots from which a target is taken for crowded: what is known of it is
+/// up to 0.5 s old, and others send there too.
+const CROWDED: f64 = 0.75;
+
+/// What each further turn of all slots beyond that counts as, over the work itself.
+/// At 1 beyond the last slot, all rushed to the fast targets, and had to wait or were
+/// refused while slow ones had room (docs/MEASURES.md).
+const CROWD: f64 = 3.0;
+
 /// What an answer takes on a route of which nothing is known, in seconds.
 const FIRST_MEAN: f64 = 0.15;
 
@@ -80,8 +89,10 @@
 #[derive(Debug, Default)]
 pub struct Balance {
     peers: HashMap<Node, Peer>,
-    /// The mean time of an answer on each route, in seconds.
+    /// The mean time that targets run a request of each route, in seconds.
     routes: HashMap<Name, f64>,
+    /// The mean time of an answer to a large body on each route, in seconds.
+    hauls: HashMap<Name, f64>,
     /// Which nodes can't be reached.
     pub reach: Reach,
 }
@@ -95,9 +106,11 @@
     report: Option<(Load, Instant)>,
     /// Requests sent since the report.
     since_report: u32,
-    /// How long it takes, and since when that is known.
+    /// How long its target takes, as its node tells, and since when that is known.
     pace: Pace,
     paced: Instant,
+    /// How long large bodies took there, with the way, as this node saw it.
+    haul: Pace,
     failures: u32,
     absences: u32,
     absent_until: Option<Instant>,
@@ -176,6 +189,11 @@
     pub load: Option<Load>,
     /// How long it takes.
     pub pace: Option<Pace>,
+    /// How long it ran the request. Without it the way and the wait for room count
+    /// too, and a target that gets many uploads seems slower than it is.
+    pub ran: Option<Duration>,
+    /// Whether the request's body was large.
+    pub is_large: bool,
 }
 
 /// The node that was chosen, and on what grounds.
@@ -201,6 +219,7 @@
             since_report: 0,
             pace: Pace::default(),
             paced: now,
+            haul: Pace::default(),
             failures: 0,
             absences: 0,
             absent_until: None,
@@ -279,6 +298,8 @@
         let candidates = near.len() + far.len();
         let mut drawn = fastrand::choose_multiple(near, NEAR);
         drawn.extend(fastrand::choose_multiple(far, FAR));
+        // Among equals the first one counts, and must not be the same for all.
+        fastrand::shuffle(&mut drawn);
         let weighed = drawn.into_iter().map(|member| {
             let (usage, cost) = self.weigh(member, &wish, now);
             (member, usage, cost)
@@ -314,7 +335,9 @@
     /// Returns a target's use of slots with one more request, 1 being full, and the
     /// time in which an answer is expected, in seconds.
     fn weigh(&mut self, member: &Member, wish: &Wish<'_>, now: Instant) -> (f64, f64) {
-        let mean = self.routes.get(wish.route).copied().unwrap_or(FIRST_MEAN);
+        let is_large = is_large(wish.bytes);
+        let means = if is_large { &self.hauls } else { &self.routes };
+        let mean = means.get(wish.route).copied().unwrap_or(FIRST_MEAN);
         let slots = member.targets.iter().find(|t| t.service == *wish.service);
         let slots = f64::from(slots.map_or(1, |target| target.slots.max(1)));
         let peer = self.peer(member, now);
@@ -324,9 +347,17 @@
             peer.held(now)
         };
         let usage = f64::from(held + 1) / slots;
-        let work = mean * peer.pace(now) * f64::from(1 + peer.failures);
-        // Beyond the last slot each turn of all slots costs a whole request.
-        let time = work * (1.0 + NEARLY_FULL * usage + (usage - 1.0).max(0.0));
+        // What a large body takes depends on the links on its way as much as on the
+        // target: sent by the target's pace alone, all uploads of a failure domain met
+        // on the thin link of its fastest target.
+        let pace = if is_large {
+            peer.haul.factor()
+        } else {
+            peer.pace(now)
+        };
+        let work = mean * pace * f64::from(1 + peer.failures);
+        let crowd = CROWD * (usage - CROWDED).max(0.0);
+        let time = work * (1.0 + NEARLY_FULL * usage + crowd);
         let way = if member.domain == *wish.domain {
             0.0
         } else {
@@ -356,9 +387,15 @@
         report: Report,
         now: Instant,
     ) -> bool {
-        let took = match end {
-            End::Answered(took) => Some(self.relate(route, took)),
-            _ => None,
+        let (pace, haul) = match end {
+            End::Answered(took) => {
+                let ran = report.ran.unwrap_or(took);
+                let haul = report
+                    .is_large
+                    .then(|| relate(&mut self.hauls, route, took));
+                (relate(&mut self.routes, route, ran), haul)
+            }
+            _ => (Pace::default(), None),
         };
         let peer = self.peer(member, now);
         peer.outstanding = peer.outstanding.saturating_sub(1);
@@ -377,8 +414,11 @@
             End::Answered(_) => {
                 let (seen, weight) = match report.pace {
                     Some(pace) => (pace, REPORTED),
-                    None => (took.unwrap_or_default(), NEWEST),
+                    None => (pace, NEWEST),
                 };
+                if let Some(haul) = haul {
+                    peer.haul = peer.haul.towards(haul, NEWEST);
+                }
                 peer.pace = peer.pace.towards(seen, weight);
                 peer.paced = now;
                 peer.failures = peer.failures.saturating_sub(1);
@@ -414,22 +454,28 @@
         self.reach.retain(known);
     }
 
-    /// Returns how long answers on a route usually take, if any came.
+    /// Returns how long targets usually run a request of a route, if any did.
     pub fn usual(&self, route: &Name) -> Option<Duration> {
         self.routes
             .get(route)
             .map(|mean| Duration::from_secs_f64(*mean))
     }
+}
 
-    /// Returns the pace of a request that took so long, and takes it into the route's
-    /// mean.
-    fn relate(&mut self, route: &Name, took: Duration) -> Pace {
-        let mean = self
-            .routes
-            .entry(route.clone())
-            .or_insert(took.as_secs_f64());
-        let pace = Pace::of(took, Duration::from_secs_f64(*mean));
-        *mean += NEWEST * (took.as_secs_f64() - *mean);
-        pace
-    }
+/// Returns the pace of a request that took so long, and takes it into the mean of its
+/// route.
+fn relate(means: &mut HashMap<Name, f64>, route: &Name, took: Duration) -> Pace {
+    let mean = means.entry(route.clone()).or_insert(took.as_secs_f64());
+    let pace = Pace::of(took, Duration::from_secs_f64(*mean));
+    *mean += NEWEST * (took.as_secs_f64() - *mean);
+    pace
+}
+
+/// The smallest body, in bytes, whose way counts: it fills a good part of a
+/// millisecond of an ordinary link, and 11 of a thin one of 10 Mbit/s.
+const LARGE: usize = 14 << 10;
+
+/// Returns whether a body of this many bytes is a large one.
+pub fn is_large(bytes: usize) -> bool {
+    bytes >= LARGE
 }
--- a/src/protocol/dialect.rs
+++ b/src/protocol/dialect.rs
@@ -1,7 +1,8 @@
 //! The headers that callers and targets speak, by what they mean.
 //!
 //! The names differ from platform to platform, so the relay takes them as
-//! values. What nodes say to each other stands in [`hop`] and is always the
+//! values. What nodes say to each other stands in
+//! [`hop`](super::hop) and is always the
 //! same.
 
 use std::time::Duration;
@@ -44,39 +45,6 @@
     }
 }
 
-/// Headers between two nodes. No caller's or target's header of such a name
-/// gets past a node.
-pub mod hop {
-    /// The start of all of them.
-    pub const PREFIX: &str = "rilltrack-hop-";
-    /// The node that is meant: an address may be taken over by another.
-    pub const TO: &str = "rilltrack-hop-to";
-    /// The service whose target is to run the request.
-    pub const SERVICE: &str = "rilltrack-hop-service";
-    /// The rank of the request where room is short; 0 goes first.
-    pub const PRIORITY: &str = "rilltrack-hop-priority";
-    /// Milliseconds that the request may wait for room at the target.
-    pub const PATIENCE: &str = "rilltrack-hop-patience-ms";
-    /// Milliseconds until the request should be answered; 0 if it is late.
-    pub const DUE: &str = "rilltrack-hop-due-ms";
-    /// Milliseconds that are left for the request as a whole.
-    pub const DEADLINE: &str = "rilltrack-hop-deadline-ms";
-    /// The sender's version of the routes, on requests and answers.
-    pub const VERSION: &str = "rilltrack-hop-version";
-    /// What became of the request: an [`Outcome`](crate::protocol::answer::Outcome).
-    pub const OUTCOME: &str = "rilltrack-hop-outcome";
-    /// Why the node refused.
-    pub const REASON: &str = "rilltrack-hop-reason";
-    /// On a refusal: the target itself has seen the request.
-    pub const ARRIVED: &str = "rilltrack-hop-arrived";
-    /// Milliseconds that the sender's requests of this route usually take.
-    pub const USUAL: &str = "rilltrack-hop-usual-ms";
-    /// A [`Load`](super::Load) of the target, as its gate sees it.
-    pub const LOAD: &str = "rilltrack-hop-load";
-    /// The [`Pace`](super::Pace) of the target.
-    pub const PACE: &str = "rilltrack-hop-pace";
-}
-
 /// How long a target takes for a request, over what is usual for it: 1 is as usual, 2
 /// twice as long. Never zero, negative or without end.
 #[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -11,6 +11,7 @@
 pub mod announce;
 pub mod answer;
 pub mod dialect;
+pub mod hop;
 pub mod log;
 pub mod news;
 pub mod operator;
--- a/src/transport/relay/egress.rs
+++ b/src/transport/relay/egress.rs
@@ -15,7 +15,7 @@
 use crate::{
     coordination::{
         allowance::Again,
-        balance::{Choice, Report, Wish},
+        balance::{self, Choice, Report, Wish},
         gate::Arrival,
         host::Host,
         link::Stream,
@@ -31,7 +31,7 @@
         relay::{
             KEPT_BODY,
             body::{self, Body, Read, ReadError},
-            ingress::{Ingress, Visit},
+            ingress::{Ingress, Ran, Visit},
             next::Next,
             outstanding::{Tried, Watch},
             refused,
@@ -358,9 +358,16 @@
             usual: self.host.balance.lock().usual(&call.route.name),
             deadline: call.deadline,
         };
+        let is_large = body.length().is_none_or(balance::is_large);
         let tried = if member.node == self.host.settings.node {
             let delivered = self.ingress.deliver(&visit, &call.head, body).await;
-            watch.report = self.own_report();
+            let ran = delivered.as_ref().ok().and_then(|r| r.extensions().get());
+            watch.report = Report {
+                load: Some(self.host.gate.load()),
+                pace: Some(self.host.gate.pace()),
+                ran: ran.map(|Ran(ran)| *ran),
+                is_large,
+            };
             match delivered {
                 Ok(response) => Tried::Answered(response),
                 Err(refused) => Tried::Refused(refused),
@@ -389,13 +396,6 @@
         tried
     }
 
-    fn own_report(&self) -> Report {
-        Report {
-            load: Some(self.host.gate.load()),
-            pace: Some(self.host.gate.pace()),
-        }
-    }
-
     /// Ends a request: with the answer, or with what the caller is told instead.
     fn end(
         &self,
--- a/src/transport/relay/ingress.rs
+++ b/src/transport/relay/ingress.rs
@@ -10,16 +10,15 @@
 
 use crate::{
     coordination::{
-        balance::Report,
         gate::{Arrival, LEAVING, NO_TARGET, Permit},
         host::Host,
     },
     event::Event,
-    id::{Name, Node},
+    id::Name,
     journal::note,
     protocol::{
         answer::{Outcome, Refusal},
-        dialect::hop,
+        hop::{self, Ask, Told},
     },
     transport::{
         http,
@@ -27,7 +26,7 @@
             KEPT_BODY,
             body::{self, Body, Read},
             offer::Inflow,
-            onward,
+            onward, plain,
             pool::{Exchange, Failure, Pool, Settings},
             serve::Handler,
         },
@@ -67,6 +66,11 @@
     pub arrived: bool,
 }
 
+/// How long the target ran a request, on its answer. What the way took and the wait for
+/// room are no part of it.
+#[derive(Clone, Copy, Debug)]
+pub struct Ran(pub Duration);
+
 /// The way to the target on this host.
 pub struct Ingress {
     host: Arc<Host>,
@@ -144,12 +148,15 @@
             .await;
         let exchange = sent.map_err(|failure| self.failed(&permit, &failure))?;
         self.check(id, &exchange.response)?;
-        let answered = self.pass(visit, permit, exchange).await;
-        let is_success = answered.as_ref().is_ok_and(|a| a.status().is_success());
-        if let Some(usual) = visit.usual.filter(|_| is_success) {
-            self.host.gate.note_run(since.elapsed(), usual);
+        let mut response = self.pass(visit, permit, exchange).await?;
+        if response.status().is_success() {
+            let ran = since.elapsed();
+            if let Some(usual) = visit.usual {
+                self.host.gate.note_run(ran, usual);
+            }
+            response.extensions_mut().insert(Ran(ran));
         }
-        answered
+        Ok(response)
     }
 
     /// Writes down what the gate decided.
@@ -307,20 +314,48 @@
             Ok(visit) => self.deliver(&visit, &head, incoming).await,
             Err(refusal) => Err(Refused::before(refusal)),
         };
-        let mut response = match result {
-            Ok(mut response) => {
-                http::set(response.headers_mut(), hop::OUTCOME, Outcome::Answered);
-                response
+        let (mut response, told) = match result {
+            Ok(response) => {
+                let ran = response.extensions().get().map(|Ran(ran)| Span::of(*ran));
+                let told = Told {
+                    ran,
+                    ..self.told(None)
+                };
+                (response, told)
             }
-            Err(refused) => refusal_to_node(&refused),
+            Err(refused) => (bare(refused.refusal.status), self.told(Some(refused))),
         };
-        let headers = response.headers_mut();
-        http::set(headers, hop::LOAD, self.host.gate.load());
-        http::set(headers, hop::PACE, self.host.gate.pace());
-        http::set(headers, hop::VERSION, seen(&self.host));
+        http::set(response.headers_mut(), hop::HEADER, told);
         response
     }
 
+    /// Returns what another node is told, with a refusal if there is one.
+    fn told(&self, refused: Option<Refused>) -> Told {
+        let seen = self.host.seen();
+        let gate = &self.host.gate;
+        let answered = Told {
+            outcome: Outcome::Answered,
+            arrived: true,
+            version: seen.version,
+            members: seen.members,
+            load: gate.load(),
+            pace: gate.pace(),
+            ran: None,
+            retry_after: None,
+            reason: String::new(),
+        };
+        match refused {
+            None => answered,
+            Some(Refused { refusal, arrived }) => Told {
+                outcome: refusal.outcome,
+                arrived,
+                retry_after: refusal.retry_after,
+                reason: refusal.reason,
+                ..answered
+            },
+        }
+    }
+
     /// Reads a body that is not large, as far as the link has room for it.
     async fn body(
         &self,
@@ -354,29 +389,24 @@
     }
 
     fn visit(&self, head: &request::Parts) -> Result<Visit, Refusal> {
-        let headers = &head.headers;
-        let bad = |what: &str| Refusal::rejected(400, format!("{what} is missing"));
-        let to: Node = http::parse(headers, hop::TO).ok_or_else(|| bad(hop::TO))?;
-        let service = http::parse(headers, hop::SERVICE).ok_or_else(|| bad(hop::SERVICE))?;
-        let left: u64 = http::parse(headers, hop::DEADLINE).ok_or_else(|| bad(hop::DEADLINE))?;
-        let patience = http::parse(headers, hop::PATIENCE).unwrap_or(0);
-        let due = http::parse(headers, hop::DUE).unwrap_or(0);
+        let ask: Ask = http::parse(&head.headers, hop::HEADER)
+            .ok_or_else(|| Refusal::rejected(400, "a node says what it asks for"))?;
         let now = Instant::now();
-        if to != self.host.settings.node {
+        if ask.to != self.host.settings.node {
             return Err(Refusal::not_run(OTHER_NODE, Span::from_millis(0)));
         }
         if self.host.is_leaving() {
             return Err(Refusal::not_run(LEAVING, Span::from_millis(0)));
         }
         Ok(Visit {
-            service,
+            service: ask.service,
             arrival: Arrival {
-                priority: http::parse(headers, hop::PRIORITY).unwrap_or(u8::MAX),
-                patience: Duration::from_millis(patience),
-                due: now + Duration::from_millis(due),
+                priority: ask.priority,
+                patience: ask.patience.duration(),
+                due: now + ask.due.duration(),
             },
-            usual: http::parse(headers, hop::USUAL).map(Duration::from_millis),
-            deadline: now + Duration::from_millis(left),
+            usual: ask.usual.map(Span::duration),
+            deadline: now + ask.deadline.duration(),
         })
     }
 }
@@ -386,66 +416,26 @@
     [LEAVING, NO_TARGET].contains(&reason)
 }
 
-/// What a node has seen: its version of the routes, and how far it follows the
-/// members, with a slash between.
-pub fn seen(host: &Host) -> String {
-    let seen = host.seen();
-    format!("{}/{}", seen.version, seen.members)
-}
-
-/// Decodes what another node has [`seen`].
-pub fn parse_seen(text: &str) -> Option<(u64, u64)> {
-    let (version, members) = text.split_once('/')?;
-    Some((version.parse().ok()?, members.parse().ok()?))
-}
-
-fn refusal_to_node(refused: &Refused) -> Response<Body> {
-    let refusal = &refused.refusal;
-    let mut response = Response::new(Body::whole(""));
-    *response.status_mut() =
-        StatusCode::from_u16(refusal.status).unwrap_or(StatusCode::BAD_GATEWAY);
-    let headers = response.headers_mut();
-    http::set(headers, hop::OUTCOME, refusal.outcome);
-    http::set(headers, hop::REASON, &refusal.reason);
-    http::set(headers, hop::ARRIVED, u8::from(refused.arrived));
-    if let Some(later) = refusal.retry_after {
-        http::set(headers, "retry-after", later.as_millis());
-    }
-    response
+fn bare(status: u16) -> Response<Body> {
+    plain(StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY))
 }
 
 /// Returns the refusal that another node answered with, if it is one.
-///
-/// Between nodes the time to come back is in milliseconds.
-pub fn refusal_of_node(response: &Response<Body>) -> Option<Refused> {
-    let headers = response.headers();
-    let outcome: Outcome = http::parse(headers, hop::OUTCOME)?;
-    if outcome == Outcome::Answered {
+pub fn refusal_of_node(status: StatusCode, told: Told) -> Option<Refused> {
+    if told.outcome == Outcome::Answered {
         return None;
     }
-    let refusal = Refusal {
-        outcome,
-        status: response.status().as_u16(),
-        reason: http::get(headers, hop::REASON)
-            .unwrap_or("no reason")
-            .into(),
-        retry_after: http::parse(headers, "retry-after").map(Span::from_millis),
-    };
     Some(Refused {
-        refusal,
-        arrived: http::get(headers, hop::ARRIVED) == Some("1"),
+        refusal: Refusal {
+            outcome: told.outcome,
+            status: status.as_u16(),
+            reason: told.reason,
+            retry_after: told.retry_after,
+        },
+        arrived: told.arrived,
     })
 }
 
-/// Returns what a node reported of its target.
-pub fn report_of(response: &Response<Body>) -> Report {
-    let headers = response.headers();
-    Report {
-        load: http::parse(headers, hop::LOAD),
-        pace: http::parse(headers, hop::PACE),
-    }
-}
-
 /// Returns the path and query alone, as requests to a server have them.
 pub fn origin_form(uri: &hyper::Uri) -> hyper::Uri {
     let path = uri.path_and_query().map_or("/", |path| path.as_str());
--- a/src/transport/relay/mod.rs
+++ b/src/transport/relay/mod.rs
@@ -28,7 +28,7 @@
 use hyper::{HeaderMap, Response, StatusCode};
 
 use crate::{
-    protocol::{answer::Refusal, dialect::hop},
+    protocol::{answer::Refusal, hop},
     transport::{http, relay::body::Body},
 };
 
@@ -41,7 +41,7 @@
 
 /// Returns the headers that are passed on of a request or answer.
 pub fn onward(headers: &HeaderMap) -> HeaderMap {
-    let mut passed = http::end_to_end(headers, hop::PREFIX);
+    let mut passed = http::end_to_end(headers, hop::HEADER);
     for name in ANSWERED_HERE {
         passed.remove(name);
     }
--- a/src/transport/relay/next.rs
+++ b/src/transport/relay/next.rs
@@ -11,8 +11,15 @@
 use hyper::{Request, Response};
 
 use crate::{
-    coordination::{balance::End, host::Host, reach::Loss},
-    protocol::{answer::Refusal, dialect::hop},
+    coordination::{
+        balance::{self, End, Report},
+        host::Host,
+        reach::Loss,
+    },
+    protocol::{
+        answer::Refusal,
+        hop::{self, Ask, Told},
+    },
     state::{member::Member, routing::Kind},
     transport::{
         http,
@@ -74,7 +81,8 @@
         body: Body,
         watch: &mut Watch<'_>,
     ) -> Tried {
-        let is_offered = is_offered(call, &body);
+        let is_large = body.length().is_none_or(balance::is_large);
+        let is_offered = is_large || is_once(call, &body);
         let request = self.request(call, member, visit, body);
         let sent = if is_offered {
             self.send_offer(member, visit, request).await
@@ -96,12 +104,17 @@
             response,
             connection,
         } = exchange;
-        watch.report = ingress::report_of(&response);
-        let seen = http::get(response.headers(), hop::VERSION).and_then(ingress::parse_seen);
-        if let Some((version, members)) = seen {
-            self.host.hear_of(version, members, member.peers);
-        }
-        let refused = ingress::refusal_of_node(&response);
+        let told = http::parse::<Told>(response.headers(), hop::HEADER);
+        let refused = told.and_then(|told| {
+            watch.report = Report {
+                load: Some(told.load),
+                pace: Some(told.pace),
+                ran: told.ran.map(Span::duration),
+                is_large,
+            };
+            self.host.hear_of(told.version, told.members, member.peers);
+            ingress::refusal_of_node(response.status(), told)
+        });
         let (head, incoming) = response.into_parts();
         let left = call.deadline.saturating_duration_since(Instant::now());
         let read = body::read(incoming, KEPT_BODY, left).await;
@@ -172,27 +185,25 @@
         *request.method_mut() = call.head.method.clone();
         *request.uri_mut() = ingress::origin_form(&call.head.uri);
         *request.headers_mut() = onward(&call.head.headers);
-        let headers = request.headers_mut();
-        let left = visit.deadline.saturating_duration_since(Instant::now());
-        http::set(headers, hop::TO, &member.node);
-        http::set(headers, hop::SERVICE, &visit.service);
-        http::set(headers, hop::PRIORITY, visit.arrival.priority);
-        http::set(headers, hop::PATIENCE, visit.arrival.patience.as_millis());
-        let due = visit.arrival.due.saturating_duration_since(Instant::now());
-        http::set(headers, hop::DUE, due.as_millis());
-        http::set(headers, hop::DEADLINE, left.as_millis());
-        if let Some(usual) = visit.usual {
-            http::set(headers, hop::USUAL, usual.as_millis());
-        }
+        let now = Instant::now();
+        let left = |until: Instant| Span::of(until.saturating_duration_since(now));
+        let ask = Ask {
+            to: member.node.clone(),
+            service: visit.service.clone(),
+            priority: visit.arrival.priority,
+            patience: Span::of(visit.arrival.patience),
+            due: left(visit.arrival.due),
+            deadline: left(visit.deadline),
+            usual: visit.usual.map(Span::of),
+        };
+        http::set(request.headers_mut(), hop::HEADER, ask);
         request
     }
 }
 
-/// Returns whether a body waits for the other node's leave.
-fn is_offered(call: &Call, body: &Body) -> bool {
-    let is_large = body.length().is_none_or(offer::is_large);
-    let is_once = call.route.kind == Kind::Once && body.length() != Some(0);
-    is_large || is_once
+/// Returns whether a request may run only once and has a body that can wait.
+fn is_once(call: &Call, body: &Body) -> bool {
+    call.route.kind == Kind::Once && body.length() != Some(0)
 }
 
 fn failed(failure: &Failure) -> Refused {
--- a/src/transport/relay/offer.rs
+++ b/src/transport/relay/offer.rs
@@ -3,7 +3,8 @@
 //! The head goes alone, with `Expect: 100-continue`, and the body once the other node
 //! has room for the request. Two kinds are offered:
 //!
-//! * Large ones. A body that goes to a node only to be refused there has cost its
+//! * Large ones ([`is_large`](crate::coordination::balance::is_large)); smaller ones go
+//!   out with the first packets of a connection. A body that goes to a node only to be refused there has cost its
 //!   link as much as one that is served; with several nodes asked for room, thin
 //!   links fill up with uploads that nobody takes, and heartbeats and changes wait
 //!   behind them.
@@ -21,11 +22,6 @@
 
 use crate::{transport::relay::body::Body, unit::Span};
 
-/// The smallest body that is offered, in bytes. What is smaller goes out with the
-/// first packets of a connection (ten of 1.4 KB), so asking would cost a round trip
-/// and save nothing.
-const SMALLEST: usize = 14 << 10;
-
 /// How long the bodies that are let in at a time may keep the link busy: short
 /// against the 0.25 s within which a connection must come about.
 const IN_TRANSIT: Span = Span::from_millis(150);
@@ -81,11 +77,6 @@
     }
 }
 
-/// Returns whether a body of this many bytes is offered for its size.
-pub fn is_large(bytes: usize) -> bool {
-    bytes >= SMALLEST
-}
-
 /// Makes `request` an offer.
 pub fn offer(request: Request<Body>) -> (Request<Body>, Offer) {
     let (leave, given) = oneshot::channel();
--- a/src/unit.rs
+++ b/src/unit.rs
@@ -99,6 +99,11 @@
     pub const fn duration(self) -> Duration {
         Duration::from_millis(self.0)
     }
+
+    /// Returns the whole milliseconds of a duration.
+    pub fn of(duration: Duration) -> Self {
+        Self(u64::try_from(duration.as_millis()).unwrap_or(u64::MAX))
+    }
 }
 
 impl fmt::Display for Span {
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -36,6 +36,7 @@
         announce::Heartbeat,
         answer::Outcome,
         dialect::{Dialect, Load},
+        hop::{self, Told},
     },
     state::{
         member::{Member, Status, Table, Target},
@@ -342,6 +343,47 @@
         assert_eq!(next.count(), 1);
     }
 
+    what_nodes_say_to_each_other_is_read_as_it_was_said => {
+        let mut rng = fastrand::Rng::with_seed(21);
+        let span = |rng: &mut fastrand::Rng| Span::from_millis(rng.u64(0..100_000));
+        for i in 0..500 {
+            let ask = hop::Ask {
+                to: format!("n-{i}").parse().unwrap(),
+                service: name(&format!("s{i}.x")),
+                priority: rng.u8(..),
+                patience: span(&mut rng),
+                due: span(&mut rng),
+                deadline: span(&mut rng),
+                usual: rng.bool().then(|| span(&mut rng)),
+            };
+            assert_eq!(ask.to_string().parse(), Ok(ask.clone()));
+            let told = Told {
+                outcome: [Outcome::Answered, Outcome::NotRun, Outcome::Unknown][rng.usize(..3)],
+                arrived: rng.bool(),
+                version: rng.u64(..),
+                members: rng.u64(..),
+                load: Load { running: rng.u32(..), waiting: rng.u32(..), slots: rng.u32(..) },
+                pace: format!("{:.2}", 0.2 + rng.f64()).parse().unwrap(),
+                ran: rng.bool().then(|| span(&mut rng)),
+                retry_after: rng.bool().then(|| span(&mut rng)),
+                reason: ["", "target is full", "a; b;; c"][rng.usize(..3)].into(),
+            };
+            assert_eq!(told.to_string().parse(), Ok(told.clone()));
+            // Cut off anywhere, or with a byte changed, it is refused or means something
+            // else, and nothing breaks.
+            let text = ask.to_string();
+            let cut = &text[..rng.usize(..text.len())];
+            assert!(cut.parse::<hop::Ask>().is_ok_and(|other| other != ask) || cut.parse::<hop::Ask>().is_err());
+            let mut bytes = told.to_string().into_bytes();
+            let at = rng.usize(..bytes.len());
+            bytes[at] = rng.u8(b' '..b'~');
+            let _ = String::from_utf8(bytes).unwrap().parse::<Told>();
+        }
+        for bad in ["", ";;;;;;", "n;s;1;2;3;4", "n;s;-1;2;3;4;5", "N;s;1;2;3;4;5", "n;s;1;2;3;;5"] {
+            assert!(bad.parse::<hop::Ask>().is_err(), "{bad}");
+        }
+    }
+
     split_keeps_weights_in_every_stretch => {
         let route = route("r", "x", "/p/", &[("a", 90), ("b", 10)]);
         let mut split = Split::default();
@@ -460,7 +502,7 @@
         for (node, pace) in [("n1", 3.0), ("n2", 0.8)] {
             let member = table.get(&node.parse().unwrap()).unwrap().clone();
             balance.start(&member, now);
-            let report = Report { load: None, pace: Some(pace.to_string().parse().unwrap()) };
+            let report = Report { pace: Some(pace.to_string().parse().unwrap()), ..Report::default() };
             // What this one request took says nothing against the report.
             balance.finish(&member, &name("r"), End::Answered(Duration::from_millis(100)), report, now);
         }
@@ -476,6 +518,24 @@
         }
     }
 
+    way_to_a_target_is_no_part_of_its_pace => {
+        let table = members(&[("n1", "here"), ("n2", "here")]);
+        let mut balance = Balance::default();
+        let now = Instant::now();
+        let ran = Duration::from_millis(100);
+        // Uploads to one take long on the way, and its target is as fast as the other.
+        for (node, took) in [("n1", 400), ("n2", 100)].repeat(50) {
+            let member = table.get(&node.parse().unwrap()).unwrap().clone();
+            balance.start(&member, now);
+            let report = Report { ran: Some(ran), ..Report::default() };
+            balance.finish(&member, &name("r"), End::Answered(Duration::from_millis(took)), report, now);
+        }
+        assert_eq!(balance.usual(&name("r")), Some(ran));
+        let chosen = (0..60).map(|_| choose(&mut balance, &table, 0, now).unwrap().member.node.to_string());
+        let to_n1 = chosen.filter(|node| node == "n1").count();
+        assert!((10..50).contains(&to_n1), "{to_n1} of 60");
+    }
+
     own_target_is_as_full_as_its_gate_says => {
         let table = members(&[("me", "here"), ("n1", "here")]);
         let mut balance = Balance::default();
@@ -503,7 +563,7 @@
         let full = Load { running: 10, waiting: 4, slots: 10 };
         let busy = table.get(&"n1".parse().unwrap()).unwrap().clone();
         balance.start(&busy, now);
-        balance.finish(&busy, &name("r"), End::Answered(Duration::from_millis(100)), Report { load: Some(full), pace: None }, now);
+        balance.finish(&busy, &name("r"), End::Answered(Duration::from_millis(100)), Report { load: Some(full), ..Report::default() }, now);
         for _ in 0..20 {
             let choice = choose(&mut balance, &table, 0, now).unwrap();
             assert_eq!(choice.member.node.as_str(), "n2");
