The soak harms connections and checks that a good stop cuts nothing; a stop keeps to its grace by the clock

The soak's loopback proxies stand before each node's addresses, its target and its store; they delay, reset, cut one way and silence, one connection's way or a whole failure domain. For that a node can advertise other addresses than it listens on.

--- a/src/coordination/host.rs
+++ b/src/coordination/host.rs
@@ -113,6 +113,7 @@
             differs("service", held.service == new.service),
             differs("labels", held.labels == new.labels),
             differs("listen", held.listen == new.listen),
+            differs("advertise", held.advertise == new.advertise),
             differs("store", held.store == new.store),
             differs("descriptors", held.descriptors == new.descriptors),
             differs("bandwidth", held.bandwidth() == new.bandwidth()),
--- a/src/coordination/presence.rs
+++ b/src/coordination/presence.rs
@@ -86,6 +86,7 @@
 /// differs from it.
 fn wanted(host: &Host, held: Option<&Member>) -> Member {
     let settings = &host.settings;
+    let advertised = settings.advertised();
     let fresh = Member {
         node: settings.node.clone(),
         // The store's order decides, so no clock is asked; one life goes on
@@ -94,8 +95,8 @@
         sequence: held.map_or(1, |held| held.sequence),
         status: Status::Alive,
         domain: settings.domain.clone(),
-        peers: settings.listen.peers,
-        inbound: settings.listen.inbound,
+        peers: advertised.peers,
+        inbound: advertised.inbound,
         labels: settings.labels.clone(),
         targets: host.local.lock().told(),
         bandwidth: settings.bandwidth(),
--- a/src/coordination/source.rs
+++ b/src/coordination/source.rs
@@ -218,7 +218,7 @@
         next: records.next,
         load,
         relay: Vec::new(),
-        reader: host.settings.listen.peers,
+        reader: host.settings.advertised().peers,
     };
     tokio::spawn(spread::to_domain(host.clone(), ask.clone(), news));
 }
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -11,12 +11,12 @@
 use std::{
     sync::{Arc, atomic::AtomicUsize},
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use tokio::sync::watch;
 
-pub use self::settings::{Listen, Resend, Settings};
+pub use self::settings::{Advertise, Listen, Resend, Settings};
 use crate::{
     coordination::{
         host,
@@ -157,11 +157,10 @@
         );
         self.host.leave();
         self.phase.send_replace(Phase::Leaving);
+        let until = Instant::now() + self.host.grace().saturating_sub(LAST);
         thread::sleep(LEAVE);
         self.phase.send_replace(Phase::Closing);
-        let grace = self.host.grace();
-        let left = grace.saturating_sub(LEAVE + LAST);
-        let ended = wait_for(left, || self.requests.is_finished());
+        let ended = wait_until(until, || self.requests.is_finished());
         note!(self.host.journal, Event::Stopped, all_ended = ended);
         self.host.journal.stop();
         // The duties hold nothing that lasts; they end with the process.
@@ -169,17 +168,20 @@
     }
 }
 
-/// Waits up to `most` until `is_done`; returns whether it was.
-fn wait_for(most: Duration, is_done: impl Fn() -> bool) -> bool {
+/// Waits until `is_done`, or until a moment; returns whether it was.
+///
+/// By the clock, not by counting steps: on a busy host each step takes longer, and a
+/// process that counted them was killed at the end of its grace.
+fn wait_until(moment: Instant, is_done: impl Fn() -> bool) -> bool {
     const STEP: Duration = Duration::from_millis(20);
-    let steps = most.as_millis() / STEP.as_millis();
-    for _ in 0..steps {
-        if is_done() {
-            return true;
+    while !is_done() {
+        let left = moment.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            return false;
         }
-        thread::sleep(STEP);
+        thread::sleep(left.min(STEP));
     }
-    is_done()
+    true
 }
 
 /// Returns what makes a server of a handler.
--- a/src/host/settings.rs
+++ b/src/host/settings.rs
@@ -26,6 +26,10 @@
     pub labels: Labels,
     /// Where it listens.
     pub listen: Listen,
+    /// Where other nodes reach it, if not where it listens: behind a translation of
+    /// addresses.
+    #[serde(default)]
+    pub advertise: Option<Advertise>,
     /// The platform's store.
     pub store: SocketAddr,
     /// How often a target sends a heartbeat.
@@ -59,6 +63,16 @@
     pub metrics: SocketAddr,
 }
 
+/// Where other nodes reach a host process.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Advertise {
+    /// With requests.
+    pub inbound: SocketAddr,
+    /// With questions.
+    pub peers: SocketAddr,
+}
+
 /// What the fleet may send again, for each service within any window.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -81,6 +95,14 @@
         self.bandwidth as u32
     }
 
+    /// Returns where other nodes reach the process.
+    pub fn advertised(&self) -> Advertise {
+        self.advertise.unwrap_or(Advertise {
+            inbound: self.listen.inbound,
+            peers: self.listen.peers,
+        })
+    }
+
     /// Reads and checks the settings at `path`.
     ///
     /// # Errors
--- a/standins/examples/soak.rs
+++ b/standins/examples/soak.rs
@@ -23,6 +23,7 @@
 use parking_lot::Mutex;
 use rilltrack_standins::{
     fleet::version,
+    proxy::{Harm, Proxy},
     store::{Mode as StoreMode, Store},
     target::{Mode, Target},
 };
@@ -54,6 +55,12 @@
 /// Callers that send all the while.
 const CALLERS: usize = 8;
 
+/// Nodes that are stopped in good order at the end.
+const STOPS: usize = 2;
+
+/// Callers with a kept connection to each of those.
+const KEEPERS: usize = 6;
+
 const SERVICES: [&str; 2] = ["a", "b"];
 
 /// What became of a request, as its caller saw it.
@@ -79,6 +86,7 @@
     child: Mutex<Option<Child>>,
     target: Target,
     door: Store,
+    ways: Ways,
     instance: Mutex<(u64, u64, bool)>,
     silent: AtomicBool,
     /// When the drain of an instance was acknowledged.
@@ -86,11 +94,27 @@
     newest: AtomicU64,
 }
 
+/// The proxies through which a node and its target are reached, and the store.
+struct Ways {
+    inbound: Proxy,
+    peers: Proxy,
+    target: Proxy,
+    store: Proxy,
+}
+
+impl Ways {
+    fn all(&self) -> [&Proxy; 4] {
+        [&self.inbound, &self.peers, &self.target, &self.store]
+    }
+}
+
 struct Fleet {
     seed: u64,
     nodes: Vec<Node>,
     store: Store,
     asked: Mutex<BTreeMap<String, Asked>>,
+    /// Requests over kept connections, once there were no more faults.
+    kept: Mutex<BTreeMap<String, Asked>>,
     broken: Mutex<Vec<String>>,
     since: Instant,
     done: AtomicBool,
@@ -154,7 +178,7 @@
             };
             if !self.silent.load(Ordering::Relaxed) {
                 let state = if draining { "draining" } else { "ready" };
-                let body = json!({"address": self.target.address,
+                let body = json!({"address": self.ways.target.address,
                     "info": {"service": self.service, "version": "v1", "zone": "z", "slots": 4},
                     "status": {"state": state, "sequence": sequence, "warmupLeft": "0ms"}})
                 .to_string();
@@ -175,6 +199,62 @@
     }
 }
 
+/// Sends requests over one kept connection to node `to` until that closes it.
+async fn keeper(fleet: Arc<Fleet>, to: usize, caller: usize) {
+    use tokio::io::AsyncWriteExt;
+    let Ok(mut stream) = tokio::net::TcpStream::connect(fleet.nodes[to].at(7001)).await else {
+        return;
+    };
+    for number in 0.. {
+        let id = format!("k{to}-{caller}-{number}");
+        let service = SERVICES[number % 2];
+        let request = format!(
+            "POST /post/{service}/ HTTP/1.1\r\nHost: fares.example\r\n\
+             Rilltrack-Attempt-Id: {id}\r\nRilltrack-Deadline-Ms: 1500\r\n\
+             Content-Length: 3\r\n\r\nabc"
+        );
+        let at = fleet.since.elapsed();
+        let sent = stream.write_all(request.as_bytes()).await;
+        let answer = match sent {
+            Ok(()) => one_answer(&mut stream).await,
+            Err(_) => return,
+        };
+        let closes = answer.is_empty() || answer.contains("connection: close");
+        let asked = Asked {
+            once: true,
+            to,
+            at,
+            answer,
+        };
+        fleet.kept.lock().insert(id, asked);
+        if closes {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+/// Reads an answer with a length; empty if the connection ends before it is whole.
+async fn one_answer(stream: &mut tokio::net::TcpStream) -> String {
+    use tokio::io::AsyncReadExt;
+    let mut bytes = Vec::new();
+    loop {
+        let text = String::from_utf8_lossy(&bytes);
+        if let Some((head, body)) = text.split_once("\r\n\r\n") {
+            let length = head
+                .lines()
+                .find_map(|line| line.strip_prefix("content-length: ")?.parse::<usize>().ok());
+            if body.len() >= length.unwrap_or(0) {
+                return text.into_owned();
+            }
+        }
+        match stream.read_buf(&mut bytes).await {
+            Ok(1..) => {}
+            _ => return String::new(),
+        }
+    }
+}
+
 async fn tell(to: SocketAddr, bytes: &str, within: Duration) -> String {
     use tokio::io::{AsyncReadExt, AsyncWriteExt};
     let exchange = async {
@@ -202,13 +282,21 @@
                 Ipv4Addr::new(127, 30 + (seed % 30) as u8, (id % 250) as u8, i as u8 + 1).into();
             let door = store.door();
             let at = |port| SocketAddr::new(ip, port);
+            let target = Target::start().await;
+            let ways = Ways {
+                inbound: Proxy::start(at(7002)).await,
+                peers: Proxy::start(at(7003)).await,
+                target: Proxy::start(target.address).await,
+                store: Proxy::start(door.address).await,
+            };
             let domain = ["x", "y", "z"][i % 3];
             let settings = json!({
                 "node": format!("n{i}"), "domain": domain,
                 "service": SERVICES[i % 2],
                 "listen": {"callers": at(7001), "inbound": at(7002), "peers": at(7003),
                     "targets": at(7004), "ready": at(7005), "metrics": at(7006)},
-                "store": door.address, "heartbeat": "400ms", "grace": "6s",
+                "advertise": {"inbound": ways.inbound.address, "peers": ways.peers.address},
+                "store": ways.store.address, "heartbeat": "400ms", "grace": "6s",
                 "resend": {"ratio": 0.2, "slack": 62, "window": "10s"}, "descriptors": 1024,
             });
             let path = folder.join(format!("n{i}.json"));
@@ -218,8 +306,9 @@
                 service: SERVICES[i % 2],
                 settings: path,
                 child: Mutex::new(None),
-                target: Target::start().await,
+                target,
                 door,
+                ways,
                 instance: Mutex::new((1, 0, false)),
                 silent: AtomicBool::new(false),
                 drained: Mutex::new(None),
@@ -232,6 +321,7 @@
             nodes,
             store,
             asked: Mutex::default(),
+            kept: Mutex::default(),
             broken: Mutex::default(),
             since: Instant::now(),
             done: AtomicBool::new(false),
@@ -316,7 +406,7 @@
     async fn fault(self: Arc<Self>, mut rng: Rng) {
         let node = &self.nodes[rng.usize(..self.nodes.len())];
         let span = Duration::from_millis(rng.u64(200..2500));
-        match rng.u32(..12) {
+        match rng.u32(..15) {
             0 => node.signal(libc::SIGKILL),
             1 => node.signal(libc::SIGTERM),
             2 => node.signal(libc::SIGHUP),
@@ -363,6 +453,32 @@
                 }
             }
             9 => self.drain(node, &mut rng).await,
+            10 | 11 => {
+                let harm = harm(&mut rng);
+                let all = node.ways.all();
+                let way = all[rng.usize(..all.len())];
+                way.set(harm);
+                tokio::time::sleep(span).await;
+                way.set(Harm::None);
+            }
+            12 => {
+                // A failure domain is cut off: from others, from the store, or both.
+                let domain = rng.usize(..3);
+                let harm = harm(&mut rng);
+                let with_store = rng.bool();
+                let cut = |harm| {
+                    for node in self.nodes.iter().skip(domain).step_by(3) {
+                        node.ways.inbound.set(harm);
+                        node.ways.peers.set(harm);
+                        if with_store {
+                            node.ways.store.set(harm);
+                        }
+                    }
+                };
+                cut(harm);
+                tokio::time::sleep(span).await;
+                cut(Harm::None);
+            }
             _ => {
                 let modes = [
                     Mode::Sheds,
@@ -409,6 +525,21 @@
         }
     }
 
+    /// With no fault left, stops nodes in turn, in good order, while callers use kept
+    /// connections until the process is gone: nothing that ran stays without an answer.
+    async fn stops_cut_nothing(self: &Arc<Self>) {
+        for (i, node) in self.nodes.iter().enumerate().take(STOPS) {
+            let callers: Vec<_> = (0..KEEPERS)
+                .map(|caller| tokio::spawn(keeper(self.clone(), i, caller)))
+                .collect();
+            tokio::time::sleep(Duration::from_millis(300)).await;
+            node.signal(libc::SIGTERM);
+            for caller in callers {
+                caller.await.expect("a caller ends in order");
+            }
+        }
+    }
+
     /// Starts what has ended, as the platform does.
     async fn restart(self: Arc<Self>) {
         while !self.done.load(Ordering::Relaxed) {
@@ -429,7 +560,13 @@
                 *runs.entry(id).or_default() += 1;
             }
         }
-        for (id, asked) in &*self.asked.lock() {
+        for (id, asked) in &*self.kept.lock() {
+            if asked.answer.is_empty() && runs.contains_key(id) {
+                self.breaks(format!("a stop cut {id}, which ran: {asked}"));
+            }
+        }
+        let (asked, kept) = (self.asked.lock(), self.kept.lock());
+        for (id, asked) in asked.iter().chain(kept.iter()) {
             let count = runs.get(id).copied().unwrap_or(0);
             let status = asked.answer.get(9..12).unwrap_or("none");
             if asked.once && count > 1 {
@@ -462,6 +599,17 @@
     }
 }
 
+fn harm(rng: &mut Rng) -> Harm {
+    let harms = [
+        Harm::Delay(Duration::from_millis(rng.u64(1..300))),
+        Harm::Reset,
+        Harm::CutThere,
+        Harm::CutBack,
+        Harm::Silence,
+    ];
+    harms[rng.usize(..harms.len())]
+}
+
 async fn play(seed: u64, args: &Args) -> Vec<String> {
     let fleet = Fleet::start(seed, args.hosts).await;
     fleet.nodes.iter().for_each(Node::start);
@@ -495,6 +643,7 @@
         fault.await.expect("a fault ends in order");
     }
     fleet.recovers().await;
+    fleet.stops_cut_nothing().await;
     fleet.done.store(true, Ordering::Relaxed);
     for task in tasks {
         task.await.expect("a task ends in order");
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -1,6 +1,7 @@
 //! Stand-ins of the platform: its store, targets, and a small fleet on loopback.
 
 pub mod fleet;
+pub mod proxy;
 pub mod store;
 pub mod target;
 
--- a/standins/src/target.rs
+++ b/standins/src/target.rs
@@ -129,7 +129,8 @@
     let id = seen.header("rilltrack-attempt-id");
     let proof = "Rilltrack-Response-Signature: 1.2.3\r\n";
     let echo = format!("Rilltrack-Attempt-Id: {id}\r\n");
-    let body = format!("ran {id}");
+    let other = "other";
+    let body = format!("ran {}", if mode == Mode::Mixes { other } else { id });
     let whole = |status: &str, headers: &str| {
         format!(
             "HTTP/1.1 {status}\r\n{headers}Content-Length: {}\r\n\r\n{body}",
@@ -146,7 +147,10 @@
         Mode::Breaks => return None,
         Mode::Fails => (whole("500 Failed", &format!("{echo}{proof}")), false),
         Mode::Mixes => (
-            whole("200 OK", &format!("Rilltrack-Attempt-Id: other\r\n{proof}")),
+            whole(
+                "200 OK",
+                &format!("Rilltrack-Attempt-Id: {other}\r\n{proof}"),
+            ),
             false,
         ),
         Mode::Unproved => (whole("200 OK", &echo), false),
