--- a/standins/examples/soak.rs
+++ b/standins/examples/soak.rs
@@ -449,6 +449,10 @@
                     let next = self.version.fetch_add(rng.u64(1..4), Ordering::Relaxed) + 3;
                     self.version.fetch_max(next, Ordering::Relaxed);
                     self.store.publish(&version(next, &SERVICES));
+                    if rng.f64() < 0.3 {
+                        // Two operators race, and the older one is written last.
+                        self.store.publish(&version(next - 1, &SERVICES));
+                    }
                     tokio::time::sleep(Duration::from_millis(100)).await;
                 }
             }
