Soak: a new process counts as such before it can answer

The child was noted after it was spawned, and a busy machine let the watcher ask the new process while the former still stood there. Ruled out: a process that loses its version (nothing ever takes one away). Now spawning and noting, and comparing and counting, each hold the same lock.

--- a/standins/examples/soak.rs
+++ b/standins/examples/soak.rs
@@ -135,6 +135,9 @@
             .append(true)
             .open(self.settings.with_extension("log"))
             .unwrap();
+        // Held until the new life counts as such: one that answers while the former still
+        // stands here would seem to be the former with an older version (seed 135).
+        let mut held = self.child.lock();
         let child = Command::new(program)
             .arg("--settings")
             .arg(&self.settings)
@@ -142,7 +145,7 @@
             .stderr(Stdio::inherit())
             .spawn()
             .expect("rilltrack-node is built beside this program");
-        *self.child.lock() = Some(child);
+        *held = Some(child);
         self.newest.store(0, Ordering::Relaxed);
     }
 
@@ -390,7 +393,8 @@
                 let seen = text
                     .lines()
                     .find_map(|line| line.strip_prefix("rilltrack_version ")?.parse::<u64>().ok());
-                let same_life = node.child.lock().as_ref().map(Child::id) == life;
+                let child = node.child.lock();
+                let same_life = child.as_ref().map(Child::id) == life;
                 if let Some(seen) = seen.filter(|_| same_life) {
                     let before = node.newest.fetch_max(seen, Ordering::Relaxed);
                     if seen < before {
