--- a/src/state/routing.rs
+++ b/src/state/routing.rs
@@ -86,7 +86,8 @@
     pub kind: Kind,
     /// The longest that a caller waits for an answer.
     pub timeout: Span,
-    /// The time within which an answer is worth most.
+    /// The time within which an answer is worth most. It may be beyond the timeout:
+    /// operators shorten timeouts alone, and a version must not be refused for it.
     pub objective: Span,
     /// Its rank where room is short; 0 goes first.
     pub priority: u8,
@@ -314,6 +315,7 @@
             (weight == 0, "no part has a weight"),
             (self.attempts == 0, "no attempt is allowed"),
             (self.timeout.as_millis() == 0, "the timeout is nothing"),
+            (self.objective.as_millis() == 0, "the objective is nothing"),
             (self.host.is_empty(), "the host is empty"),
             (
                 !self.prefix.starts_with('/') || !self.prefix.ends_with('/'),
