Slots go to what can still end in time; due counts from the first try

Cause: under overload the earliest due went first and waited a fixed quarter of the objective, so slots went to answers about to be late while fresh requests turned late behind them; a caller that was refused came back as if new.

Hypothesis: a slot earns most with a first try that ends in time. Change: how long a caller has been trying is told from the time it has left, against what most requests of the route come with (coordination::age). The gate refuses at once what can't end in time behind those that wait, lets a request wait for half of its spare time, and puts what is late behind, a few at a time so that no slot idles. Retry-After says when there is room if that is in time, else it is spread. The fixed patience of a quarter of the objective is gone.

A sender waits for leave to send a body as long as the gate's queue is, two runs, in place of a part of the objective.

--- a/src/coordination/allowance.rs
+++ b/src/coordination/allowance.rs
@@ -66,6 +66,8 @@
 struct Step {
     begins: Instant,
     first: u32,
+    /// Of those, requests that a target has seen.
+    arrived: u32,
     again: u32,
     /// Of those, requests that may have run before.
     repeated: u32,
@@ -99,17 +101,30 @@
         self.step(service, now).first += 1;
     }
 
+    /// Notes that a target has seen a request for `service` for the first time.
+    ///
+    /// Only such requests make calls, and so carry what the calls of repeated ones
+    /// cost at other services. Under overload most first sends are refused before any
+    /// target sees them: counted like the others, they allowed repeats whose calls
+    /// alone were a fifth of what the callee's own requests allow.
+    pub fn arrive(&mut self, service: &Name, now: Instant) {
+        self.step(service, now).arrived += 1;
+    }
+
     /// Takes one further send for `service`; returns whether there was one.
     /// `nodes` is the size of the fleet.
     pub fn spend(&mut self, service: &Name, again: Again, nodes: usize, now: Instant) -> bool {
         self.step(service, now);
         let steps = &self.services[service];
         let sum = |of: fn(&Step) -> u32| f64::from(steps.iter().map(of).sum::<u32>());
+        let allowed =
+            |requests: f64| self.rule.ratio * requests + self.rule.slack / nodes.max(1) as f64;
         let first = sum(|step| step.first);
-        let allowed = self.rule.ratio * first + self.rule.slack / nodes.max(1) as f64;
-        let has_room = sum(|step| step.again) + 1.0 <= USED * allowed;
+        let arrived = sum(|step| step.arrived);
+        let has_room = sum(|step| step.again) + 1.0 <= USED * allowed(first);
         let is_left = has_room
-            && (again == Again::NotRun || sum(|step| step.repeated) + 1.0 <= REPEATED * allowed);
+            && (again == Again::NotRun
+                || sum(|step| step.repeated) + 1.0 <= REPEATED * allowed(arrived));
         if is_left {
             let step = self.step(service, now);
             step.again += 1;
@@ -130,6 +145,7 @@
             steps.push_back(Step {
                 begins: now,
                 first: 0,
+                arrived: 0,
                 again: 0,
                 repeated: 0,
             });
--- a/src/coordination/gate.rs
+++ b/src/coordination/gate.rs
@@ -35,7 +35,16 @@
 const QUEUE_PER_SLOT: usize = 2;
 
 /// The shortest time after which a refused caller is asked to come back.
-const MIN_RETRY_AFTER: Span = Span::from_millis(100);
+const MIN_RETRY_AFTER: Span = Span::from_millis(10);
+
+/// The part of its spare time that a request may wait: one over this. A run takes
+/// longer than the mean as often as not, and a longer queue serves nobody more. At the
+/// whole and at a quarter the days of high load were worth a hundredth less
+/// (docs/POLICY.md).
+const WAITED: u32 = 2;
+
+/// Slots for each late request that may wait: enough that none stays free.
+const LATE_PER_SLOTS: usize = 4;
 
 /// The gate. Cheap to clone; all clones are one gate.
 #[derive(Clone)]
@@ -64,8 +73,10 @@
     /// requests, and load does not turn into parents that wait for calls that wait
     /// for parents.
     pub due: Instant,
-    /// How long it may wait for room.
+    /// How long it may wait for room at the most.
     pub patience: Duration,
+    /// How long such a request usually runs, where it came from.
+    pub usual: Option<Duration>,
 }
 
 /// Leave to send one request to the target; ends when it is dropped.
@@ -88,8 +99,18 @@
     pace: Pace,
 }
 
-/// A place in the queue: rank, due time, and a count that tells equals apart.
-type Place = (u8, Instant, u64);
+/// A place in the queue, in the order in which requests are let in.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct Place {
+    priority: u8,
+    /// Whether it can't be expected to end in time. Were the earliest due let in
+    /// whatever came of it, slots would go to answers that are late anyway while
+    /// fresh requests turn late behind them.
+    is_late: bool,
+    due: Instant,
+    /// Tells equals apart.
+    count: u64,
+}
 
 /// Why a request may not enter now.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -204,14 +225,18 @@
             }
             state.queue(arrival)?
         };
-        let Ticket { place, granted } = ticket;
+        let Ticket {
+            place,
+            patience,
+            granted,
+        } = ticket;
         // Whoever stops waiting, by time or because its caller left, takes its
         // place out of the queue, or gives back what was just granted.
         let mut waiter = Waiter {
             gate: self,
             place: Some(place),
         };
-        let granted = tokio::time::timeout(arrival.patience, granted).await;
+        let granted = tokio::time::timeout(patience, granted).await;
         match granted {
             Ok(Ok(())) => {
                 waiter.place = None;
@@ -255,6 +280,7 @@
 
 struct Ticket {
     place: Place,
+    patience: Duration,
     granted: oneshot::Receiver<()>,
 }
 
@@ -293,23 +319,63 @@
         self.running < self.slots()
     }
 
-    /// Returns how long a request that comes now will wait, in seconds.
-    fn expected_wait(&self, arrival: &Arrival) -> f64 {
-        let place = (arrival.priority, arrival.due, self.next);
+    /// Returns how long one in `place` will wait.
+    fn wait(&self, place: &Place) -> Duration {
         let ahead = self.waiting.range(..place).count();
-        (ahead + 1) as f64 * self.mean / f64::from(self.slots().max(1))
+        self.turn() * (ahead + 1) as u32
+    }
+
+    /// Returns how long it takes until some slot is free.
+    fn turn(&self) -> Duration {
+        Duration::from_secs_f64(self.mean) / self.slots().max(1)
+    }
+
+    /// Returns how long a request may wait and still end in time, if at all.
+    fn spare(&self, arrival: &Arrival, now: Instant) -> Option<Duration> {
+        let run = match arrival.usual {
+            Some(usual) => usual.mul_f64(self.pace.factor()),
+            None => Duration::from_secs_f64(self.mean),
+        };
+        arrival.due.checked_duration_since(now + run)
+    }
+
+    /// Returns the place of a request that comes now, and how long it may wait there;
+    /// none if it would wait in vain.
+    fn place(&self, arrival: &Arrival, now: Instant) -> Option<(Place, Duration)> {
+        let place = Place {
+            priority: arrival.priority,
+            is_late: false,
+            due: arrival.due,
+            count: self.next,
+        };
+        let spare = self.spare(arrival, now).unwrap_or_default();
+        let patience = (spare / WAITED).min(arrival.patience);
+        if self.wait(&place) <= patience {
+            return Some((place, patience));
+        }
+        let place = Place {
+            is_late: true,
+            ..place
+        };
+        let is_short = self.waiting.len() < (self.slots() as usize / LATE_PER_SLOTS).max(1);
+        let patience = Duration::from_secs_f64(self.mean).min(arrival.patience);
+        (is_short && self.wait(&place) <= patience).then_some((place, patience))
     }
 
     fn full(&self, arrival: &Arrival) -> Refusal {
-        let wait = Span::from_millis((self.expected_wait(arrival) * 1000.0) as u64);
-        Refusal::not_run(FULL, wait.max(MIN_RETRY_AFTER))
+        let now = Instant::now();
+        let soon = self.turn() * (self.waiting.len() + 1) as u32;
+        let later = match self.spare(arrival, now) {
+            Some(spare) if spare > soon => soon,
+            _ => soon + Duration::from_secs_f64(self.mean * 2.0 * fastrand::f64()),
+        };
+        Refusal::not_run(FULL, Span::of(later).max(MIN_RETRY_AFTER))
     }
 
     fn queue(&mut self, arrival: Arrival) -> Result<Ticket, Refusal> {
-        if self.expected_wait(&arrival) > arrival.patience.as_secs_f64() {
+        let Some((place, patience)) = self.place(&arrival, Instant::now()) else {
             return Err(self.full(&arrival));
-        }
-        let place = (arrival.priority, arrival.due, self.next);
+        };
         self.next += 1;
         if self.waiting.len() >= self.slots() as usize * QUEUE_PER_SLOT {
             // The last one makes room for one that goes before it.
@@ -320,7 +386,11 @@
         }
         let (grant, granted) = oneshot::channel();
         self.waiting.insert(place, grant);
-        Ok(Ticket { place, granted })
+        Ok(Ticket {
+            place,
+            patience,
+            granted,
+        })
     }
 
     /// Lets in what there is room for.
--- a/src/coordination/host.rs
+++ b/src/coordination/host.rs
@@ -17,6 +17,7 @@
 use crate::{
     coordination::{
         Error,
+        age::Ages,
         allowance::{Allowance, Rule},
         balance::Balance,
         gate::Gate,
@@ -68,6 +69,8 @@
     pub balance: Mutex<Balance>,
     /// What may be sent again.
     pub allowance: Mutex<Allowance>,
+    /// How long callers have been trying.
+    pub ages: Mutex<Ages>,
     /// How split routes are dealt.
     pub split: Mutex<Split>,
     /// Wakes the duty that writes what this node says of itself.
@@ -149,6 +152,7 @@
             balance: Mutex::default(),
             allowance: Mutex::new(Allowance::new(rule(&settings))),
             grace: Mutex::new(settings.grace),
+            ages: Mutex::default(),
             split: Mutex::default(),
             changed: Notify::new(),
             lost: Notify::new(),
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -30,6 +30,7 @@
 //! small fakes in their place.
 
 pub mod admit;
+pub mod age;
 pub mod allowance;
 pub mod apply;
 pub mod balance;
--- a/src/transport/relay/egress.rs
+++ b/src/transport/relay/egress.rs
@@ -41,15 +41,13 @@
     unit::{Size, Span},
 };
 
-/// Part of a route's objective that a request may wait for room: refused within
-/// it, a caller can still be served in time by coming back.
-const PATIENCE: u32 = 4;
+/// How long a request runs while nothing is known of its route: calls amid requests
+/// take a part of it, whole requests up to several times as long.
+const FIRST_RUN: Duration = Duration::from_millis(100);
 
-/// The shortest time that a request may wait for room: about as long as one
-/// runs, after which a slot is free even at a target with a single one. A call
-/// amid a request has an objective of 120 ms; turned away, it costs its whole
-/// parent.
-const MIN_PATIENCE: Duration = Duration::from_millis(100);
+/// Runs that a request may wait for room at the most: as many as a gate's queue is
+/// long. A node that gives no leave for a body by then says nothing any more.
+const WAITED_RUNS: u32 = 2;
 
 /// Nodes that are asked for room for one request. A refusal takes a round trip
 /// and costs the target nothing, but each further one finds less time.
@@ -78,6 +76,8 @@
     pub service: Name,
     /// When it came.
     pub arrived: Instant,
+    /// When it should be answered, counted from its caller's first try.
+    pub due: Instant,
     /// When its caller, or its route, has no more use for an answer.
     pub deadline: Instant,
 }
@@ -166,15 +166,22 @@
         };
         let dialect = &self.host.words.dialect;
         let left = http::parse(&head.headers, dialect.deadline.as_str());
+        let age = left.map_or(Duration::ZERO, |left| {
+            let left = Duration::from_millis(left);
+            self.host.ages.lock().note(&route.name, left)
+        });
         let left = left.map_or(route.timeout, |left| {
             Span::from_millis(left).min(route.timeout)
         });
+        let due = (arrived + route.objective.duration()).checked_sub(age);
         let service = self.host.split.lock().next(&route);
         let mut call = Call {
             head,
             route,
             service,
             arrived,
+            // A clock that began later than that: it is late all the same.
+            due: due.unwrap_or(arrived),
             deadline: arrived + left.duration(),
         };
         // What a caller says of itself is not asked for.
@@ -241,6 +248,10 @@
             };
             tries.nodes.push(choice.member.node.clone());
             let tried = self.try_one(call, &choice, body, tries).await;
+            if tries.arrivals == 0 && tried.has_arrived() {
+                let mut allowance = self.host.allowance.lock();
+                allowance.arrive(&call.service, Instant::now());
+            }
             match tried {
                 Tried::Answered(response) => {
                     tries.arrivals += 1;
@@ -345,17 +356,18 @@
         let member = &choice.member;
         let since = Instant::now();
         let mut watch = Watch::start(&self.host, member, &call.route.name, &call.service);
-        let waited = since - call.arrived;
-        let objective = call.route.objective.duration();
-        let patience = (objective / PATIENCE).max(MIN_PATIENCE);
+        let usual = self.host.balance.lock().usual(&call.route.name);
+        let run = usual.unwrap_or(FIRST_RUN);
+        let spare = call.due.saturating_duration_since(since);
         let visit = Visit {
             service: call.service.clone(),
             arrival: Arrival {
                 priority: call.route.priority,
-                patience: patience.saturating_sub(waited),
-                due: call.arrived + objective,
+                // What is late already may wait for one run: all slots turn over in it.
+                patience: spare.clamp(run, run * WAITED_RUNS),
+                due: call.due,
+                usual,
             },
-            usual: self.host.balance.lock().usual(&call.route.name),
             deadline: call.deadline,
         };
         let is_large = body.length().is_none_or(balance::is_large);
--- a/src/transport/relay/ingress.rs
+++ b/src/transport/relay/ingress.rs
@@ -52,8 +52,6 @@
     pub service: Name,
     /// What it brings to the gate.
     pub arrival: Arrival,
-    /// How long such a request usually takes, where it came from.
-    pub usual: Option<Duration>,
     /// When an answer is of no more use.
     pub deadline: Instant,
 }
@@ -151,7 +149,7 @@
         let mut response = self.pass(visit, permit, exchange).await?;
         if response.status().is_success() {
             let ran = since.elapsed();
-            if let Some(usual) = visit.usual {
+            if let Some(usual) = visit.arrival.usual {
                 self.host.gate.note_run(ran, usual);
             }
             response.extensions_mut().insert(Ran(ran));
@@ -404,8 +402,8 @@
                 priority: ask.priority,
                 patience: ask.patience.duration(),
                 due: now + ask.due.duration(),
+                usual: ask.usual.map(Span::duration),
             },
-            usual: ask.usual.map(Span::duration),
             deadline: now + ask.deadline.duration(),
         })
     }
--- a/src/transport/relay/next.rs
+++ b/src/transport/relay/next.rs
@@ -194,7 +194,7 @@
             patience: Span::of(visit.arrival.patience),
             due: left(visit.arrival.due),
             deadline: left(visit.deadline),
-            usual: visit.usual.map(Span::of),
+            usual: visit.arrival.usual.map(Span::of),
         };
         http::set(request.headers_mut(), hop::HEADER, ask);
         request
--- a/src/transport/relay/outstanding.rs
+++ b/src/transport/relay/outstanding.rs
@@ -29,6 +29,16 @@
     Refused(Refused),
 }
 
+impl Tried {
+    /// Returns whether a target has seen the request.
+    pub fn has_arrived(&self) -> bool {
+        match self {
+            Self::Answered(_) => true,
+            Self::Refused(refused) => refused.arrived,
+        }
+    }
+}
+
 /// Counts a request as outstanding at a node until it ends, however it ends.
 pub struct Watch<'a> {
     host: &'a Host,
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -18,6 +18,7 @@
 use rilltrack::{
     coordination::{
         self,
+        age::Ages,
         allowance::{Again, Allowance, Rule},
         balance::{Balance, Choice, End, Report, Wish},
         gate::{self, Arrival, Gate},
@@ -187,6 +188,17 @@
         priority,
         patience: Duration::from_millis(patience),
         due: Instant::now() + Duration::from_secs(1),
+        usual: None,
+    }
+}
+
+/// A request that should be answered in `due` milliseconds, negative if it is late.
+fn arrival_due(due: i64) -> Arrival {
+    let span = Duration::from_millis(due.unsigned_abs());
+    let now = Instant::now();
+    Arrival {
+        due: if due < 0 { now - span } else { now + span },
+        ..arrival(1, LONG)
     }
 }
 
@@ -399,6 +411,32 @@
         }
     }
 
+    age_of_a_request_is_what_its_caller_has_used_up => {
+        let mut ages = Ages::default();
+        let (route, other) = (name("r"), name("s"));
+        let mut rng = fastrand::Rng::with_seed(2);
+        let millis = Duration::from_millis;
+        for i in 0..400 {
+            // A third are first tries; one in twenty callers waits longer than others.
+            let left = match i % 20 {
+                0 => 5000,
+                i if i % 3 == 0 => 1200,
+                _ => rng.u64(300..1200),
+            };
+            let age = ages.note(&route, millis(left));
+            if i > 100 {
+                assert_eq!(age, millis(1200).saturating_sub(millis(left)), "{i}");
+            }
+        }
+        assert_eq!(ages.note(&other, millis(200)), Duration::ZERO, "routes are told apart");
+        assert_eq!(ages.note(&route, millis(1199)), Duration::ZERO, "rounding is no age");
+        // A change of what callers begin with is taken up within a few dozen requests.
+        for _ in 0..80 {
+            ages.note(&route, millis(600));
+        }
+        assert_eq!(ages.note(&route, millis(500)), millis(100));
+    }
+
     split_keeps_weights_in_every_stretch => {
         let route = route("r", "x", "/p/", &[("a", 90), ("b", 10)]);
         let mut split = Split::default();
@@ -448,8 +486,13 @@
         for step in 0..40_000u64 {
             let now = begin + Duration::from_millis(step);
             let allowance = &mut fleet[rng.usize(0..nodes)];
-            // Each request calls twice, and half of all fail at either service.
             allowance.earn(&parents, now);
+            // Under overload only each third gets past the gate of its target.
+            if step / 10_000 % 2 == 1 && step % 3 != 0 {
+                continue;
+            }
+            // Each of those calls twice, and half of all fail at either service.
+            allowance.arrive(&parents, now);
             let repeats = rng.bool() && allowance.spend(&parents, Again::Repeated, nodes, now);
             for run in 0..1 + u32::from(repeats) {
                 for _ in 0..2 {
@@ -1024,7 +1067,7 @@
         gate.open(target("i1", 1));
         let held = gate.enter(arrival(1, LONG)).await.ok().unwrap();
         let mut whole = Box::pin(gate.enter(arrival(1, LONG)));
-        let soon = Arrival { due: Instant::now(), ..arrival(1, LONG) };
+        let soon = Arrival { usual: Some(Duration::from_millis(10)), ..arrival_due(400) };
         let mut call = Box::pin(gate.enter(soon));
         assert!(whole.as_mut().now_or_never().is_none());
         assert!(call.as_mut().now_or_never().is_none());
@@ -1035,6 +1078,37 @@
         assert!(whole.await.is_ok());
     }
 
+    gate_lets_what_is_late_in_behind_what_can_end_in_time => {
+        let gate = Gate::new();
+        gate.open(target("i1", 4));
+        let mut held = Vec::new();
+        for _ in 0..4 {
+            held.push(gate.enter(arrival(1, LONG)).await.ok().unwrap());
+        }
+        let mut late = Box::pin(gate.enter(arrival_due(-50)));
+        assert!(late.as_mut().now_or_never().is_none(), "it waits for room that is left");
+        let mut fresh = Box::pin(gate.enter(arrival_due(800)));
+        assert!(fresh.as_mut().now_or_never().is_none());
+        held.pop();
+        assert!(late.as_mut().now_or_never().is_none());
+        held.push(fresh.now_or_never().unwrap().ok().unwrap());
+        held.pop();
+        assert!(late.now_or_never().unwrap().is_ok(), "no slot stays free");
+    }
+
+    gate_refuses_at_once_what_is_late_behind_a_queue => {
+        let gate = Gate::new();
+        gate.open(target("i1", 4));
+        let mut held = Vec::new();
+        for _ in 0..4 {
+            held.push(gate.enter(arrival(1, LONG)).await.ok().unwrap());
+        }
+        let mut fresh = Box::pin(gate.enter(arrival_due(800)));
+        assert!(fresh.as_mut().now_or_never().is_none());
+        let refused = gate.enter(arrival_due(100)).now_or_never();
+        assert_eq!(refused.unwrap().err().unwrap().reason, gate::FULL, "it can't end within 100 ms");
+    }
+
     closed_gate_refuses_what_waits_before_the_target_sees_it => {
         let gate = Gate::new();
         gate.open(target("i1", 1));
