A restarted node opens its gate to the target that it wrote down

Cause: after each restart of a node, its target served nobody until its next heartbeat, up to 1.5 s. Hypothesis: the target nearly always outlived its node. Change: what the former life wrote down counts as heard of now, unless it drains. If nothing answers there, or another instance, the request comes back as not run and the gate closes until a heartbeat (Local::doubt); before, a refused connection left it open.

A large answer that breaks off is asked for again: tested, held before too.

--- a/src/coordination/local.rs
+++ b/src/coordination/local.rs
@@ -65,7 +65,12 @@
     }
 
     /// Takes in what an earlier life of this process wrote down, if any.
-    pub fn recall(&mut self, written: Option<&Member>) {
+    ///
+    /// A target that did not drain then counts as heard of now: most lives of this
+    /// process are shorter than its target's, and to wait for the next heartbeat costs
+    /// a second of a target that can serve. If it is gone, or another one is there,
+    /// what is sent to it comes back as not run and [`Local::doubt`] closes the gate.
+    pub fn recall(&mut self, written: Option<&Member>, now: Instant) {
         if std::mem::replace(&mut self.recalled, true) {
             return;
         }
@@ -84,7 +89,7 @@
                 self.current = Some(Current {
                     target,
                     sequence: 0,
-                    heard: None,
+                    heard: Some(now),
                 });
             }
         }
@@ -173,6 +178,14 @@
         silent
     }
 
+    /// Takes an instance for gone until it is heard of again: nothing answers at its
+    /// address, or another instance does. Returns whether that is news.
+    pub fn doubt(&mut self, instance: &str) -> bool {
+        let current = self.current.as_mut();
+        let held = current.filter(|current| current.target.instance == instance);
+        held.is_some_and(|current| current.heard.take().is_some())
+    }
+
     /// Returns what others are told of the target.
     pub fn told(&self) -> Vec<Target> {
         self.current.iter().map(|c| c.target.clone()).collect()
--- a/src/coordination/presence.rs
+++ b/src/coordination/presence.rs
@@ -35,7 +35,9 @@
 pub async fn keep_written(host: Arc<Host>, store: Store, written: watch::Sender<Written>) {
     host.until_members_known().await;
     let recorded = host.members.read().get(&host.settings.node).cloned();
-    host.local.lock().recall(recorded.as_deref());
+    host.local
+        .lock()
+        .recall(recorded.as_deref(), Instant::now());
     host.set_gate();
     let mut member = recorded.as_deref().cloned();
     if member.is_none() {
--- a/src/transport/relay/ingress.rs
+++ b/src/transport/relay/ingress.rs
@@ -145,6 +145,9 @@
             .send(permit.target.address, request, visit.deadline)
             .await;
         let exchange = sent.map_err(|failure| self.failed(&permit, &failure))?;
+        if exchange.response.status() == StatusCode::MISDIRECTED_REQUEST {
+            self.doubt(&permit, "another instance answers");
+        }
         self.check(id, &exchange.response)?;
         let mut response = self.pass(visit, permit, exchange).await?;
         if response.status().is_success() {
@@ -223,12 +226,7 @@
     fn failed(&self, permit: &Permit, failure: &Failure) -> Refused {
         match failure {
             Failure::NotSent(_) => {
-                note!(
-                    self.host.journal,
-                    Event::TargetChanged,
-                    instance = permit.target.instance,
-                    reason = failure
-                );
+                self.doubt(permit, failure);
                 Refused::before(Refusal::not_run(NO_TARGET, Span::from_millis(100)))
             }
             Failure::Broken(_) => Refused::after(Refusal::unknown(502, "target broke off")),
@@ -238,6 +236,20 @@
         }
     }
 
+    /// Closes the gate until the target is heard of again.
+    fn doubt(&self, permit: &Permit, reason: impl std::fmt::Display) {
+        let instance = &permit.target.instance;
+        if self.host.local.lock().doubt(instance) {
+            self.host.set_gate();
+            note!(
+                self.host.journal,
+                Event::TargetChanged,
+                instance = instance,
+                reason = reason
+            );
+        }
+    }
+
     /// Refuses an answer that is not the target's own to this request.
     fn check(&self, id: Option<&HeaderValue>, response: &Response<Body>) -> Result<(), Refused> {
         let dialect = &self.host.words.dialect;
--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -131,12 +131,12 @@
     }
 
     pub async fn ready(&self) -> String {
-        let Ok(stream) = tokio::net::TcpStream::connect((self.ip, READY)).await else {
-            return "no listener".into();
-        };
-        drop(stream);
-        let check = "GET /api/readiness HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
-        raw::until_closed((self.ip, READY).into(), check.as_bytes()).await
+        ready(self.ready_address()).await
+    }
+
+    /// Returns where the platform asks whether it is ready.
+    pub fn ready_address(&self) -> SocketAddr {
+        (self.ip, READY).into()
     }
 
     /// Sends what the target says of itself; returns the answer.
@@ -200,6 +200,16 @@
     }
 }
 
+/// Returns the answer to the question whether the node with this address is ready.
+pub async fn ready(address: SocketAddr) -> String {
+    let Ok(stream) = tokio::net::TcpStream::connect(address).await else {
+        return "no listener".into();
+    };
+    drop(stream);
+    let check = "GET /api/readiness HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
+    raw::until_closed(address, check.as_bytes()).await
+}
+
 /// A version with an idempotent route to each service and one that runs once.
 pub fn version(number: u64, services: &[&str]) -> Value {
     let mut resources = vec![json!({
--- a/standins/src/target.rs
+++ b/standins/src/target.rs
@@ -31,6 +31,8 @@
     Twice,
     /// Takes them and never answers.
     Hangs,
+    /// Says that it is another instance than the one that is meant.
+    Other,
 }
 
 /// A request as it reached a target.
@@ -109,7 +111,7 @@
         loop {
             let mut seen = read(&mut stream).await?;
             let mode = *self.mode.lock();
-            seen.ran = mode != Mode::Sheds;
+            seen.ran = !matches!(mode, Mode::Sheds | Mode::Other);
             self.seen.lock().push(seen.clone());
             if mode == Mode::Hangs {
                 // Ends when its caller does.
@@ -144,6 +146,11 @@
             "HTTP/1.1 503 Full\r\nRilltrack-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n".into(),
             false,
         ),
+        Mode::Other => (
+            "HTTP/1.1 421 Misdirected\r\nRilltrack-Instance-Id: i9\r\nContent-Length: 0\r\n\r\n"
+                .into(),
+            false,
+        ),
         Mode::Breaks => return None,
         Mode::Fails => (whole("500 Failed", &format!("{echo}{proof}")), false),
         Mode::Mixes => (
--- a/standins/tests/whole_path.rs
+++ b/standins/tests/whole_path.rs
@@ -381,6 +381,43 @@
         assert_eq!(status(&asked.await.unwrap()), "504");
     }
 
+    restarted_node_opens_to_its_target_before_a_heartbeat => {
+        let (_store, one, mut two) = pair("b").await;
+        two.stop().await;
+        two.run();
+        two.until_ready().await;
+        // No heartbeat comes in this life.
+        until("it serves", async || status(&one.ask("GET", "/get/b/", "id1", "").await) == "200").await;
+        two.stop().await;
+        // Another instance has taken its place meanwhile.
+        two.target.set(Mode::Other);
+        two.run();
+        two.until_ready().await;
+        until("it is found out", async || {
+            let answer = one.ask("GET", "/get/b/", "id2", "").await;
+            assert_eq!(status(&answer), "503", "{answer}");
+            answer.contains("no target")
+        })
+        .await;
+    }
+
+    large_answer_is_asked_for_again_where_it_broke_off => {
+        let (store, one, two) = pair("a").await;
+        let mut version = version(6, &["a"]);
+        for resource in version["resources"].as_array_mut().unwrap() {
+            if resource["resourceType"] == "routes" && resource["spec"]["kind"] == "safe" {
+                resource["spec"]["kind"] = "download".into();
+            }
+        }
+        store.publish(&version);
+        until("6 is in force", async || one.version() == 6 && two.version() == 6).await;
+        one.target.set(Mode::Halves);
+        for i in 0..4 {
+            let answer = one.ask("GET", "/get/a/", &format!("id{i}"), "").await;
+            assert_eq!(status(&answer), "200", "{answer}");
+        }
+    }
+
     quiet_store_is_asked_seldom => {
         let (store, one, two) = pair("b").await;
         let before = store.calls("/api/log-read") + store.calls("/api/log-newest");
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -746,8 +746,8 @@
 
     late_heartbeat_does_not_undo_a_drain => {
         let mut local = Local::new(Span::from_millis(1500));
-        local.recall(None);
         let now = Instant::now();
+        local.recall(None, Instant::now());
         assert_eq!(local.hear(&heartbeat("i1", 1, false), now), Change::Told);
         assert!(local.open().is_some());
         assert_eq!(local.hear(&heartbeat("i1", 3, true), now), Change::Told);
@@ -775,7 +775,7 @@
             }
             // Before it knows, nothing opens.
             assert!(local.open().is_none());
-            local.recall(Some(&written));
+            local.recall(Some(&written), now);
             local.hear(&heartbeat("i1", 8, false), now);
             assert!(local.open().is_none());
             local.hear(&heartbeat("i2", 1, false), now);
@@ -783,9 +783,28 @@
         }
     }
 
+    target_of_the_former_life_is_there_until_doubted => {
+        let now = Instant::now();
+        let mut written = member("n1", "here", 4);
+        written.targets[0].instance = "i1".into();
+        let mut local = Local::new(Span::from_millis(1500));
+        local.recall(Some(&written), now);
+        assert_eq!(&*local.open().unwrap().instance, "i1");
+        assert!(!local.doubt("i0"), "another one than is there");
+        assert!(local.doubt("i1"));
+        assert!(!local.doubt("i1"), "no news");
+        assert!(local.open().is_none());
+        local.hear(&heartbeat("i1", 3, false), now);
+        assert!(local.open().is_some());
+        // Silence closes it like any other.
+        local.hear(&heartbeat("i2", 1, false), now);
+        assert!(local.fell_silent(now + Duration::from_secs(7)));
+        assert!(local.open().is_none());
+    }
+
     target_that_left_without_draining_is_closed => {
         let mut local = Local::new(Span::from_millis(1500));
-        local.recall(None);
+        local.recall(None, Instant::now());
         local.hear(&heartbeat("i1", 1, false), Instant::now());
         assert_eq!(local.leave("i0"), Change::Nothing);
         assert!(local.open().is_some());
@@ -802,18 +821,18 @@
         for recalled_first in [false, true] {
             let mut local = Local::new(Span::from_millis(1500));
             if recalled_first {
-                local.recall(Some(&written));
+                local.recall(Some(&written), now);
             }
             local.leave("i1");
             assert_eq!(local.is_recalled(), recalled_first);
-            local.recall(Some(&written));
+            local.recall(Some(&written), now);
             local.hear(&heartbeat("i1", 9, false), now);
             assert!(local.open().is_none());
             assert!(local.told()[0].draining);
         }
         // One that nobody knew.
         let mut local = Local::new(Span::from_millis(1500));
-        local.recall(None);
+        local.recall(None, Instant::now());
         local.leave("i1");
         local.hear(&heartbeat("i1", 9, false), now);
         assert!(local.open().is_none());
@@ -821,8 +840,8 @@
 
     silent_target_is_taken_for_gone => {
         let mut local = Local::new(Span::from_millis(1500));
-        local.recall(None);
         let now = Instant::now();
+        local.recall(None, Instant::now());
         local.hear(&heartbeat("i1", 1, false), now);
         assert!(!local.fell_silent(now + Duration::from_secs(5)));
         assert!(local.fell_silent(now + Duration::from_secs(7)));
