A leaving node serves other nodes until shortly before its end

Cause: a node that was told to stop turned other nodes away at once and still took 2.5 s to leave: its target, which goes on, was missed for all of it. Change: other nodes are turned away in the last 0.5 s only, which each that sends here hears of in time.

--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -41,6 +41,11 @@
 /// once a second whether it is ready, and two misses end new work.
 const LEAVE: Duration = Duration::from_millis(2500);
 
+/// The last part of that, in which other nodes are turned away: several times what it
+/// takes until each that sends here has heard so. Turned away from the start, a
+/// target is missed for as long as its node leaves, though it could serve.
+const TURN_AWAY: Duration = Duration::from_millis(500);
+
 /// What is left of the grace for the end of the process itself.
 const LAST: Duration = Duration::from_millis(400);
 
@@ -155,10 +160,11 @@
             Event::Stopping,
             grace = self.host.settings.grace
         );
-        self.host.leave();
         self.phase.send_replace(Phase::Leaving);
         let until = Instant::now() + self.host.grace().saturating_sub(LAST);
-        thread::sleep(LEAVE);
+        thread::sleep(LEAVE - TURN_AWAY);
+        self.host.leave();
+        thread::sleep(TURN_AWAY);
         self.phase.send_replace(Phase::Closing);
         let ended = wait_until(until, || self.requests.is_finished());
         note!(self.host.journal, Event::Stopped, all_ended = ended);
--- a/standins/tests/whole_path.rs
+++ b/standins/tests/whole_path.rs
@@ -2,7 +2,7 @@
 //! processes, each with its own listeners.
 
 use rilltrack_standins::{
-    fleet::{Host, version},
+    fleet::{Host, ready, version},
     raw,
     store::{Mode as StoreMode, Store},
     target::Mode,
@@ -381,6 +381,18 @@
         assert_eq!(status(&asked.await.unwrap()), "504");
     }
 
+    leaving_node_serves_other_nodes_until_shortly_before_its_end => {
+        let (_store, one, mut two) = pair("b").await;
+        let address = two.ready_address();
+        let asked = async {
+            until("it leaves", async || ready(address).await.starts_with("HTTP/1.1 503")).await;
+            one.ask("GET", "/get/b/", "id1", "").await
+        };
+        let ((), answer) = tokio::join!(two.stop(), asked);
+        assert_eq!(status(&answer), "200", "{answer}");
+        assert_eq!(runs([&one, &two], "id1"), 1);
+    }
+
     restarted_node_opens_to_its_target_before_a_heartbeat => {
         let (_store, one, mut two) = pair("b").await;
         two.stop().await;
