Large answers go by what was seen of their way, and their bytes count

Cause: the size of answers played no part in where a request goes, so downloads of 90 KB crossed failure domains for gains of milliseconds and met on thin links. Change: the mean size of a route's answers is kept; what lies beyond an ordinary answer counts like the bytes of a body that goes far, and a route of large answers is weighed by what they took with the way, as large bodies are.

--- a/src/coordination/balance.rs
+++ b/src/coordination/balance.rs
@@ -33,8 +33,9 @@
 /// (docs/MEASURES.md).
 const FAR_WAY: f64 = 0.04;
 
-/// What a kilobyte of a request to another failure domain counts as, in seconds:
-/// an upload of 60 KB goes there only if it would fail here.
+/// What a kilobyte of a request or its answer to or from another failure domain counts
+/// as, in seconds: an upload of 60 KB, or a download of as much, goes there only if it
+/// would fail here.
 const FAR_KILOBYTE: f64 = 0.007;
 
 /// How much slower a target gets on the way to its last slot, as a share.
@@ -91,6 +92,8 @@
     peers: HashMap<Node, Peer>,
     /// The mean time that targets run a request of each route, in seconds.
     routes: HashMap<Name, f64>,
+    /// The mean size of an answer on each route, in bytes.
+    sizes: HashMap<Name, f64>,
     /// The mean time of an answer to a large body on each route, in seconds.
     hauls: HashMap<Name, f64>,
     /// Which nodes can't be reached.
@@ -335,7 +338,8 @@
     /// Returns a target's use of slots with one more request, 1 being full, and the
     /// time in which an answer is expected, in seconds.
     fn weigh(&mut self, member: &Member, wish: &Wish<'_>, now: Instant) -> (f64, f64) {
-        let is_large = is_large(wish.bytes);
+        let answer = self.sizes.get(wish.route).copied().unwrap_or_default();
+        let is_large = is_large(wish.bytes) || answer >= LARGE as f64;
         let means = if is_large { &self.hauls } else { &self.routes };
         let mean = means.get(wish.route).copied().unwrap_or(FIRST_MEAN);
         let slots = member.targets.iter().find(|t| t.service == *wish.service);
@@ -347,8 +351,8 @@
             peer.held(now)
         };
         let usage = f64::from(held + 1) / slots;
-        // What a large body takes depends on the links on its way as much as on the
-        // target: sent by the target's pace alone, all uploads of a failure domain met
+        // What a large body or answer takes depends on the links on its way as much as on
+        // the target: sent by the target's pace alone, all uploads of a failure domain met
         // on the thin link of its fastest target.
         let pace = if is_large {
             peer.haul.factor()
@@ -361,11 +365,20 @@
         let way = if member.domain == *wish.domain {
             0.0
         } else {
-            FAR_WAY + FAR_KILOBYTE * wish.bytes as f64 / 1024.0
+            // What every answer has counts as part of the way.
+            let beyond = (answer - LARGE as f64).max(0.0);
+            FAR_WAY + FAR_KILOBYTE * (wish.bytes as f64 + beyond) / 1024.0
         };
         (usage, time + way)
     }
 
+    /// Notes the size of an answer on a route, in bytes.
+    pub fn note_size(&mut self, route: &Name, bytes: usize) {
+        let bytes = bytes as f64;
+        let mean = self.sizes.entry(route.clone()).or_insert(bytes);
+        *mean += NEWEST * (bytes - *mean);
+    }
+
     /// Notes that a request is sent.
     pub fn start(&mut self, member: &Member, now: Instant) {
         let peer = self.peer(member, now);
@@ -390,9 +403,9 @@
         let (pace, haul) = match end {
             End::Answered(took) => {
                 let ran = report.ran.unwrap_or(took);
-                let haul = report
-                    .is_large
-                    .then(|| relate(&mut self.hauls, route, took));
+                let size = self.sizes.get(route).copied().unwrap_or_default();
+                let is_large = report.is_large || size >= LARGE as f64;
+                let haul = is_large.then(|| relate(&mut self.hauls, route, took));
                 (relate(&mut self.routes, route, ran), haul)
             }
             _ => (Pace::default(), None),
--- a/src/transport/relay/egress.rs
+++ b/src/transport/relay/egress.rs
@@ -255,6 +255,10 @@
             match tried {
                 Tried::Answered(response) => {
                     tries.arrivals += 1;
+                    if let Some(bytes) = response.body().length() {
+                        let mut balance = self.host.balance.lock();
+                        balance.note_size(&call.route.name, bytes);
+                    }
                     let is_fault = response.status().is_server_error();
                     if !is_fault || call.route.kind == Kind::Once {
                         return Ok(response);
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -542,6 +542,47 @@
         assert_eq!(upload.member.node.as_str(), "n1");
     }
 
+    large_answers_stay_near_as_large_bodies_do => {
+        let table = members(&[("n1", "here"), ("n2", "there")]);
+        let route = name("r");
+        let now = Instant::now();
+        let mut balance = Balance::default();
+        let near = table.get(&"n1".parse().unwrap()).unwrap().clone();
+        // Nine of ten slots are taken here, none there.
+        for _ in 0..9 {
+            balance.start(&near, now);
+        }
+        let goes_to = |balance: &mut Balance| choose(balance, &table, 0, now).unwrap().member.node.to_string();
+        balance.note_size(&route, 2_000);
+        assert_eq!(goes_to(&mut balance), "n2");
+        for _ in 0..40 {
+            balance.note_size(&route, 90_000);
+        }
+        assert_eq!(goes_to(&mut balance), "n1");
+    }
+
+    large_answers_go_by_the_way_that_was_seen => {
+        let table = members(&[("n1", "here"), ("n2", "here")]);
+        let route = name("r");
+        let now = Instant::now();
+        let mut balance = Balance::default();
+        balance.note_size(&route, 90_000);
+        // Both targets run it as fast; the link of one is thin.
+        let ran = Some(Duration::from_millis(50));
+        for _ in 0..40 {
+            for (node, took) in [("n1", 60), ("n2", 400)] {
+                let member = table.get(&node.parse().unwrap()).unwrap().clone();
+                balance.start(&member, now);
+                let end = End::Answered(Duration::from_millis(took));
+                let report = Report { ran, pace: Some("1.00".parse().unwrap()), ..Report::default() };
+                balance.finish(&member, &route, end, report, now);
+            }
+        }
+        for _ in 0..20 {
+            assert_eq!(choose(&mut balance, &table, 0, now).unwrap().member.node.as_str(), "n1");
+        }
+    }
+
     target_that_its_node_calls_slow_gets_little_and_is_tried_again_later => {
         let table = members(&[("n1", "here"), ("n2", "here")]);
         let mut balance = Balance::default();
