Large answers leave a host as fast as its link carries them

A dozen downloads of 90 KB that end together are a second of that link, and what came in waited for its acknowledgements behind them. Change: a large answer takes its place on the link, 0.8 of its rate, and waits for it (coordination::outflow); wide links hold nothing back.

--- a/src/coordination/host.rs
+++ b/src/coordination/host.rs
@@ -19,10 +19,11 @@
         Error,
         age::Ages,
         allowance::{Allowance, Rule},
-        balance::Balance,
+        balance::{self, Balance},
         gate::Gate,
         link::{Stream, Words},
         local::Local,
+        outflow::Outflow,
         split::Split,
         watch::Silent,
     },
@@ -71,6 +72,8 @@
     pub allowance: Mutex<Allowance>,
     /// How long callers have been trying.
     pub ages: Mutex<Ages>,
+    /// When large answers leave.
+    pub outflow: Outflow,
     /// How split routes are dealt.
     pub split: Mutex<Split>,
     /// Wakes the duty that writes what this node says of itself.
@@ -153,6 +156,7 @@
             allowance: Mutex::new(Allowance::new(rule(&settings))),
             grace: Mutex::new(settings.grace),
             ages: Mutex::default(),
+            outflow: Outflow::new(settings.bandwidth()),
             split: Mutex::default(),
             changed: Notify::new(),
             lost: Notify::new(),
@@ -494,6 +498,17 @@
         *self.in_force_at.lock()
     }
 
+    /// Waits until the link has room for an answer of `bytes`, if it is a large one.
+    pub async fn until_room(&self, bytes: Option<usize>) {
+        let Some(bytes) = bytes.filter(|bytes| balance::is_large(*bytes)) else {
+            return;
+        };
+        let wait = self.outflow.place(bytes, Instant::now());
+        if !wait.is_zero() {
+            tokio::time::sleep(wait).await;
+        }
+    }
+
     /// Notes that the process leaves: other nodes are refused from now on.
     pub fn leave(&self) {
         self.leaving.store(true, Ordering::Relaxed);
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -46,6 +46,7 @@
 pub mod local;
 pub mod node;
 pub mod once;
+pub mod outflow;
 pub mod pick;
 pub mod presence;
 pub mod probe;
--- /dev/null
+++ b/src/coordination/outflow.rs
@@ -0,0 +1,55 @@
+//! When large answers leave, so that the host's link has room for what is small.
+//!
+//! A target that runs a dozen downloads at a time hands over a second's worth of a
+//! thin link in a moment. All of it queued in the system, the versions and heartbeats of
+//! this host waited behind it, and the acknowledgements of what came in too: on links
+//! of 15 Mbit/s nodes were seconds behind with a version. So large answers go one
+//! after the other, as fast as the link carries them; none is held once it has room.
+
+use std::time::{Duration, Instant};
+
+use parking_lot::Mutex;
+
+/// The part of the link that large answers may take. The rest is for lookups, which
+/// are a fifth of the bytes of the users' meshes.
+const SHARE: f64 = 0.8;
+
+/// How far ahead of the link an answer may be handed to the system: a few round trips,
+/// so that the link never waits, and short against the 0.25 s within which a connection
+/// must come about.
+const AHEAD: Duration = Duration::from_millis(50);
+
+/// The order in which large answers leave a host.
+#[derive(Debug)]
+pub struct Outflow {
+    /// Bytes a second; nothing if the link is not known.
+    rate: Option<f64>,
+    /// When the link has carried all that was let out.
+    free: Mutex<Option<Instant>>,
+}
+
+impl Outflow {
+    /// Returns what lets out as much as a link of `bandwidth` Mbit/s carries; 0 is a
+    /// link that is not known, which bounds nothing.
+    pub fn new(bandwidth: u32) -> Self {
+        let rate = f64::from(bandwidth) * 1_000_000.0 / 8.0 * SHARE;
+        Self {
+            rate: (bandwidth > 0).then_some(rate),
+            free: Mutex::default(),
+        }
+    }
+
+    /// Takes a place for an answer of `bytes`; returns how long it waits there.
+    ///
+    /// An answer that is given up meanwhile leaves its place unused: the next ones are
+    /// late by that, never lost.
+    pub fn place(&self, bytes: usize, now: Instant) -> Duration {
+        let Some(rate) = self.rate else {
+            return Duration::ZERO;
+        };
+        let mut free = self.free.lock();
+        let begins = free.map_or(now, |free| free.max(now));
+        *free = Some(begins + Duration::from_secs_f64(bytes as f64 / rate));
+        begins.saturating_duration_since(now + AHEAD)
+    }
+}
--- a/src/transport/relay/egress.rs
+++ b/src/transport/relay/egress.rs
@@ -141,6 +141,9 @@
         };
         let mut tries = Tries::default();
         let result = self.tries(&call, body, &mut tries).await;
+        if let Ok(response) = &result {
+            self.host.until_room(response.body().length()).await;
+        }
         self.end(&call, version, &tries, result)
     }
 
--- a/src/transport/relay/ingress.rs
+++ b/src/transport/relay/ingress.rs
@@ -326,6 +326,7 @@
         };
         let (mut response, told) = match result {
             Ok(response) => {
+                self.host.until_room(response.body().length()).await;
                 let ran = response.extensions().get().map(|Ran(ran)| Span::of(*ran));
                 let told = Told {
                     ran,
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -25,6 +25,7 @@
         host::Host,
         link::{Ask, Words},
         local::{Change, Local},
+        outflow::Outflow,
         rank,
         reach::Loss,
         split::Split,
@@ -411,6 +412,22 @@
         }
     }
 
+    large_answers_leave_as_fast_as_the_link_carries_them => {
+        let now = Instant::now();
+        let millis = Duration::from_millis;
+        // 15 Mbit/s, four fifths of it: 90 KB take 60 ms.
+        let outflow = Outflow::new(15);
+        let waits: Vec<_> = (0..10).map(|_| outflow.place(90_000, now)).collect();
+        assert_eq!(waits[..2], [Duration::ZERO, millis(10)]);
+        assert!(waits.windows(2).skip(1).all(|w| w[1] - w[0] == millis(60)), "{waits:?}");
+        // None waits once the others are through.
+        assert_eq!(outflow.place(90_000, now + millis(700)), Duration::ZERO);
+        // A wide link holds none back, nor does one that is not known.
+        for wide in [Outflow::new(10_000), Outflow::new(0)] {
+            assert!((0..100).all(|_| wide.place(90_000, now).is_zero()));
+        }
+    }
+
     age_of_a_request_is_what_its_caller_has_used_up => {
         let mut ages = Ages::default();
         let (route, other) = (name("r"), name("s"));
