A late heartbeat of a crashed instance shuts nobody out

A process that was started anew knew no former instance. A heartbeat that a cut had delayed, of an instance that has crashed since, took the place of the one written down, whose own heartbeats were then ignored for good. One that was merely replaced comes back now where the other is doubted or silent; one that said that it leaves stays gone.

--- a/src/coordination/local.rs
+++ b/src/coordination/local.rs
@@ -27,7 +27,16 @@
     heartbeat_every: Span,
     recalled: bool,
     current: Option<Current>,
-    former: Vec<String>,
+    former: Vec<Former>,
+}
+
+/// An instance that another one took the place of, or that left.
+#[derive(Clone, Debug)]
+struct Former {
+    instance: String,
+    /// Whether it said that it leaves. It stays gone then; one that was merely replaced
+    /// may have been replaced by a heartbeat that came late, of an older one.
+    has_left: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -81,9 +90,9 @@
             Some(current) if current.target.instance == target.instance => {
                 current.target.draining |= target.draining;
             }
-            Some(_) => self.former.push(target.instance.clone()),
+            Some(_) => self.retire(target.instance.clone(), target.draining),
             None => {
-                let has_left = self.former.contains(&target.instance);
+                let has_left = self.former(&target.instance).is_some();
                 let mut target = target.clone();
                 target.draining |= has_left;
                 self.current = Some(Current {
@@ -97,8 +106,14 @@
 
     /// Takes a heartbeat in.
     pub fn hear(&mut self, heartbeat: &Heartbeat, now: Instant) -> Change {
-        if self.former.contains(&heartbeat.instance) {
-            return Change::Nothing;
+        // A process that was started anew knows no former instance but by what it hears:
+        // a heartbeat that a cut delayed may come from one that has crashed since, and
+        // must not shut out the one that is there.
+        let is_there = self.current.as_ref().is_some_and(|c| c.heard.is_some());
+        match self.former(&heartbeat.instance) {
+            Some(former) if former.has_left || is_there => return Change::Nothing,
+            Some(_) => self.former.retain(|f| f.instance != heartbeat.instance),
+            None => {}
         }
         let told = Target {
             service: heartbeat.service.clone(),
@@ -153,7 +168,7 @@
             // Another instance, or one of which this life has not heard: a late
             // heartbeat of it must open nothing.
             _ => {
-                self.retire(instance.into());
+                self.retire(instance.into(), true);
                 Change::Nothing
             }
         }
@@ -210,13 +225,18 @@
     fn replace(&mut self, current: Option<Current>) {
         let old = std::mem::replace(&mut self.current, current);
         if let Some(old) = old {
-            self.retire(old.target.instance);
+            self.retire(old.target.instance, old.target.draining);
         }
     }
 
-    fn retire(&mut self, instance: String) {
-        if !self.former.contains(&instance) {
-            self.former.push(instance);
+    fn former(&self, instance: &str) -> Option<&Former> {
+        self.former.iter().find(|f| f.instance == instance)
+    }
+
+    fn retire(&mut self, instance: String, has_left: bool) {
+        match self.former.iter_mut().find(|f| f.instance == instance) {
+            Some(former) => former.has_left |= has_left,
+            None => self.former.push(Former { instance, has_left }),
         }
         let beyond = self.former.len().saturating_sub(FORMER);
         self.former.drain(..beyond);
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -841,6 +841,28 @@
         }
     }
 
+    late_heartbeat_of_a_crashed_instance_shuts_nobody_out => {
+        let now = Instant::now();
+        let mut written = member("n1", "here", 4);
+        written.targets[0].instance = "i2".into();
+        let mut local = Local::new(Span::from_millis(1500));
+        local.recall(Some(&written), now);
+        // The process knows nothing of i1, which crashed before i2 was started.
+        local.hear(&heartbeat("i1", 9, false), now);
+        local.hear(&heartbeat("i2", 4, false), now);
+        // Where i2 answers in its place, or nobody is heard any more, i2 is back.
+        assert!(local.doubt("i1"));
+        assert_eq!(local.hear(&heartbeat("i2", 5, false), now), Change::Told);
+        assert_eq!(&*local.open().unwrap().instance, "i2");
+        assert_eq!(local.hear(&heartbeat("i1", 10, false), now), Change::Nothing);
+        // One that has left stays gone, whoever is heard.
+        local.hear(&heartbeat("i2", 6, true), now);
+        local.hear(&heartbeat("i3", 1, false), now);
+        assert!(local.doubt("i3"));
+        assert_eq!(local.hear(&heartbeat("i2", 7, false), now), Change::Nothing);
+        assert!(local.open().is_none());
+    }
+
     target_of_the_former_life_is_there_until_doubted => {
         let now = Instant::now();
         let mut written = member("n1", "here", 4);
