--- a/src/coordination/age.rs
+++ b/src/coordination/age.rs
@@ -48,9 +48,15 @@
         let age = seen.whole.saturating_sub(left);
         if age <= SLACK { Duration::ZERO } else { age }
     }
+
+    /// Forgets routes that `known` does not know any more.
+    pub fn retain(&mut self, known: impl Fn(&Name) -> bool) {
+        self.routes.retain(|route, _| known(route));
+    }
 }
 
 impl Seen {
+    /// Notes what a caller had left, and looks for the whole anew every few requests.
     fn note(&mut self, left: Duration) {
         if self.left.len() == KEPT {
             self.left.pop_front();
--- a/src/coordination/balance.rs
+++ b/src/coordination/balance.rs
@@ -338,8 +338,8 @@
     /// Returns a target's use of slots with one more request, 1 being full, and the
     /// time in which an answer is expected, in seconds.
     fn weigh(&mut self, member: &Member, wish: &Wish<'_>, now: Instant) -> (f64, f64) {
-        let answer = self.sizes.get(wish.route).copied().unwrap_or_default();
-        let is_large = is_large(wish.bytes) || answer >= LARGE as f64;
+        let answer = self.answer_size(wish.route);
+        let is_large = is_large(wish.bytes) || is_large(answer);
         let means = if is_large { &self.hauls } else { &self.routes };
         let mean = means.get(wish.route).copied().unwrap_or(FIRST_MEAN);
         let slots = member.targets.iter().find(|t| t.service == *wish.service);
@@ -366,12 +366,17 @@
             0.0
         } else {
             // What every answer has counts as part of the way.
-            let beyond = (answer - LARGE as f64).max(0.0);
-            FAR_WAY + FAR_KILOBYTE * (wish.bytes as f64 + beyond) / 1024.0
+            let bytes = wish.bytes + answer.saturating_sub(LARGE);
+            FAR_WAY + FAR_KILOBYTE * bytes as f64 / 1024.0
         };
         (usage, time + way)
     }
 
+    /// Returns the mean size of an answer on a route, in bytes; 0 if none is known.
+    fn answer_size(&self, route: &Name) -> usize {
+        self.sizes.get(route).map_or(0, |mean| *mean as usize)
+    }
+
     /// Notes the size of an answer on a route, in bytes.
     pub fn note_size(&mut self, route: &Name, bytes: usize) {
         let bytes = bytes as f64;
@@ -403,8 +408,7 @@
         let (pace, haul) = match end {
             End::Answered(took) => {
                 let ran = report.ran.unwrap_or(took);
-                let size = self.sizes.get(route).copied().unwrap_or_default();
-                let is_large = report.is_large || size >= LARGE as f64;
+                let is_large = report.is_large || is_large(self.answer_size(route));
                 let haul = is_large.then(|| relate(&mut self.hauls, route, took));
                 (relate(&mut self.routes, route, ran), haul)
             }
--- a/src/coordination/gate.rs
+++ b/src/coordination/gate.rs
@@ -34,9 +34,14 @@
 /// twice the slots the last waiter comes after two whole requests.
 const QUEUE_PER_SLOT: usize = 2;
 
-/// The shortest time after which a refused caller is asked to come back.
+/// The shortest time after which a refused caller is asked to come back: a round trip
+/// within a region and the turn of a slot.
 const MIN_RETRY_AFTER: Span = Span::from_millis(10);
 
+/// Runs over which callers are spread that will be late anyway, so that those who were
+/// refused together do not come back together.
+const SPREAD_RUNS: f64 = 2.0;
+
 /// The part of its spare time that a request may wait: one over this. A run takes
 /// longer than the mean as often as not, and a longer queue serves nobody more. At the
 /// whole and at a quarter the days of high load were worth a hundredth less
@@ -367,7 +372,7 @@
         let soon = self.turn() * (self.waiting.len() + 1) as u32;
         let later = match self.spare(arrival, now) {
             Some(spare) if spare > soon => soon,
-            _ => soon + Duration::from_secs_f64(self.mean * 2.0 * fastrand::f64()),
+            _ => soon + Duration::from_secs_f64(self.mean * SPREAD_RUNS * fastrand::f64()),
         };
         Refusal::not_run(FULL, Span::of(later).max(MIN_RETRY_AFTER))
     }
--- a/src/state/routing.rs
+++ b/src/state/routing.rs
@@ -290,6 +290,11 @@
         self.services.contains(service)
     }
 
+    /// Returns whether there is a route of this name.
+    pub fn has_route(&self, name: &Name) -> bool {
+        self.routes.contains_key(name)
+    }
+
     /// Returns the number of routes.
     pub fn len(&self) -> usize {
         self.routes.len()
--- a/src/transport/relay/egress.rs
+++ b/src/transport/relay/egress.rs
@@ -117,10 +117,14 @@
         })
     }
 
-    /// Closes connections that were unused for long and forgets nodes that have
-    /// left.
+    /// Closes connections that were unused for long, and forgets nodes that have left
+    /// and routes that are gone.
     pub fn tidy(&self) {
         self.next.tidy();
+        if let Some(table) = self.host.routes() {
+            let mut ages = self.host.ages.lock();
+            ages.retain(|route| table.has_route(route));
+        }
         let members = self.host.members.read();
         self.host
             .balance
