A large answer that is given up takes none of the link

Found by reading: each answer took its place on the link when it came, and a caller that gave up left it taken. On a link with more downloads than it carries the row would have grown until none was in time. Answers wait in a row now, and the first alone counts time.

--- a/src/coordination/host.rs
+++ b/src/coordination/host.rs
@@ -500,12 +500,8 @@
 
     /// Waits until the link has room for an answer of `bytes`, if it is a large one.
     pub async fn until_room(&self, bytes: Option<usize>) {
-        let Some(bytes) = bytes.filter(|bytes| balance::is_large(*bytes)) else {
-            return;
-        };
-        let wait = self.outflow.place(bytes, Instant::now());
-        if !wait.is_zero() {
-            tokio::time::sleep(wait).await;
+        if let Some(bytes) = bytes.filter(|bytes| balance::is_large(*bytes)) {
+            self.outflow.enter(bytes).await;
         }
     }
 
--- a/src/coordination/outflow.rs
+++ b/src/coordination/outflow.rs
@@ -8,7 +8,7 @@
 
 use std::time::{Duration, Instant};
 
-use parking_lot::Mutex;
+use tokio::sync::Mutex;
 
 /// The part of the link that large answers may take. The rest is for lookups, which
 /// are a fifth of the bytes of the users' meshes.
@@ -39,17 +39,21 @@
         }
     }
 
-    /// Takes a place for an answer of `bytes`; returns how long it waits there.
-    ///
-    /// An answer that is given up meanwhile leaves its place unused: the next ones are
-    /// late by that, never lost.
-    pub fn place(&self, bytes: usize, now: Instant) -> Duration {
+    /// Waits until the link has room for an answer of `bytes`. Answers go in the order in
+    /// which they came; one that is given up meanwhile takes none of the link.
+    pub async fn enter(&self, bytes: usize) {
         let Some(rate) = self.rate else {
-            return Duration::ZERO;
+            return;
         };
-        let mut free = self.free.lock();
+        // Held while the first in the row waits. A place that was counted from the start
+        // would outlast its caller, and a link once overloaded would stay so.
+        let mut free = self.free.lock().await;
+        let now = Instant::now();
         let begins = free.map_or(now, |free| free.max(now));
+        let wait = begins.saturating_duration_since(now + AHEAD);
+        if !wait.is_zero() {
+            tokio::time::sleep(wait).await;
+        }
         *free = Some(begins + Duration::from_secs_f64(bytes as f64 / rate));
-        begins.saturating_duration_since(now + AHEAD)
     }
 }
