--- a/src/coordination/gate.rs
+++ b/src/coordination/gate.rs
@@ -43,9 +43,9 @@
 const SPREAD_RUNS: f64 = 2.0;
 
 /// The part of its spare time that a request may wait: one over this. A run takes
-/// longer than the mean as often as not, and a longer queue serves nobody more. At the
-/// whole and at a quarter the days of high load were worth a hundredth less
-/// (docs/POLICY.md).
+/// longer than the mean as often as not, and a longer queue serves nobody more. Days of
+/// high load were worth a hundredth less with the whole of it; a quarter measured the
+/// same (docs/POLICY.md).
 const WAITED: u32 = 2;
 
 /// Slots for each late request that may wait: enough that none stays free.
