A large answer that can't leave in time is not begun

Change: the sender says how large the answer usually is (hop::Ask), and the target's node counts it in (Outflow::count_in) or refuses at once, so another node is asked. Large answers may take 0.9 of the link.

--- a/src/coordination/balance.rs
+++ b/src/coordination/balance.rs
@@ -377,6 +377,12 @@
         self.sizes.get(route).map_or(0, |mean| *mean as usize)
     }
 
+    /// Returns the mean size of an answer on a route of large ones, in bytes; else 0.
+    pub fn large_answer(&self, route: &Name) -> usize {
+        let size = self.answer_size(route);
+        if is_large(size) { size } else { 0 }
+    }
+
     /// Notes the size of an answer on a route, in bytes.
     pub fn note_size(&mut self, route: &Name, bytes: usize) {
         let bytes = bytes as f64;
--- a/src/coordination/outflow.rs
+++ b/src/coordination/outflow.rs
@@ -6,13 +6,19 @@
 //! of 15 Mbit/s nodes were seconds behind with a version. So large answers go one
 //! after the other, as fast as the link carries them; none is held once it has room.
 
-use std::time::{Duration, Instant};
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::{Duration, Instant},
+};
 
 use tokio::sync::Mutex;
 
 /// The part of the link that large answers may take. The rest is for lookups, which
 /// are a fifth of the bytes of the users' meshes.
-const SHARE: f64 = 0.8;
+const SHARE: f64 = 0.9;
 
 /// How far ahead of the link an answer may be handed to the system: a few round trips,
 /// so that the link never waits, and short against the 0.25 s within which a connection
@@ -26,6 +32,21 @@
     rate: Option<f64>,
     /// When the link has carried all that was let out.
     free: Mutex<Option<Instant>>,
+    /// Bytes of answers that were counted in and have not left.
+    pending: Arc<AtomicUsize>,
+}
+
+/// An answer that was counted in; ends when it has left, or will not come.
+#[derive(Debug)]
+pub struct Leave {
+    pending: Arc<AtomicUsize>,
+    bytes: usize,
+}
+
+impl Drop for Leave {
+    fn drop(&mut self) {
+        self.pending.fetch_sub(self.bytes, Ordering::Relaxed);
+    }
 }
 
 impl Outflow {
@@ -36,7 +57,28 @@
         Self {
             rate: (bandwidth > 0).then_some(rate),
             free: Mutex::default(),
+            pending: Arc::default(),
+        }
+    }
+
+    /// Counts in an answer of `bytes` that must have left within `spare`.
+    ///
+    /// # Errors
+    ///
+    /// How much longer than that it would take behind those under way.
+    pub fn count_in(&self, bytes: usize, spare: Duration) -> Result<Leave, Duration> {
+        let before = self.pending.fetch_add(bytes, Ordering::Relaxed);
+        let leave = Leave {
+            pending: self.pending.clone(),
+            bytes,
+        };
+        let span = |rate: f64| Duration::from_secs_f64((before + bytes) as f64 / rate);
+        let takes = self.rate.map_or(Duration::ZERO, span);
+        // One that is alone goes, however thin the link.
+        if before > 0 && takes > spare {
+            return Err(takes - spare);
         }
+        Ok(leave)
     }
 
     /// Waits until the link has room for an answer of `bytes`. Answers go in the order in
--- a/src/protocol/hop.rs
+++ b/src/protocol/hop.rs
@@ -7,7 +7,7 @@
 //! ```
 //! use rilltrack::protocol::hop::{Ask, Told};
 //!
-//! let ask: Ask = "n-7;ledger;1;300;1200;2500;340".parse()?;
+//! let ask: Ask = "n-7;ledger;1;300;1200;2500;340;0".parse()?;
 //! assert_eq!((ask.to.as_str(), ask.usual.unwrap().as_millis()), ("n-7", 340));
 //! let told: Told = "not-run;0;83/152;12,3,12;0.85;;250;target is full".parse()?;
 //! assert_eq!((told.version, told.reason.as_str()), (83, "target is full"));
@@ -45,6 +45,8 @@
     pub deadline: Span,
     /// How long targets usually run such requests, as far as the sender knows.
     pub usual: Option<Span>,
+    /// How large the answer usually is, in bytes, if it is a large one; else 0.
+    pub answer: usize,
 }
 
 /// What a node tells with an answer or a refusal.
@@ -87,7 +89,8 @@
             "{to};{service};{};{patience};{due};{left};",
             self.priority
         )?;
-        write_span(f, self.usual)
+        write_span(f, self.usual)?;
+        write!(f, ";{}", self.answer)
     }
 }
 
@@ -100,7 +103,17 @@
             text: text.into(),
         };
         let fields: Vec<&str> = text.split(';').collect();
-        let [to, service, priority, patience, due, deadline, usual] = fields[..] else {
+        let [
+            to,
+            service,
+            priority,
+            patience,
+            due,
+            deadline,
+            usual,
+            answer,
+        ] = fields[..]
+        else {
             return Err(fault());
         };
         let span = |text| parse_span(text).flatten().ok_or_else(fault);
@@ -112,6 +125,7 @@
             due: span(due)?,
             deadline: span(deadline)?,
             usual: parse_span(usual).ok_or_else(fault)?,
+            answer: answer.parse().map_err(|_| fault())?,
         })
     }
 }
--- a/src/transport/relay/egress.rs
+++ b/src/transport/relay/egress.rs
@@ -379,6 +379,7 @@
                 due: call.due,
                 usual,
             },
+            answer: self.host.balance.lock().large_answer(&call.route.name),
             deadline: call.deadline,
         };
         let is_large = body.length().is_none_or(balance::is_large);
--- a/src/transport/relay/ingress.rs
+++ b/src/transport/relay/ingress.rs
@@ -12,6 +12,7 @@
     coordination::{
         gate::{Arrival, LEAVING, NO_TARGET, Permit},
         host::Host,
+        outflow::Leave,
     },
     event::Event,
     id::Name,
@@ -43,6 +44,9 @@
     kept: 64,
 };
 
+/// The reason of a refusal where the host's link carries too many large answers.
+pub const LINK_BUSY: &str = "the link has no room for the answer";
+
 /// The reason of a refusal by a node that is not the one that was meant.
 pub const OTHER_NODE: &str = "another node has this address";
 
@@ -52,6 +56,8 @@
     pub service: Name,
     /// What it brings to the gate.
     pub arrival: Arrival,
+    /// How large its answer usually is, in bytes, if it is a large one; else 0.
+    pub answer: usize,
     /// When an answer is of no more use.
     pub deadline: Instant,
 }
@@ -134,6 +140,7 @@
         }
         let id = head.headers.get(&self.host.words.dialect.id);
         let since = Instant::now();
+        let leave = self.leave(visit).map_err(Refused::before)?;
         let entered = self.host.gate.enter(visit.arrival).await;
         self.note(id, visit, since, &entered);
         let permit = entered.map_err(Refused::before)?;
@@ -156,10 +163,26 @@
                 self.host.gate.note_run(ran, usual);
             }
             response.extensions_mut().insert(Ran(ran));
+            if let Some(leave) = leave {
+                response.extensions_mut().insert(leave);
+            }
         }
         Ok(response)
     }
 
+    /// Counts a large answer in, if the link can carry it in time behind those that are
+    /// under way. The target would run in vain otherwise.
+    fn leave(&self, visit: &Visit) -> Result<Option<Arc<Leave>>, Refusal> {
+        if visit.answer == 0 {
+            return Ok(None);
+        }
+        let spare = visit.arrival.due.saturating_duration_since(Instant::now());
+        let outflow = &self.host.outflow;
+        let leave = outflow.count_in(visit.answer, spare.max(visit.arrival.patience));
+        let refused = |wait| Refusal::not_run(LINK_BUSY, Span::of(wait));
+        leave.map(|leave| Some(Arc::new(leave))).map_err(refused)
+    }
+
     /// Writes down what the gate decided.
     fn note(
         &self,
@@ -417,6 +440,7 @@
                 due: now + ask.due.duration(),
                 usual: ask.usual.map(Span::duration),
             },
+            answer: ask.answer,
             deadline: now + ask.deadline.duration(),
         })
     }
--- a/src/transport/relay/next.rs
+++ b/src/transport/relay/next.rs
@@ -195,6 +195,7 @@
             due: left(visit.arrival.due),
             deadline: left(visit.deadline),
             usual: visit.arrival.usual.map(Span::of),
+            answer: visit.answer,
         };
         http::set(request.headers_mut(), hop::HEADER, ask);
         request
