--- a/src/coordination/age.rs
+++ b/src/coordination/age.rs
@@ -1,8 +1,8 @@
 //! How long callers have been trying, by the time that they have left.
 //!
 //! A caller that was refused comes back with less time than it began with. Nobody says
-//! how much that was, but most requests of a route are first tries, and those have the
-//! most: the time that few requests of a route exceed is taken for what its callers
+//! how much that was, but first tries have the most, and with few retries each are a good
+//! part of all requests of a route: the time that few requests of a route exceed is taken for what its callers
 //! begin with.
 
 use std::{
--- a/src/coordination/balance.rs
+++ b/src/coordination/balance.rs
@@ -385,9 +385,7 @@
 
     /// Notes the size of an answer on a route, in bytes.
     pub fn note_size(&mut self, route: &Name, bytes: usize) {
-        let bytes = bytes as f64;
-        let mean = self.sizes.entry(route.clone()).or_insert(bytes);
-        *mean += NEWEST * (bytes - *mean);
+        learn(&mut self.sizes, route, bytes as f64);
     }
 
     /// Notes that a request is sent.
@@ -488,10 +486,17 @@
 /// Returns the pace of a request that took so long, and takes it into the mean of its
 /// route.
 fn relate(means: &mut HashMap<Name, f64>, route: &Name, took: Duration) -> Pace {
-    let mean = means.entry(route.clone()).or_insert(took.as_secs_f64());
-    let pace = Pace::of(took, Duration::from_secs_f64(*mean));
-    *mean += NEWEST * (took.as_secs_f64() - *mean);
-    pace
+    let before = learn(means, route, took.as_secs_f64());
+    Pace::of(took, Duration::from_secs_f64(before))
+}
+
+/// Takes a value into the mean of its route; returns the mean before, which is the value
+/// itself where it is the first.
+fn learn(means: &mut HashMap<Name, f64>, route: &Name, value: f64) -> f64 {
+    let mean = means.entry(route.clone()).or_insert(value);
+    let before = *mean;
+    *mean += NEWEST * (value - before);
+    before
 }
 
 /// The smallest body, in bytes, whose way counts: it fills a good part of a
--- a/src/transport/relay/egress.rs
+++ b/src/transport/relay/egress.rs
@@ -367,7 +367,11 @@
         let member = &choice.member;
         let since = Instant::now();
         let mut watch = Watch::start(&self.host, member, &call.route.name, &call.service);
-        let usual = self.host.balance.lock().usual(&call.route.name);
+        let (usual, answer) = {
+            let balance = self.host.balance.lock();
+            let route = &call.route.name;
+            (balance.usual(route), balance.large_answer(route))
+        };
         let run = usual.unwrap_or(FIRST_RUN);
         let spare = call.due.saturating_duration_since(since);
         let visit = Visit {
@@ -379,7 +383,7 @@
                 due: call.due,
                 usual,
             },
-            answer: self.host.balance.lock().large_answer(&call.route.name),
+            answer,
             deadline: call.deadline,
         };
         let is_large = body.length().is_none_or(balance::is_large);
