Decisions on requests apart from input and output; a model of load replays them

Who waits, who is turned away and how often a request is tried stood among locks, timers and bodies, so a load could only be replayed with sockets and real time. They are plain structs now (coordination::decision: queue, tries, with balance, reach, allowance, age and split moved beside them); gate and egress are thin callers. standins::load replays callers, nodes and targets on them over a virtual clock with a seed; the same seed gives the same figures.

Found while moving: a waiter that was displaced, or whose gate was cleared, and whose task ended before it was woken gave a slot back that it never had, so the target got one request more than its slots. The test fails with the former condition.

--- a/src/coordination/allowance.rs
+++ b/src/coordination/decision/allowance.rs
@@ -44,7 +44,7 @@
 /// ```
 /// use std::time::{Duration, Instant};
 ///
-/// use rilltrack::coordination::allowance::{Again, Allowance, Rule};
+/// use rilltrack::coordination::decision::allowance::{Again, Allowance, Rule};
 ///
 /// let rule = Rule { ratio: 0.2, slack: 10.0, window: Duration::from_secs(10) };
 /// let mut allowance = Allowance::new(rule);
--- a/src/coordination/balance.rs
+++ b/src/coordination/decision/balance.rs
@@ -14,7 +14,7 @@
 };
 
 use crate::{
-    coordination::reach::{Loss, Reach},
+    coordination::decision::reach::{Loss, Reach},
     id::{Incarnation, Name, Node},
     protocol::dialect::{Load, Pace},
     state::member::{Member, Status, Table},
--- a/src/coordination/gate.rs
+++ b/src/coordination/gate.rs
@@ -1,12 +1,10 @@
 //! The gate before the target on this host.
 //!
 //! Nobody but the node beside it reaches a target, so the gate knows all that
-//! the target runs. It never gives it more than its slots, lets few wait, and
-//! refuses the rest before the target sees them: such a refusal is always
-//! "not run". No slot stays free while something waits.
+//! the target runs. A refusal of the gate is always "not run". Who enters is decided in
+//! [`queue`](crate::coordination::decision::queue); here waiting tasks are woken.
 
 use std::{
-    collections::BTreeMap,
     net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
@@ -15,44 +13,17 @@
 use parking_lot::Mutex;
 use tokio::sync::oneshot;
 
+pub use crate::coordination::decision::queue::Arrival;
 use crate::{
+    coordination::decision::queue::{Entry, MIN_RETRY_AFTER, Place, Queue},
     protocol::{
         answer::Refusal,
         dialect::{Load, Pace},
     },
-    unit::Span,
 };
 
-/// Weight of the newest request in the mean of how long one takes.
-const NEWEST: f64 = 0.1;
-
-/// What a request is taken to last before the first one has ended, in seconds.
-/// The stories of both meshes name 120 to 160 ms of work.
-const FIRST_MEAN: f64 = 0.15;
-
-/// Requests that wait, for each slot. Longer queues serve nobody in time: at
-/// twice the slots the last waiter comes after two whole requests.
-const QUEUE_PER_SLOT: usize = 2;
-
-/// The shortest time after which a refused caller is asked to come back: a round trip
-/// within a region and the turn of a slot.
-const MIN_RETRY_AFTER: Span = Span::from_millis(10);
-
-/// Runs over which callers are spread that will be late anyway, so that those who were
-/// refused together do not come back together.
-const SPREAD_RUNS: f64 = 2.0;
-
-/// The part of its spare time that a request may wait: one over this. A run takes
-/// longer than the mean as often as not, and a longer queue serves nobody more. Days of
-/// high load were worth a hundredth less with the whole of it; a quarter measured the
-/// same (docs/POLICY.md).
-const WAITED: u32 = 2;
-
-/// Slots for each late request that may wait: enough that none stays free.
-const LATE_PER_SLOTS: usize = 4;
-
 /// The gate. Cheap to clone; all clones are one gate.
-#[derive(Clone)]
+#[derive(Clone, Default)]
 pub struct Gate {
     state: Arc<Mutex<State>>,
 }
@@ -68,22 +39,6 @@
     pub slots: u32,
 }
 
-/// What a request brings to the gate.
-#[derive(Clone, Copy, Debug)]
-pub struct Arrival {
-    /// Its rank; 0 goes first.
-    pub priority: u8,
-    /// When it should be answered; among equals in rank the earliest goes first.
-    /// So the short calls that a target makes amid a request go before whole
-    /// requests, and load does not turn into parents that wait for calls that wait
-    /// for parents.
-    pub due: Instant,
-    /// How long it may wait for room at the most.
-    pub patience: Duration,
-    /// How long such a request usually runs, where it came from.
-    pub usual: Option<Duration>,
-}
-
 /// Leave to send one request to the target; ends when it is dropped.
 pub struct Permit {
     gate: Gate,
@@ -96,25 +51,8 @@
 struct State {
     target: Option<Target>,
     closed: bool,
-    running: u32,
-    /// Waiting requests in the order in which they are let in.
-    waiting: BTreeMap<Place, oneshot::Sender<()>>,
-    next: u64,
-    mean: f64,
-    pace: Pace,
-}
-
-/// A place in the queue, in the order in which requests are let in.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-struct Place {
-    priority: u8,
-    /// Whether it can't be expected to end in time. Were the earliest due let in
-    /// whatever came of it, slots would go to answers that are late anyway while
-    /// fresh requests turn late behind them.
-    is_late: bool,
-    due: Instant,
-    /// Tells equals apart.
-    count: u64,
+    /// What waits is woken with the sender; dropped, it turns its task away.
+    queue: Queue<oneshot::Sender<()>>,
 }
 
 /// Why a request may not enter now.
@@ -143,35 +81,20 @@
 /// The reason of a refusal for want of room.
 pub const FULL: &str = "target is full";
 
-impl Default for Gate {
-    fn default() -> Self {
-        Self::new()
-    }
-}
-
 impl Gate {
     /// Returns a gate with no target behind it.
     pub fn new() -> Self {
-        let state = State {
-            mean: FIRST_MEAN,
-            ..State::default()
-        };
-        Self {
-            state: Arc::new(Mutex::new(state)),
-        }
+        Self::default()
     }
 
     /// Opens the gate to `target`, or notes what changed about it.
     pub fn open(&self, target: Target) {
         let mut state = self.state.lock();
-        let is_other = state
-            .target
-            .as_ref()
-            .is_some_and(|held| held.instance != target.instance);
-        if is_other || state.target.is_none() {
-            state.mean = FIRST_MEAN;
-            state.pace = Pace::default();
+        let held = state.target.as_ref();
+        if held.is_none_or(|held| held.instance != target.instance) {
+            state.queue.forget_speed();
         }
+        state.queue.set_slots(target.slots);
         state.target = Some(target);
         state.closed = false;
         state.grant();
@@ -181,36 +104,30 @@
     pub fn close(&self) {
         let mut state = self.state.lock();
         state.closed = true;
-        // Dropping the senders ends the waits.
-        state.waiting.clear();
+        state.queue.clear();
     }
 
     /// Takes the target away: it fell silent or its connections are refused.
     pub fn vacate(&self) {
         let mut state = self.state.lock();
         state.target = None;
-        state.waiting.clear();
+        state.queue.set_slots(0);
+        state.queue.clear();
     }
 
     /// Returns how full the target is.
     pub fn load(&self) -> Load {
-        let state = self.state.lock();
-        Load {
-            running: state.running,
-            waiting: state.waiting.len() as u32,
-            slots: state.target.as_ref().map_or(0, |target| target.slots),
-        }
+        self.state.lock().queue.load()
     }
 
     /// Notes how long a request ran that usually takes `usual`, where it came from.
     pub fn note_run(&self, took: Duration, usual: Duration) {
-        let mut state = self.state.lock();
-        state.pace = state.pace.towards(Pace::of(took, usual), NEWEST);
+        self.state.lock().queue.note_run(took, usual);
     }
 
     /// Returns how long the target takes, over what is usual.
     pub fn pace(&self) -> Pace {
-        self.state.lock().pace
+        self.state.lock().queue.pace()
     }
 
     /// Waits for leave to send one request to the target.
@@ -219,30 +136,28 @@
     ///
     /// The refusal, at once where no wait would help.
     pub async fn enter(&self, arrival: Arrival) -> Result<Permit, Refusal> {
-        let ticket = {
+        let (grant, mut granted) = oneshot::channel();
+        let (place, patience) = {
             let mut state = self.state.lock();
             if let Some(bar) = state.bar() {
                 return Err(bar.refusal());
             }
-            if state.has_room() && state.waiting.is_empty() {
-                state.running += 1;
-                return Ok(self.permit(&state));
+            match state.queue.arrive(&arrival, grant, Instant::now()) {
+                Entry::Entered => return Ok(self.permit(&state)),
+                Entry::Full => return Err(state.full(&arrival)),
+                Entry::Waits {
+                    place, patience, ..
+                } => (place, patience),
             }
-            state.queue(arrival)?
         };
-        let Ticket {
-            place,
-            patience,
-            granted,
-        } = ticket;
         // Whoever stops waiting, by time or because its caller left, takes its
         // place out of the queue, or gives back what was just granted.
         let mut waiter = Waiter {
             gate: self,
             place: Some(place),
+            granted: &mut granted,
         };
-        let granted = tokio::time::timeout(patience, granted).await;
-        match granted {
+        match tokio::time::timeout(patience, &mut *waiter.granted).await {
             Ok(Ok(())) => {
                 waiter.place = None;
                 let state = self.state.lock();
@@ -275,31 +190,23 @@
 
     fn leave(&self, took: Option<Duration>) {
         let mut state = self.state.lock();
-        state.running = state.running.saturating_sub(1);
-        if let Some(took) = took {
-            state.mean += NEWEST * (took.as_secs_f64() - state.mean);
-        }
+        state.queue.leave(took);
         state.grant();
     }
 }
 
-struct Ticket {
-    place: Place,
-    patience: Duration,
-    granted: oneshot::Receiver<()>,
-}
-
 struct Waiter<'a> {
     gate: &'a Gate,
     place: Option<Place>,
+    granted: &'a mut oneshot::Receiver<()>,
 }
 
 impl Drop for Waiter<'_> {
     fn drop(&mut self) {
         let Some(place) = self.place else { return };
-        let waited = self.gate.state.lock().waiting.remove(&place).is_some();
-        if !waited {
-            // Granted in the same moment, or the queue was cleared.
+        let waited = self.gate.state.lock().queue.give_up(&place);
+        // Else it was granted in the same moment, or turned away and had no slot.
+        if !waited && self.granted.try_recv().is_ok() {
             self.gate.leave(None);
         }
     }
@@ -316,97 +223,22 @@
         }
     }
 
-    fn slots(&self) -> u32 {
-        self.target.as_ref().map_or(0, |target| target.slots)
-    }
-
-    fn has_room(&self) -> bool {
-        self.running < self.slots()
-    }
-
-    /// Returns how long one in `place` will wait.
-    fn wait(&self, place: &Place) -> Duration {
-        let ahead = self.waiting.range(..place).count();
-        self.turn() * (ahead + 1) as u32
-    }
-
-    /// Returns how long it takes until some slot is free.
-    fn turn(&self) -> Duration {
-        Duration::from_secs_f64(self.mean) / self.slots().max(1)
-    }
-
-    /// Returns how long a request may wait and still end in time, if at all.
-    fn spare(&self, arrival: &Arrival, now: Instant) -> Option<Duration> {
-        let run = match arrival.usual {
-            Some(usual) => usual.mul_f64(self.pace.factor()),
-            None => Duration::from_secs_f64(self.mean),
-        };
-        arrival.due.checked_duration_since(now + run)
-    }
-
-    /// Returns the place of a request that comes now, and how long it may wait there;
-    /// none if it would wait in vain.
-    fn place(&self, arrival: &Arrival, now: Instant) -> Option<(Place, Duration)> {
-        let place = Place {
-            priority: arrival.priority,
-            is_late: false,
-            due: arrival.due,
-            count: self.next,
-        };
-        let spare = self.spare(arrival, now).unwrap_or_default();
-        let patience = (spare / WAITED).min(arrival.patience);
-        if self.wait(&place) <= patience {
-            return Some((place, patience));
-        }
-        let place = Place {
-            is_late: true,
-            ..place
-        };
-        let is_short = self.waiting.len() < (self.slots() as usize / LATE_PER_SLOTS).max(1);
-        let patience = Duration::from_secs_f64(self.mean).min(arrival.patience);
-        (is_short && self.wait(&place) <= patience).then_some((place, patience))
-    }
-
     fn full(&self, arrival: &Arrival) -> Refusal {
-        let now = Instant::now();
-        let soon = self.turn() * (self.waiting.len() + 1) as u32;
-        let later = match self.spare(arrival, now) {
-            Some(spare) if spare > soon => soon,
-            _ => soon + Duration::from_secs_f64(self.mean * SPREAD_RUNS * fastrand::f64()),
-        };
-        Refusal::not_run(FULL, Span::of(later).max(MIN_RETRY_AFTER))
-    }
-
-    fn queue(&mut self, arrival: Arrival) -> Result<Ticket, Refusal> {
-        let Some((place, patience)) = self.place(&arrival, Instant::now()) else {
-            return Err(self.full(&arrival));
-        };
-        self.next += 1;
-        if self.waiting.len() >= self.slots() as usize * QUEUE_PER_SLOT {
-            // The last one makes room for one that goes before it.
-            match self.waiting.last_key_value() {
-                Some((last, _)) if *last > place => self.waiting.pop_last(),
-                _ => return Err(self.full(&arrival)),
-            };
-        }
-        let (grant, granted) = oneshot::channel();
-        self.waiting.insert(place, grant);
-        Ok(Ticket {
-            place,
-            patience,
-            granted,
-        })
+        let again = self
+            .queue
+            .retry_after(arrival, fastrand::f64(), Instant::now());
+        Refusal::not_run(FULL, again)
     }
 
-    /// Lets in what there is room for.
+    /// Wakes those that have room now.
     fn grant(&mut self) {
-        while !self.closed && self.has_room() {
-            let Some((_, waiter)) = self.waiting.pop_first() else {
+        while !self.closed {
+            let Some(waiter) = self.queue.grant() else {
                 return;
             };
             // One that has just stopped waiting is passed over.
-            if waiter.send(()).is_ok() {
-                self.running += 1;
+            if waiter.send(()).is_err() {
+                self.queue.leave(None);
             }
         }
     }
--- a/src/coordination/host.rs
+++ b/src/coordination/host.rs
@@ -17,14 +17,16 @@
 use crate::{
     coordination::{
         Error,
-        age::Ages,
-        allowance::{Allowance, Rule},
-        balance::{self, Balance},
+        decision::{
+            age::Ages,
+            allowance::{Allowance, Rule},
+            balance::{self, Balance},
+            split::Split,
+        },
         gate::Gate,
         link::{Stream, Words},
         local::Local,
         outflow::Outflow,
-        split::Split,
         watch::Silent,
     },
     event::{Event, Journal},
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -24,18 +24,16 @@
 //!   others hear of it;
 //! * [`local`], [`presence`]: the target on this host, and what is told of it;
 //! * [`gate`]: what that target is given;
-//! * [`split`], [`balance`], [`allowance`]: where a request goes, and again.
+//! * [`decision`]: who waits, who is turned away, where a request goes, and again.
 //!
 //! This layer opens no sockets. It is handed closures, so that the tests put
 //! small fakes in their place.
 
 pub mod admit;
-pub mod age;
-pub mod allowance;
 pub mod apply;
-pub mod balance;
 pub mod budget;
 pub mod catchup;
+pub mod decision;
 pub mod door;
 pub mod follow;
 pub mod gate;
@@ -52,11 +50,9 @@
 pub mod probe;
 pub mod publish;
 pub mod rank;
-pub mod reach;
 pub mod scatter;
 pub mod snapshot;
 pub mod source;
-pub mod split;
 pub mod spread;
 pub mod watch;
 
--- a/src/coordination/probe.rs
+++ b/src/coordination/probe.rs
@@ -8,9 +8,9 @@
 use crate::{
     coordination::{
         Error,
+        decision::reach::Loss,
         host::Host,
         link::{Ask, Question},
-        reach::Loss,
     },
     event::Event,
     journal::note,
--- a/src/transport/relay/egress.rs
+++ b/src/transport/relay/egress.rs
@@ -14,9 +14,10 @@
 
 use crate::{
     coordination::{
-        allowance::Again,
-        balance::{self, Choice, Report, Wish},
-        gate::Arrival,
+        decision::{
+            balance::{self, Choice, Report, Wish},
+            tries,
+        },
         host::Host,
         link::Stream,
     },
@@ -25,7 +26,7 @@
     id::{Name, Node},
     journal::note,
     protocol::answer::{Outcome, Refusal},
-    state::routing::{Kind, Route},
+    state::routing::Route,
     transport::{
         http,
         relay::{
@@ -41,24 +42,9 @@
     unit::{Size, Span},
 };
 
-/// How long a request runs while nothing is known of its route: calls amid requests
-/// take a part of it, whole requests up to several times as long.
-const FIRST_RUN: Duration = Duration::from_millis(100);
-
-/// Runs that a request may wait for room at the most: as many as a gate's queue is
-/// long. A node that gives no leave for a body by then says nothing any more.
-const WAITED_RUNS: u32 = 2;
-
-/// Nodes that are asked for room for one request. A refusal takes a round trip
-/// and costs the target nothing, but each further one finds less time.
-const ASKED: usize = 4;
-
 /// When callers are asked to come back while no version is in force.
 const NO_VERSION_AGAIN: Span = Span::from_millis(300);
 
-/// When callers are asked to come back when no target could be had.
-const NO_TARGET_AGAIN: Span = Span::from_millis(200);
-
 /// The way of requests out of this host.
 pub struct Egress {
     host: Arc<Host>,
@@ -83,18 +69,19 @@
 }
 
 /// What was tried for a request so far.
-#[derive(Default)]
-struct Tries {
-    nodes: Vec<Node>,
-    /// Targets that have seen the request.
-    arrivals: u32,
-    /// What the caller is told if nothing better comes.
-    last: Option<Last>,
-}
+type Tries = tries::Tries<Response<Body>>;
 
-enum Last {
-    Refused(Refusal),
-    Answered(Response<Body>),
+impl Call {
+    fn request(&self) -> tries::Request<'_> {
+        tries::Request {
+            service: &self.service,
+            kind: self.route.kind,
+            priority: self.route.priority,
+            attempts: self.route.attempts,
+            due: self.due,
+            deadline: self.deadline,
+        }
+    }
 }
 
 impl Egress {
@@ -238,7 +225,7 @@
         };
         // A longer body is as long as what is kept at the least.
         let bytes = whole.as_ref().map_or(KEPT_BODY, Bytes::len);
-        while tries.nodes.len() < ASKED {
+        while tries.may_ask(&call.request(), Instant::now()) {
             let Some(choice) = self.choose(call, bytes, &tries.nodes) else {
                 self.note_no_target(call, tries);
                 break;
@@ -259,41 +246,21 @@
                 let mut allowance = self.host.allowance.lock();
                 allowance.arrive(&call.service, Instant::now());
             }
-            match tried {
-                Tried::Answered(response) => {
-                    tries.arrivals += 1;
-                    if let Some(bytes) = response.body().length() {
-                        let mut balance = self.host.balance.lock();
-                        balance.note_size(&call.route.name, bytes);
-                    }
-                    let is_fault = response.status().is_server_error();
-                    if !is_fault || call.route.kind == Kind::Once {
-                        return Ok(response);
-                    }
-                    tries.last = Some(Last::Answered(response));
-                }
-                Tried::Refused(_) if passed.load(Ordering::Relaxed) => {
-                    // Its target has seen a part, so nothing is said of its run.
-                    return Err(Refusal::unknown(413, too_large(most)));
-                }
-                Tried::Refused(refused) => {
-                    tries.arrivals += u32::from(refused.arrived);
-                    let may_have_run = refused.refusal.outcome != Outcome::NotRun;
-                    if may_have_run && call.route.kind == Kind::Once {
-                        return Err(refused.refusal);
-                    }
-                    tries.note(refused.refusal);
-                }
+            if matches!(tried, Tried::Refused(_)) && passed.load(Ordering::Relaxed) {
+                // Its target has seen a part, so nothing is said of its run.
+                return Err(Refusal::unknown(413, too_large(most)));
             }
-            if Instant::now() >= call.deadline {
-                break;
+            if let Tried::Answered(response) = &tried
+                && let Some(bytes) = response.body().length()
+            {
+                let mut balance = self.host.balance.lock();
+                balance.note_size(&call.route.name, bytes);
+            }
+            if let Some(result) = tries.take(call.route.kind, tried.into()) {
+                return result;
             }
         }
-        match tries.last.take() {
-            Some(Last::Answered(response)) => Ok(response),
-            Some(Last::Refused(refusal)) => Err(refusal),
-            None => Err(Refusal::not_run("no target can be had", NO_TARGET_AGAIN)),
-        }
+        tries.end()
     }
 
     fn choose(&self, call: &Call, bytes: usize, tried: &[Node]) -> Option<Choice> {
@@ -335,26 +302,13 @@
     /// Returns whether a request may be sent to one more target. What a node
     /// refused before its target saw it costs nothing.
     fn may_send(&self, call: &Call, tries: &Tries) -> bool {
-        let now = Instant::now();
-        let mut allowance = self.host.allowance.lock();
-        if tries.arrivals == 0 {
-            if tries.nodes.is_empty() {
-                allowance.earn(&call.service, now);
-            }
-            return true;
-        }
-        if tries.arrivals >= call.route.attempts {
-            return false;
-        }
-        let again = match tries.last {
-            Some(Last::Refused(Refusal {
-                outcome: Outcome::NotRun,
-                ..
-            })) => Again::NotRun,
-            _ => Again::Repeated,
+        let is_allowed = {
+            let mut allowance = self.host.allowance.lock();
+            let nodes = self.host.nodes();
+            tries.may_send(&call.request(), &mut allowance, nodes, Instant::now())
         };
-        let is_allowed = allowance.spend(&call.service, again, self.host.nodes(), now);
-        if !is_allowed {
+        let is_repeat = tries.arrivals > 0 && tries.arrivals < call.route.attempts;
+        if !is_allowed && is_repeat {
             let service = metrics::Service {
                 service: call.service.to_string(),
             };
@@ -372,17 +326,9 @@
             let route = &call.route.name;
             (balance.usual(route), balance.large_answer(route))
         };
-        let run = usual.unwrap_or(FIRST_RUN);
-        let spare = call.due.saturating_duration_since(since);
         let visit = Visit {
             service: call.service.clone(),
-            arrival: Arrival {
-                priority: call.route.priority,
-                // What is late already may wait for one run: all slots turn over in it.
-                patience: spare.clamp(run, run * WAITED_RUNS),
-                due: call.due,
-                usual,
-            },
+            arrival: tries.arrival(&call.request(), usual, since),
             answer,
             deadline: call.deadline,
         };
@@ -510,23 +456,6 @@
     }
 }
 
-impl Tries {
-    /// Keeps the refusal that leaves most in doubt: "not run" is said only if it
-    /// holds for every try.
-    fn note(&mut self, refusal: Refusal) {
-        let keeps = match &self.last {
-            Some(Last::Answered(_)) => true,
-            Some(Last::Refused(held)) => {
-                held.outcome != Outcome::NotRun && refusal.outcome == Outcome::NotRun
-            }
-            None => false,
-        };
-        if !keeps {
-            self.last = Some(Last::Refused(refusal));
-        }
-    }
-}
-
 /// The nodes that were tried, with commas between.
 struct Nodes<'a>(&'a [Node]);
 
--- a/src/transport/relay/next.rs
+++ b/src/transport/relay/next.rs
@@ -12,9 +12,11 @@
 
 use crate::{
     coordination::{
-        balance::{self, End, Report},
+        decision::{
+            balance::{self, End, Report},
+            reach::Loss,
+        },
         host::Host,
-        reach::Loss,
     },
     protocol::{
         answer::Refusal,
--- a/src/transport/relay/offer.rs
+++ b/src/transport/relay/offer.rs
@@ -3,7 +3,7 @@
 //! The head goes alone, with `Expect: 100-continue`, and the body once the other node
 //! has room for the request. Two kinds are offered:
 //!
-//! * Large ones ([`is_large`](crate::coordination::balance::is_large)); smaller ones go
+//! * Large ones ([`is_large`](crate::coordination::decision::balance::is_large)); smaller ones go
 //!   out with the first packets of a connection. A body that goes to a node only to be refused there has cost its
 //!   link as much as one that is served; with several nodes asked for room, thin
 //!   links fill up with uploads that nobody takes, and heartbeats and changes wait
--- a/src/transport/relay/outstanding.rs
+++ b/src/transport/relay/outstanding.rs
@@ -6,7 +6,10 @@
 
 use crate::{
     coordination::{
-        balance::{End, Report},
+        decision::{
+            balance::{End, Report},
+            tries::Ended,
+        },
         host::Host,
     },
     event::Event,
@@ -39,6 +42,18 @@
     }
 }
 
+impl From<Tried> for Ended<Response<Body>> {
+    fn from(tried: Tried) -> Self {
+        match tried {
+            Tried::Answered(answer) => Self::Answered {
+                is_fault: answer.status().is_server_error(),
+                answer,
+            },
+            Tried::Refused(Refused { refusal, arrived }) => Self::Refused { refusal, arrived },
+        }
+    }
+}
+
 /// Counts a request as outstanding at a node until it ends, however it ends.
 pub struct Watch<'a> {
     host: &'a Host,
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -1,6 +1,8 @@
-//! Stand-ins of the platform: its store, targets, and a small fleet on loopback.
+//! Stand-ins of the platform: its store, targets, a small fleet on loopback, and a model
+//! of load over a virtual clock.
 
 pub mod fleet;
+pub mod load;
 pub mod proxy;
 pub mod store;
 pub mod target;
--- /dev/null
+++ b/standins/src/load/fleet.rs
@@ -0,0 +1,155 @@
+//! The nodes of a replay, each with the decisions of its own.
+
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use rilltrack::{
+    coordination::decision::{
+        age::Ages,
+        allowance::{Allowance, Rule},
+        balance::Balance,
+        queue::Queue,
+    },
+    id::{Incarnation, Name},
+    state::{
+        member::{Member, Status, Table, Target},
+        selector::Labels,
+    },
+};
+
+use super::{Harm, Load};
+
+/// A host: the node, and the target beside it.
+pub struct Host {
+    pub member: Arc<Member>,
+    pub domain: usize,
+    pub service: usize,
+    /// Its place among the targets of its service.
+    pub index: usize,
+    pub speed: f64,
+    pub balance: Balance,
+    pub queue: Queue<usize>,
+    pub allowance: Allowance,
+    pub ages: Ages,
+}
+
+/// All hosts.
+pub struct Fleet {
+    pub hosts: Vec<Host>,
+    pub table: Table,
+    pub services: Vec<Name>,
+}
+
+/// The window of what may be sent again.
+const RESEND_WINDOW: Duration = Duration::from_secs(10);
+
+impl Fleet {
+    pub fn new(load: &Load) -> Self {
+        let domains: Vec<_> = (0..load.domains).map(|i| name("d", i)).collect();
+        let services: Vec<_> = (0..load.services.len()).map(|i| name("s", i)).collect();
+        let rule = Rule {
+            ratio: load.resend_ratio,
+            slack: load.resend_slack,
+            window: RESEND_WINDOW,
+        };
+        let mut hosts = Vec::new();
+        let mut table = Table::default();
+        for (service, of) in load.services.iter().enumerate() {
+            for index in 0..of.targets {
+                let domain = index % load.domains;
+                let number = hosts.len();
+                let member = member(number, &domains[domain], &services[service], of.slots);
+                table.merge(member.clone());
+                let mut queue = Queue::default();
+                queue.set_slots(of.slots);
+                hosts.push(Host {
+                    member: Arc::new(member),
+                    domain,
+                    service,
+                    index,
+                    // By turns within a domain, so that all domains have all speeds.
+                    speed: of.speeds[(index / load.domains) % of.speeds.len()],
+                    balance: Balance::default(),
+                    queue,
+                    allowance: Allowance::new(rule),
+                    ages: Ages::default(),
+                });
+            }
+        }
+        Self {
+            hosts,
+            table,
+            services,
+        }
+    }
+
+    /// Returns the host of a member.
+    pub fn number(&self, member: &Member) -> usize {
+        let number = member.node.as_str().trim_start_matches('n');
+        number.parse().expect("nodes are numbered by `member`")
+    }
+}
+
+impl Host {
+    /// Returns what harms its target now.
+    pub fn harms<'a>(&'a self, load: &'a Load, at: Duration) -> impl Iterator<Item = Harm> + 'a {
+        load.troubles.iter().filter_map(move |trouble| {
+            let harmed = trouble.share * load.services[self.service].targets as f64;
+            let is_harmed = trouble.service == self.service && (self.index as f64) < harmed;
+            (is_harmed && trouble.during.contains(&at)).then_some(trouble.what)
+        })
+    }
+
+    /// Returns how long the target runs work of so long.
+    pub fn runs(&self, load: &Load, work: Duration, at: Duration) -> Duration {
+        let service = &load.services[self.service];
+        let mut factor = if at < service.cold {
+            service.cold_factor
+        } else {
+            1.0
+        };
+        for harm in self.harms(load, at) {
+            if let Harm::Slows(by) = harm {
+                factor *= by;
+            }
+        }
+        work.mul_f64(factor / self.speed)
+    }
+}
+
+/// The first moment of a replay; only what passes since matters.
+pub fn origin() -> Instant {
+    Instant::now()
+}
+
+fn name(letter: &str, number: usize) -> Name {
+    format!("{letter}{number}")
+        .parse()
+        .expect("a letter and a number")
+}
+
+fn member(number: usize, domain: &Name, service: &Name, slots: u32) -> Member {
+    let address: SocketAddr = ([127, 0, 0, 1], 1).into();
+    Member {
+        node: format!("n{number}").parse().expect("a letter and a number"),
+        incarnation: Incarnation(1),
+        sequence: 1,
+        status: Status::Alive,
+        domain: domain.clone(),
+        peers: address,
+        inbound: address,
+        labels: Labels::new(),
+        targets: vec![Target {
+            service: service.clone(),
+            address,
+            http2: false,
+            draining: false,
+            slots,
+            instance: format!("i{number}"),
+        }],
+        bandwidth: 0,
+    }
+}
--- /dev/null
+++ b/standins/tests/load.rs
@@ -0,0 +1,132 @@
+//! The worst loads that were found, replayed on the decisions: each case asserts what
+//! its callers get, and that it is the same each time.
+
+use std::time::Duration;
+
+use rilltrack::state::routing;
+use rilltrack_standins::load::{self, Calls, Figures, Harm, Kind, Load, Service, Trouble};
+
+/// Names each case: a test that replays a load.
+macro_rules! cases {
+    ($($name:ident => $body:block)*) => {
+        $(#[test] fn $name() $body)*
+    };
+}
+
+const SEED: u64 = 7;
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// Lookups whose runs make calls, and requests that run once at the callee: many senders,
+/// each of which seldom meets the same target. `load` is over what half of all slots
+/// carry.
+fn many_senders(load: f64) -> Load {
+    let speeds = vec![0.5, 1.0, 1.0, 1.5];
+    Load {
+        domains: 5,
+        services: vec![
+            Service {
+                targets: 80,
+                slots: 11,
+                speeds: speeds.clone(),
+                ..Service::default()
+            },
+            Service {
+                targets: 50,
+                slots: 11,
+                speeds,
+                ..Service::default()
+            },
+        ],
+        kinds: vec![
+            Kind {
+                per_s: 1_300.0 * load,
+                work: ms(310),
+                spread: 0.8,
+                objective: ms(1_000),
+                deadline: ms(6_000),
+                calls: Some(Calls {
+                    kind: 2,
+                    times: 2,
+                    share: 0.7,
+                }),
+                ..Kind::default()
+            },
+            Kind {
+                service: 1,
+                per_s: 450.0 * load,
+                kind: routing::Kind::Once,
+                work: ms(410),
+                spread: 0.3,
+                objective: ms(1_500),
+                deadline: ms(10_000),
+                worth: 2.0,
+                late: 0.2,
+                ..Kind::default()
+            },
+            Kind {
+                service: 1,
+                work: ms(78),
+                objective: ms(300),
+                deadline: ms(1_000),
+                worth: 0.0,
+                retries: 0,
+                ..Kind::default()
+            },
+        ],
+        length: ms(6_000),
+        warm_up: ms(3_000),
+        resend_slack: 300.0,
+        ..Load::default()
+    }
+}
+
+fn replay(load: &Load) -> Figures {
+    load::run(load, SEED)
+}
+
+cases! {
+    replay_gives_the_same_figures_to_the_last_digit => {
+        let load = Load { length: ms(2_000), warm_up: ms(500), ..many_senders(0.5) };
+        assert_eq!(replay(&load), replay(&load));
+        assert_ne!(replay(&load), load::run(&load, SEED + 1));
+    }
+
+    every_request_is_counted_once => {
+        let figures = replay(&many_senders(1.8));
+        for kind in &figures.kinds {
+            assert_eq!(kind.asked, kind.in_time + kind.late + kind.refused + kind.failed, "{kind:?}");
+        }
+    }
+
+    quiet_load_is_served => {
+        let figures = replay(&many_senders(1.0));
+        assert!(figures.worth() > 0.96, "{}", figures.worth());
+        assert!(figures.kinds.iter().all(|kind| kind.refused == 0));
+    }
+
+    overload_is_turned_away_and_the_rest_ends_in_time => {
+        let figures = replay(&many_senders(2.4));
+        let lookups = &figures.kinds[0];
+        assert!(lookups.refused > 0);
+        assert!(lookups.in_time > 2 * lookups.late, "{lookups:?}");
+    }
+
+    sends_beyond_the_first_stay_within_the_allowance => {
+        let sheds = Trouble {
+            service: 1,
+            share: 1.0,
+            during: ms(1_000)..ms(6_000),
+            what: Harm::Sheds(0.5),
+        };
+        let load = Load { troubles: vec![sheds], ..many_senders(1.0) };
+        let figures = replay(&load);
+        let calls = 1_300.0 * 0.7 * 2.0;
+        let sent = (450.0 + calls) * load.length.as_secs_f64();
+        let most = load.resend_ratio * sent + load.resend_slack;
+        assert!(f64::from(figures.repeats[1]) < most, "{:?} of {most}", figures.repeats);
+        assert!(figures.repeats[1] > 500, "what is allowed is used: {:?}", figures.repeats);
+    }
+}
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -18,17 +18,19 @@
 use rilltrack::{
     coordination::{
         self,
-        age::Ages,
-        allowance::{Again, Allowance, Rule},
-        balance::{Balance, Choice, End, Report, Wish},
+        decision::{
+            age::Ages,
+            allowance::{Again, Allowance, Rule},
+            balance::{Balance, Choice, End, Report, Wish},
+            reach::Loss,
+            split::Split,
+        },
         gate::{self, Arrival, Gate},
         host::Host,
         link::{Ask, Words},
         local::{Change, Local},
         outflow::Outflow,
         rank,
-        reach::Loss,
-        split::Split,
     },
     document::Document,
     event::Journal,
@@ -1256,6 +1258,22 @@
         assert!(gate.enter(arrival(1, 0)).await.is_ok());
     }
 
+    waiter_that_was_displaced_and_left_gives_no_slot_back => {
+        let gate = Gate::new();
+        gate.open(target("i1", 1));
+        let _held = gate.enter(arrival(1, LONG)).await.ok().unwrap();
+        let mut waiting: Vec<_> = (0..2).map(|_| Box::pin(gate.enter(arrival(2, LONG)))).collect();
+        for waiter in &mut waiting {
+            assert!(waiter.as_mut().now_or_never().is_none());
+        }
+        // One that goes before them takes the place of the last, which leaves at once.
+        let mut first = Box::pin(gate.enter(arrival(0, LONG)));
+        assert!(first.as_mut().now_or_never().is_none());
+        drop(waiting.pop());
+        assert_eq!(gate.load().running, 1, "the slot is still held");
+        assert!(first.now_or_never().is_none());
+    }
+
     full_gate_refuses_at_once_what_would_wait_too_long => {
         let gate = Gate::new();
         gate.open(target("i1", 1));
