Targets are drawn first and looked at afterwards

Cause: a choice looked at every member that offers the service, with two look-ups and an entry for each, to draw five. Members of a service stand by failure domain now, so near and far ones are ranges, and a draw looks at 16 at the most before it looks at all.

--- a/src/coordination/decision/balance.rs
+++ b/src/coordination/decision/balance.rs
@@ -27,6 +27,10 @@
 /// Targets of other failure domains that are drawn.
 const FAR: usize = 2;
 
+/// Members that are looked at before all of a service are: with half of them out, three
+/// that are not are found among so many in 998 of 1,000 draws.
+const LOOKS: usize = 16;
+
 /// What the way to another failure domain and back counts as, in seconds: 3 ms
 /// that it takes, and the bytes of an ordinary answer. At 3 ms alone lookups went
 /// far for gains of a few milliseconds and cost more than they brought
@@ -208,7 +212,7 @@
     pub usage: f64,
     /// How long an answer is expected to take, in seconds; the shortest won.
     pub cost: f64,
-    /// How many there were to choose from.
+    /// How many targets of the service are known.
     pub candidates: usize,
 }
 
@@ -289,18 +293,17 @@
         tried: &[Node],
         now: Instant,
     ) -> Option<Choice> {
-        let serves = |member: &&Arc<Member>| {
+        let serves = |member: &Arc<Member>| {
             let mut targets = member.targets.iter();
             let offered = targets.any(|t| t.service == *wish.service && !t.draining);
             offered && member.status == Status::Alive && !tried.contains(&member.node)
         };
-        let offers = table.offers(wish.service).iter().filter(serves);
-        let (near, far): (Vec<_>, Vec<_>) = offers
-            .filter(|member| !self.is_out(member, wish.node, now))
-            .partition(|member| member.domain == *wish.domain);
-        let candidates = near.len() + far.len();
-        let mut drawn = fastrand::choose_multiple(near, NEAR);
-        drawn.extend(fastrand::choose_multiple(far, FAR));
+        let [before, near, after] = table.offers_around(wish.service, wish.domain);
+        let candidates = before.len() + near.len() + after.len();
+        let mut may_have =
+            |member: &Arc<Member>| serves(member) && !self.is_out(member, wish.node, now);
+        let mut drawn = draw([near, &[]], NEAR, &mut may_have);
+        drawn.extend(draw([before, after], FAR, &mut may_have));
         // Among equals the first one counts, and must not be the same for all.
         fastrand::shuffle(&mut drawn);
         let weighed = drawn.into_iter().map(|member| {
@@ -483,6 +486,38 @@
     }
 }
 
+/// Draws up to `most` members of two lists by chance, each only if `may_have`.
+///
+/// They are drawn first and looked at afterwards: a choice takes 0.8 µs among 164 targets
+/// and 1.9 among 13,000, where looking at all took 8.3 and 967 (`--example choice`).
+fn draw(
+    lists: [&[Arc<Member>]; 2],
+    most: usize,
+    mut may_have: impl FnMut(&Arc<Member>) -> bool,
+) -> Vec<&Arc<Member>> {
+    let [first, second] = lists;
+    let count = first.len() + second.len();
+    let mut drawn = Vec::with_capacity(most);
+    let mut looked_at = Vec::with_capacity(LOOKS);
+    while count > LOOKS && looked_at.len() < LOOKS {
+        let at = fastrand::usize(..count);
+        if looked_at.contains(&at) {
+            continue;
+        }
+        looked_at.push(at);
+        let member = first.get(at).unwrap_or_else(|| &second[at - first.len()]);
+        if may_have(member) {
+            drawn.push(member);
+        }
+        if drawn.len() == most {
+            return drawn;
+        }
+    }
+    // Few, or most of them out.
+    let all = first.iter().chain(second);
+    fastrand::choose_multiple(all.filter(|member| may_have(member)), most)
+}
+
 /// Returns the pace of a request that took so long, and takes it into the mean of its
 /// route.
 fn relate(means: &mut HashMap<Name, f64>, route: &Name, took: Duration) -> Pace {
--- a/src/state/member.rs
+++ b/src/state/member.rs
@@ -105,6 +105,7 @@
 #[derive(Clone, Debug)]
 pub struct Table {
     members: HashMap<Node, Arc<Member>>,
+    /// By service, those of a failure domain beside each other.
     offers: BTreeMap<Name, Vec<Arc<Member>>>,
     marks: Vec<u32>,
 }
@@ -148,7 +149,8 @@
             for target in &member.targets {
                 let offers = self.offers.entry(target.service.clone()).or_default();
                 if !offers.iter().any(|other| other.node == member.node) {
-                    offers.push(member.clone());
+                    let at = offers.partition_point(|other| other.domain <= member.domain);
+                    offers.insert(at, member.clone());
                 }
             }
         }
@@ -189,6 +191,16 @@
         self.offers.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// Returns the members beside which a target of `service` runs, in three parts: those
+    /// of failure domains before `domain`, those of it, and those of domains after it.
+    pub fn offers_around(&self, service: &Name, domain: &Name) -> [&[Arc<Member>]; 3] {
+        let offers = self.offers(service);
+        let begins = offers.partition_point(|member| member.domain < *domain);
+        let (before, rest) = offers.split_at(begins);
+        let (within, after) = rest.split_at(rest.partition_point(|m| m.domain == *domain));
+        [before, within, after]
+    }
+
     /// Returns one mark per bucket; two tables hold the same where the marks
     /// are equal.
     pub fn marks(&self) -> &[u32] {
