Unused connections to other nodes are bounded in all

Cause: a node kept up to 8 unused connections to each other node for 5 s. The 32 unused for the shortest time are kept.

--- a/src/transport/relay/control.rs
+++ b/src/transport/relay/control.rs
@@ -40,6 +40,7 @@
     connect: Duration::from_millis(250),
     keep: Duration::from_secs(12),
     kept: 2,
+    total: 16,
 };
 
 /// How long a peer may take to answer a question: it answers from memory.
@@ -82,7 +83,7 @@
 async fn ask_one(pool: &Pool, address: SocketAddr, question: Question) -> Result<Bytes, Error> {
     let (path, body) = match question {
         Question::Routes(base) => (ROUTES, encode(&base)),
-        Question::Members => (MEMBERS, Bytes::new()),
+        Question::Members(marks) => (MEMBERS, encode(&marks)),
         Question::Seen => (SEEN, Bytes::new()),
         Question::Take(news) => (NEWS, encode(&news)),
     };
@@ -125,7 +126,7 @@
         async move {
             match request.uri().path() {
                 ROUTES => routes(&host, request.into_body()).await,
-                MEMBERS => Response::new(Body::whole(source::members(&host))),
+                MEMBERS => members(&host, request.into_body()).await,
                 SEEN => Response::new(Body::whole(encode(&host.seen()))),
                 NEWS => news(&host, &ask, request.into_body()).await,
                 _ => plain(StatusCode::NOT_FOUND),
@@ -149,6 +150,16 @@
     }
 }
 
+async fn members(host: &Host, body: Body) -> Response<Body> {
+    let read = body::read(body, MAX_CALL, ANSWER).await;
+    let Ok(Read::Whole(bytes)) = read else {
+        return plain(StatusCode::BAD_REQUEST);
+    };
+    // Without marks everything differs.
+    let marks: Vec<u32> = rmp_serde::from_slice(&bytes).unwrap_or_default();
+    Response::new(Body::whole(source::members(host, &marks)))
+}
+
 async fn news(host: &Arc<Host>, ask: &Ask, body: Body) -> Response<Body> {
     let read = body::read(body, MAX_ANSWER, ANSWER).await;
     let Ok(Read::Whole(bytes)) = read else {
--- a/src/transport/relay/ingress.rs
+++ b/src/transport/relay/ingress.rs
@@ -42,6 +42,7 @@
     connect: Duration::from_millis(300),
     keep: Duration::from_secs(8),
     kept: 64,
+    total: 64,
 };
 
 /// The reason of a refusal where the host's link carries too many large answers.
--- a/src/transport/relay/next.rs
+++ b/src/transport/relay/next.rs
@@ -41,10 +41,15 @@
 /// How connections to other nodes are made and kept. A connection within a
 /// region takes a few milliseconds; one that takes longer goes nowhere. Each one
 /// that is kept holds some 20 KB at both ends, and a new one costs a round trip.
+///
+/// A node of hundreds meets another one again after many seconds, when the connection
+/// that was kept for it has been closed: nearly all that are kept are closed unused. So
+/// only the latest few are kept; requests that follow each other closely find them.
 const POOL: Settings = Settings {
     connect: Duration::from_millis(250),
     keep: Duration::from_secs(5),
     kept: 8,
+    total: 32,
 };
 
 /// How long a node may take to give leave for a body, besides the time for which the
--- a/src/transport/relay/pool.rs
+++ b/src/transport/relay/pool.rs
@@ -27,7 +27,7 @@
 /// Connections to some addresses.
 pub struct Pool {
     settings: Settings,
-    idle: Mutex<HashMap<SocketAddr, Vec<Kept>>>,
+    idle: Mutex<Unused>,
 }
 
 /// How connections are made and kept.
@@ -39,6 +39,8 @@
     pub keep: Duration,
     /// Unused connections kept for each address.
     pub kept: usize,
+    /// Unused connections kept in all; the one that was unused for longest makes room.
+    pub total: usize,
 }
 
 /// Why there is no answer.
@@ -96,12 +98,62 @@
     since: Instant,
 }
 
+/// The unused connections, those of an address from the oldest on.
+#[derive(Default)]
+struct Unused {
+    addresses: HashMap<SocketAddr, Vec<Kept>>,
+    count: usize,
+}
+
+impl Unused {
+    fn put(&mut self, kept: Kept) {
+        let address = kept.connection.address;
+        self.addresses.entry(address).or_default().push(kept);
+        self.count += 1;
+    }
+
+    fn take(&mut self, address: SocketAddr) -> Option<Kept> {
+        let held = self.addresses.get_mut(&address)?;
+        let kept = held.pop();
+        if held.is_empty() {
+            self.addresses.remove(&address);
+        }
+        self.count -= usize::from(kept.is_some());
+        kept
+    }
+
+    fn count_of(&self, address: SocketAddr) -> usize {
+        self.addresses.get(&address).map_or(0, Vec::len)
+    }
+
+    /// Closes the one that was unused for longest.
+    fn close_oldest(&mut self) {
+        let since = |held: &Vec<Kept>| held.first().map(|kept| kept.since);
+        let oldest = self.addresses.iter().min_by_key(|(_, held)| since(held));
+        let Some(address) = oldest.map(|(address, _)| *address) else {
+            return;
+        };
+        if let Some(held) = self.addresses.get_mut(&address) {
+            held.remove(0);
+            self.count -= 1;
+            if held.is_empty() {
+                self.addresses.remove(&address);
+            }
+        }
+    }
+
+    fn forget(&mut self, address: SocketAddr) {
+        let forgotten = self.addresses.remove(&address);
+        self.count -= forgotten.map_or(0, |held| held.len());
+    }
+}
+
 impl Pool {
     /// Returns a pool with no connections.
     pub fn new(settings: Settings) -> Self {
         Self {
             settings,
-            idle: Mutex::new(HashMap::new()),
+            idle: Mutex::default(),
         }
     }
 
@@ -153,34 +205,43 @@
             return;
         }
         let mut idle = self.idle.lock();
-        let kept = idle.entry(connection.address).or_default();
-        if kept.len() < self.settings.kept {
-            kept.push(Kept {
-                connection,
-                since: Instant::now(),
-            });
+        if idle.count_of(connection.address) >= self.settings.kept {
+            return;
         }
+        if idle.count >= self.settings.total {
+            idle.close_oldest();
+        }
+        idle.put(Kept {
+            connection,
+            since: Instant::now(),
+        });
     }
 
     /// Closes what was unused for too long, or has ended.
     pub fn tidy(&self) {
         let now = Instant::now();
-        self.idle.lock().retain(|_, kept| {
+        let mut idle = self.idle.lock();
+        idle.addresses.retain(|_, kept| {
             kept.retain(|kept| kept.is_usable(self.settings.keep, now));
             !kept.is_empty()
         });
+        idle.count = idle.addresses.values().map(Vec::len).sum();
+    }
+
+    /// Returns how many connections are unused.
+    pub fn unused(&self) -> usize {
+        self.idle.lock().count
     }
 
     /// Closes all unused connections to `address`.
     pub fn forget(&self, address: SocketAddr) {
-        self.idle.lock().remove(&address);
+        self.idle.lock().forget(address);
     }
 
     fn take(&self, address: SocketAddr) -> Option<Connection> {
         let now = Instant::now();
         let mut idle = self.idle.lock();
-        let kept = idle.get_mut(&address)?;
-        while let Some(candidate) = kept.pop() {
+        while let Some(candidate) = idle.take(address) {
             if candidate.is_usable(self.settings.keep, now) {
                 return Some(candidate.connection);
             }
