Peers tell each other members by difference; replaced hosts are ended by who has their address

Now a question for members carries the marks of the asker's table; the node that has an address ends other members at it; many members at once have one line. A node that was taken for gone by mistake writes itself down anew.

--- a/src/coordination/host.rs
+++ b/src/coordination/host.rs
@@ -52,6 +52,11 @@
 /// brings five a second; a node that is further behind is told the whole.
 const PAST: usize = 8;
 
+/// Members that are taken in at once and have a log line each; more have one together. A
+/// starting node of a large fleet lost log lines of its first requests to hundreds of
+/// lines of members.
+const NAMED: usize = 16;
+
 /// What the duties share.
 pub struct Host {
     /// The settings.
@@ -283,6 +288,32 @@
         );
     }
 
+    /// Takes in what is known of members.
+    pub fn take_members(&self, members: Vec<Member>, from: &str) {
+        if members.len() <= NAMED {
+            for member in members {
+                self.take_member(member, from);
+            }
+            return;
+        }
+        let count = members.len();
+        let mut table = self.members.write();
+        let news = members
+            .into_iter()
+            .filter_map(|m| table.merge(m).then_some(()));
+        let news = news.count();
+        let known = table.len();
+        drop(table);
+        note!(
+            self.journal,
+            Event::MembersTaken,
+            count = count,
+            news = news,
+            known = known,
+            from = from
+        );
+    }
+
     /// Takes in what is known of a member; returns whether that is news.
     pub fn take_member(&self, member: Member, from: &str) -> bool {
         let (node, domain) = (member.node.clone(), member.domain.clone());
--- a/src/coordination/link.rs
+++ b/src/coordination/link.rs
@@ -93,8 +93,10 @@
     /// Its version of the routes: a [`Delta`](crate::state::routing::Delta) from
     /// the version that the asker has; empty if it has none.
     Routes(u64),
-    /// All members that it knows: [`Members`](crate::protocol::news::Members).
-    Members,
+    /// The members that it knows and that the asker, whose table has these
+    /// [`marks`](crate::state::member::Table::marks), does not:
+    /// [`Members`](crate::protocol::news::Members).
+    Members(Vec<u32>),
     /// How far it is: [`Seen`](crate::protocol::news::Seen).
     Seen,
     /// To take in, and tell on, what another node read.
--- a/src/coordination/presence.rs
+++ b/src/coordination/presence.rs
@@ -46,16 +46,25 @@
     }
     let mut failures = 0;
     loop {
+        if let Some(later) = later(&host, member.as_ref()) {
+            member = Some(later);
+        }
         let wanted = wanted(&host, member.as_ref());
-        if member.as_ref() == Some(&wanted) {
+        let is_written = member.as_ref() == Some(&wanted);
+        if is_written {
             written.send_replace(Written {
                 targets: Some(wanted.targets.clone()),
             });
-            wait(&host).await;
+        }
+        let replaced = if is_written { replaced(&host) } else { None };
+        if is_written && replaced.is_none() {
+            wait(&host, member.as_ref()).await;
             continue;
         }
+        let is_own = replaced.is_none();
+        let wanted = replaced.unwrap_or(wanted);
         let record = rmp_serde::to_vec_named(&wanted).expect("plain data always encodes");
-        let key = host.settings.node.to_string();
+        let key = wanted.node.to_string();
         let since = Instant::now();
         let put = (store.put)(key, record.into()).await;
         host.note_store("put", &put, Some(since.elapsed()));
@@ -63,7 +72,9 @@
             Ok(()) => {
                 failures = 0;
                 host.take_member(wanted.clone(), "self");
-                member = Some(wanted);
+                if is_own {
+                    member = Some(wanted);
+                }
             }
             Err(error) => {
                 if failures == 0 {
@@ -84,6 +95,34 @@
     }
 }
 
+/// Returns the record of this node that others know, where it is later than the one
+/// `held`: another node took this one for gone.
+fn later(host: &Host, held: Option<&Member>) -> Option<Member> {
+    let members = host.members.read();
+    let known = members.get(&host.settings.node)?;
+    let is_later = held.is_some_and(|held| held.stamp() < known.stamp());
+    is_later.then(|| known.as_ref().clone())
+}
+
+/// Returns the record that ends a member whose address this node has now: its host was
+/// replaced by this one, under another name, and nobody else will ever say that it is
+/// gone. Without it every node asks it in vain, once in each life, and the members known
+/// grow with every host that is replaced.
+fn replaced(host: &Host) -> Option<Member> {
+    let inbound = host.settings.advertised().inbound;
+    let members = host.members.read();
+    let mut others = members
+        .iter()
+        .filter(|member| member.node != host.settings.node);
+    let replaced = others.find(|member| member.inbound == inbound && member.is_present())?;
+    Some(Member {
+        status: Status::Gone,
+        sequence: replaced.sequence + 1,
+        // What its target drained stays known, should the name come back.
+        ..replaced.as_ref().clone()
+    })
+}
+
 /// Returns what is to be written: the record held, or the next one if something
 /// differs from it.
 fn wanted(host: &Host, held: Option<&Member>) -> Member {
@@ -112,7 +151,7 @@
     }
 }
 
-async fn wait(host: &Host) {
+async fn wait(host: &Host, held: Option<&Member>) {
     loop {
         // A change that nobody announced is seen at the next look.
         if tokio::time::timeout(LOOK, host.changed.notified())
@@ -121,6 +160,9 @@
         {
             return;
         }
+        if later(host, held).is_some() {
+            return;
+        }
         let fell_silent = host.local.lock().fell_silent(Instant::now());
         if fell_silent {
             note!(host.journal, Event::TargetChanged, reason = "silent");
--- a/src/coordination/source.rs
+++ b/src/coordination/source.rs
@@ -351,9 +351,11 @@
 }
 
 async fn fetch_members(host: &Host, ask: &Ask, peer: SocketAddr, seen: &Seen) {
-    if Some(seen.members) > host.at(Stream::Members)
-        && let Ok(answer) = ask(peer, Question::Members).await
-    {
+    if Some(seen.members) <= host.at(Stream::Members) {
+        return;
+    }
+    let marks = host.members.read().marks().to_vec();
+    if let Ok(answer) = ask(peer, Question::Members(marks)).await {
         take_table(host, &answer);
     }
 }
@@ -368,9 +370,7 @@
     let Some(answer) = decode::<Members<Member>>(host, answer) else {
         return;
     };
-    for member in answer.members {
-        host.take_member(member, "peer");
-    }
+    host.take_members(answer.members, "peer");
     host.known_to(Stream::Members, answer.at);
 }
 
@@ -404,26 +404,24 @@
 }
 
 fn take_members(host: &Host, records: &[Bytes], from: &str) {
-    for record in records {
-        take_member(host, record, from);
-    }
+    let members = records
+        .iter()
+        .filter_map(|record| decode_member(host, record, from));
+    host.take_members(members.collect(), from);
 }
 
-fn take_member(host: &Host, record: &[u8], from: &str) {
-    match rmp_serde::from_slice::<Member>(record) {
-        Ok(member) => {
-            host.take_member(member, from);
-        }
-        Err(error) => {
-            note!(
-                host.journal,
-                Event::ChangeRejected,
-                stream = "Members",
-                from = from,
-                why = error
-            );
-        }
+fn decode_member(host: &Host, record: &[u8], from: &str) -> Option<Member> {
+    let decoded = rmp_serde::from_slice(record);
+    if let Err(error) = &decoded {
+        note!(
+            host.journal,
+            Event::ChangeRejected,
+            stream = "Members",
+            from = from,
+            why = error
+        );
     }
+    decoded.ok()
 }
 
 /// Returns what the version in force changes about version `base`, in
@@ -434,12 +432,21 @@
     Some(encoded.into())
 }
 
-/// Returns all members that are known, in MessagePack.
-pub fn members(host: &Host) -> Bytes {
+/// Returns the members that differ from a table with these marks, in MessagePack.
+///
+/// While a fleet comes back from a loss of power every node is a little ahead of some
+/// others all the time. Told all members each time, 295 nodes sent each other 24 MB
+/// 295 nodes sent 0.385 GB between failure domains on a day, and 0.226 told the difference.
+pub fn members(host: &Host, marks: &[u32]) -> Bytes {
+    let at = host.at(Stream::Members).unwrap_or(0);
     let members = host.members.read();
+    let differing = members.differing(marks);
     let answer = Members {
-        at: host.at(Stream::Members).unwrap_or(0),
-        members: members.iter().map(AsRef::as_ref).collect::<Vec<&Member>>(),
+        at,
+        members: differing
+            .into_iter()
+            .map(AsRef::as_ref)
+            .collect::<Vec<&Member>>(),
     };
     rmp_serde::to_vec_named(&answer)
         .expect("plain data always encodes")
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -27,10 +27,10 @@
         },
         gate::{self, Arrival, Gate},
         host::Host,
-        link::{Ask, Words},
+        link::{Ask, Store, Stream, Words},
         local::{Change, Local},
         outflow::Outflow,
-        rank,
+        presence, rank, source,
     },
     document::Document,
     event::Journal,
@@ -41,6 +41,7 @@
         answer::Outcome,
         dialect::{Dialect, Load},
         hop::{self, Told},
+        news::Members as News,
     },
     state::{
         member::{Member, Status, Table, Target},
@@ -60,7 +61,7 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpListener,
-    sync::{Barrier, watch},
+    sync::{Barrier, mpsc, watch},
 };
 
 fn name(text: &str) -> Name {
@@ -178,6 +179,36 @@
     Host::new(Settings::from_document(&document).unwrap(), words, journal)
 }
 
+/// A store that takes what is written, and the members that were.
+fn store_that_keeps() -> (Store, mpsc::UnboundedReceiver<Member>) {
+    let (wrote, puts) = mpsc::unbounded_channel();
+    let store = Store {
+        newest: Arc::new(|_| std::future::pending().boxed()),
+        tail: Arc::new(|_, _, _| std::future::pending().boxed()),
+        put: Arc::new(move |key, record| {
+            let member: Member = rmp_serde::from_slice(&record).unwrap();
+            assert_eq!(member.node.as_str(), key);
+            wrote.send(member).unwrap();
+            async { Ok(()) }.boxed()
+        }),
+    };
+    (store, puts)
+}
+
+/// Waits until a member is known to be gone.
+async fn until_gone(host: &Host, node: &str) {
+    let node = node.parse().unwrap();
+    let is_gone = || {
+        let members = host.members.read();
+        members
+            .get(&node)
+            .is_some_and(|member| member.status == Status::Gone)
+    };
+    while !is_gone() {
+        tokio::task::yield_now().await;
+    }
+}
+
 fn target(instance: &str, slots: u32) -> gate::Target {
     gate::Target {
         instance: instance.into(),
@@ -1284,6 +1315,52 @@
         assert_eq!(gate.load().waiting, 0);
     }
 
+    peer_that_lacks_one_member_is_not_told_all => {
+        let host = host("here");
+        let list: Vec<_> = (0..300).map(|i| member(&format!("n{i}"), "here", 10)).collect();
+        host.take_members(list.clone(), "store");
+        let mut behind = Table::default();
+        for member in &list[1..] {
+            behind.merge(member.clone());
+        }
+        let told = |marks: &[u32]| -> News<Member> {
+            rmp_serde::from_slice(&source::members(&host, marks)).unwrap()
+        };
+        let some = told(behind.marks());
+        assert!(some.members.contains(&list[0]));
+        assert!(some.members.len() < 20, "{} of 300", some.members.len());
+        assert!(told(host.members.read().marks()).members.is_empty());
+        assert_eq!(told(&[]).members.len(), 300, "who has nothing is told all");
+    }
+
+    member_whose_host_was_replaced_is_ended_by_the_node_at_its_address => {
+        let host = Arc::new(host("here"));
+        let elsewhere = Member { inbound: "127.0.0.1:2".parse().unwrap(), ..member("n2", "here", 10) };
+        host.take_members(vec![member("n1", "here", 10), elsewhere], "store");
+        host.known_to(Stream::Members, 1);
+        let (store, mut puts) = store_that_keeps();
+        // What it says of itself needs no wait for a target here.
+        host.changed.notify_one();
+        let written = watch::Sender::default();
+        tokio::spawn(presence::keep_written(host.clone(), store, written));
+        assert_eq!(puts.recv().await.unwrap().node.as_str(), "me");
+        let ended = puts.recv().await.unwrap();
+        assert_eq!((ended.node.as_str(), ended.status), ("n1", Status::Gone));
+        assert!(ended.targets == member("n1", "here", 10).targets, "what drained stays known");
+        until_gone(&host, "n1").await;
+        let members = host.members.read().clone();
+        assert_eq!(members.get(&"n2".parse().unwrap()).unwrap().status, Status::Alive);
+        assert_eq!(members.offers(&name("a")).len(), 1);
+
+        // Taken for gone itself, by mistake, it says that it is here.
+        let me = members.get(&"me".parse().unwrap()).unwrap();
+        let gone = Member { status: Status::Gone, sequence: me.sequence + 1, ..me.as_ref().clone() };
+        host.take_member(gone.clone(), "reader");
+        let again = puts.recv().await.unwrap();
+        assert_eq!((again.node.as_str(), again.status), ("me", Status::Alive));
+        assert!(again.stamp() > gone.stamp());
+    }
+
     row_that_is_silent_is_passed_over_in_a_few_rounds => {
         let host = Arc::new(host("here"));
         for i in 0..40 {
@@ -1328,6 +1405,27 @@
         }
     }
 
+    connection_unused_for_longest_makes_room_for_another => {
+        let pool = Pool::new(POOL);
+        let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok".to_vec();
+        let mut addresses = Vec::new();
+        for _ in 0..20 {
+            let answer = answer.clone();
+            let (address, seen) = raw::target(move |_| Some(answer.clone())).await;
+            let exchange = get(&pool, address).await.unwrap();
+            let read = body::read(exchange.response.into_body(), 100, Duration::from_secs(5)).await;
+            assert!(matches!(read, Ok(Read::Whole(_))));
+            pool.put_back(exchange.connection);
+            addresses.push((address, seen));
+            assert!(pool.unused() <= POOL.total);
+        }
+        assert_eq!(pool.unused(), POOL.total);
+        pool.forget(addresses[0].0);
+        assert_eq!(pool.unused(), POOL.total, "the first ones were closed");
+        pool.forget(addresses[19].0);
+        assert_eq!(pool.unused(), POOL.total - 1);
+    }
+
     offered_body_is_sent_only_where_it_is_taken => {
         // Refuses by the head alone, and counts what comes after it.
         let refuses = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -1396,6 +1494,7 @@
     connect: Duration::from_secs(5),
     keep: Duration::from_secs(60),
     kept: 4,
+    total: 6,
 };
 
 async fn get(
