--- /dev/null
+++ b/standins/src/load/file.rs
@@ -0,0 +1,271 @@
+//! Loads as files: JSON with comments.
+
+use std::time::Duration;
+
+use rilltrack::{
+    document::{Document, Fault},
+    state::routing,
+    unit::Span,
+};
+use serde::Deserialize;
+
+use super::{Calls, Harm, Kind, Load, Service, Trouble};
+
+/// What is replayed, and how often.
+#[derive(Clone, Debug)]
+pub struct Experiment {
+    /// Loads by name, in the order of the file.
+    pub variants: Vec<(String, Load)>,
+    /// Seeds that each is replayed with.
+    pub seeds: u64,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct File {
+    domains: usize,
+    length: Span,
+    warm_up: Span,
+    resend_ratio: f64,
+    resend_slack: f64,
+    seeds: u64,
+    services: Vec<ServiceEntry>,
+    kinds: Vec<KindEntry>,
+    variants: Vec<Variant>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct ServiceEntry {
+    targets: usize,
+    slots: u32,
+    speeds: Vec<f64>,
+    #[serde(default)]
+    cold: Option<Cold>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Cold {
+    span: Span,
+    factor: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct KindEntry {
+    service: usize,
+    /// None for requests that only targets send.
+    #[serde(default)]
+    per_s: f64,
+    #[serde(default)]
+    once: bool,
+    #[serde(default = "ordinary")]
+    priority: u8,
+    work: Span,
+    spread: f64,
+    objective: Span,
+    deadline: Span,
+    worth: f64,
+    #[serde(default)]
+    late: f64,
+    #[serde(default)]
+    retries: u32,
+    #[serde(default)]
+    calls: Option<CallsEntry>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct CallsEntry {
+    kind: usize,
+    times: u32,
+    share: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Variant {
+    name: String,
+    /// Times the rates of the file.
+    #[serde(default = "once")]
+    rate: f64,
+    /// In place of the file's.
+    warm_up: Option<Span>,
+    length: Option<Span>,
+    #[serde(default)]
+    troubles: Vec<TroubleEntry>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct TroubleEntry {
+    service: usize,
+    share: f64,
+    from: Span,
+    until: Span,
+    what: HarmEntry,
+}
+
+#[derive(Clone, Copy, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum HarmEntry {
+    Sheds(f64),
+    Fails(f64),
+    Slows(f64),
+}
+
+const fn ordinary() -> u8 {
+    1
+}
+
+const fn once() -> f64 {
+    1.0
+}
+
+impl Experiment {
+    /// Takes an experiment out of a document.
+    ///
+    /// # Errors
+    ///
+    /// The first field that can't be used, with its line.
+    pub fn from_document(document: &Document) -> Result<Self, Fault> {
+        let file: File = document.decode(&[], &document.value)?;
+        check(document, &file)?;
+        let variants = file.variants.iter();
+        Ok(Self {
+            variants: variants.map(|v| (v.name.clone(), file.load(v))).collect(),
+            seeds: file.seeds,
+        })
+    }
+}
+
+/// Checks what the types do not.
+fn check(document: &Document, file: &File) -> Result<(), Fault> {
+    let is = |holds: bool, path: &[&str], what: &str| match holds {
+        true => Ok(()),
+        false => Err(document.fault(path, what)),
+    };
+    is(file.domains > 0, &["domains"], "is at least 1")?;
+    is(file.seeds > 0, &["seeds"], "is at least 1")?;
+    is(
+        !file.variants.is_empty(),
+        &["variants"],
+        "names one at least",
+    )?;
+    for (i, service) in file.services.iter().enumerate() {
+        let at = i.to_string();
+        let has_targets = service.targets > 0 && service.slots > 0;
+        is(
+            has_targets,
+            &["services", &at],
+            "has a target and a slot at least",
+        )?;
+        let is_fast = !service.speeds.is_empty() && service.speeds.iter().all(|s| *s > 0.0);
+        is(is_fast, &["services", &at, "speeds"], "are above zero")?;
+    }
+    for (i, kind) in file.kinds.iter().enumerate() {
+        let at = i.to_string();
+        let is_there = kind.service < file.services.len();
+        is(
+            is_there,
+            &["kinds", &at, "service"],
+            "is no service's place",
+        )?;
+        let callee = kind.calls.as_ref().map_or(0, |calls| calls.kind);
+        let is_called = callee < file.kinds.len() && (kind.calls.is_none() || callee != i);
+        is(
+            is_called,
+            &["kinds", &at, "calls"],
+            "is no other kind's place",
+        )?;
+    }
+    for (i, variant) in file.variants.iter().enumerate() {
+        let at = i.to_string();
+        for (j, trouble) in variant.troubles.iter().enumerate() {
+            let path = ["variants", &at, "troubles", &j.to_string()];
+            let is_there = trouble.service < file.services.len();
+            is(is_there, &path, "is at a service that is not there")?;
+            is(
+                (0.0..=1.0).contains(&trouble.share),
+                &path,
+                "has a share of 0 to 1",
+            )?;
+        }
+    }
+    Ok(())
+}
+
+impl File {
+    fn load(&self, variant: &Variant) -> Load {
+        let kind = |entry: &KindEntry| Kind {
+            per_s: entry.per_s * variant.rate,
+            ..Kind::from(entry)
+        };
+        Load {
+            domains: self.domains,
+            services: self.services.iter().map(Service::from).collect(),
+            kinds: self.kinds.iter().map(kind).collect(),
+            troubles: variant.troubles.iter().map(Trouble::from).collect(),
+            length: variant.length.unwrap_or(self.length).duration(),
+            warm_up: variant.warm_up.unwrap_or(self.warm_up).duration(),
+            resend_ratio: self.resend_ratio,
+            resend_slack: self.resend_slack,
+            ..Load::default()
+        }
+    }
+}
+
+impl From<&ServiceEntry> for Service {
+    fn from(entry: &ServiceEntry) -> Self {
+        let cold = entry.cold.as_ref();
+        Self {
+            targets: entry.targets,
+            slots: entry.slots,
+            speeds: entry.speeds.clone(),
+            cold: cold.map_or(Duration::ZERO, |cold| cold.span.duration()),
+            cold_factor: cold.map_or(1.0, |cold| cold.factor),
+        }
+    }
+}
+
+impl From<&KindEntry> for Kind {
+    fn from(entry: &KindEntry) -> Self {
+        Self {
+            service: entry.service,
+            per_s: entry.per_s,
+            kind: match entry.once {
+                true => routing::Kind::Once,
+                false => routing::Kind::Idempotent,
+            },
+            priority: entry.priority,
+            work: entry.work.duration(),
+            spread: entry.spread,
+            objective: entry.objective.duration(),
+            deadline: entry.deadline.duration(),
+            worth: entry.worth,
+            late: entry.late,
+            retries: entry.retries,
+            calls: entry.calls.as_ref().map(|calls| Calls {
+                kind: calls.kind,
+                times: calls.times,
+                share: calls.share,
+            }),
+        }
+    }
+}
+
+impl From<&TroubleEntry> for Trouble {
+    fn from(entry: &TroubleEntry) -> Self {
+        Self {
+            service: entry.service,
+            share: entry.share,
+            during: entry.from.duration()..entry.until.duration(),
+            what: match entry.what {
+                HarmEntry::Sheds(part) => Harm::Sheds(part),
+                HarmEntry::Fails(part) => Harm::Fails(part),
+                HarmEntry::Slows(by) => Harm::Slows(by),
+            },
+        }
+    }
+}
--- a/standins/src/load/mod.rs
+++ b/standins/src/load/mod.rs
@@ -27,6 +27,7 @@
 //! [`Tries`]: rilltrack::coordination::decision::tries::Tries
 
 mod figures;
+mod file;
 mod fleet;
 mod model;
 
@@ -35,6 +36,7 @@
 use rilltrack::state::routing;
 
 pub use figures::{Count, Figures, Took};
+pub use file::Experiment;
 
 /// What is replayed.
 #[derive(Clone, Debug)]
--- a/standins/tests/load.rs
+++ b/standins/tests/load.rs
@@ -3,8 +3,10 @@
 
 use std::time::Duration;
 
-use rilltrack::state::routing;
-use rilltrack_standins::load::{self, Calls, Figures, Harm, Kind, Load, Service, Trouble};
+use rilltrack::{document::Document, state::routing};
+use rilltrack_standins::load::{
+    self, Calls, Experiment, Figures, Harm, Kind, Load, Service, Trouble,
+};
 
 /// Names each case: a test that replays a load.
 macro_rules! cases {
@@ -114,6 +116,21 @@
         assert!(lookups.in_time > 2 * lookups.late, "{lookups:?}");
     }
 
+    bad_file_is_refused_by_key_and_line => {
+        let good = include_str!("../examples/loads/many-senders.jsonc");
+        let read = |text: &str| Experiment::from_document(&Document::parse("loads", text).unwrap());
+        assert_eq!(read(good).unwrap().variants.len(), 6);
+        for (from, to, place) in [
+            ("\"seeds\": 8", "\"seeds\": 0", "loads:8: `seeds`"),
+            ("\"share\": 0.4,", "\"share\": 1.4,", "`variants.5.troubles.0`"),
+            ("\"kind\": 3,", "\"kind\": 9,", "`kinds.0.calls`"),
+            ("\"slots\": 11,", "\"slot\": 11,", "unknown field `slot`"),
+        ] {
+            let fault = read(&good.replacen(from, to, 1)).unwrap_err().to_string();
+            assert!(fault.contains(place), "{fault}");
+        }
+    }
+
     sends_beyond_the_first_stay_within_the_allowance => {
         let sheds = Trouble {
             service: 1,
