--- a/src/coordination/host.rs
+++ b/src/coordination/host.rs
@@ -300,8 +300,8 @@
         let mut table = self.members.write();
         let news = members
             .into_iter()
-            .filter_map(|m| table.merge(m).then_some(()));
-        let news = news.count();
+            .map(|member| usize::from(table.merge(member)))
+            .sum::<usize>();
         let known = table.len();
         drop(table);
         note!(
--- a/src/coordination/source.rs
+++ b/src/coordination/source.rs
@@ -62,8 +62,8 @@
 /// as a fleet of hundreds takes to hand one on over links of 10 Mbit/s.
 const FIRST_BEHIND: Duration = Duration::from_millis(1200);
 
-/// The pause between two rounds of asking for a first version: the time that a head takes
-/// to read one, a few times over the whole wait.
+/// The pause between two rounds of asking for a first version: about the time in which a
+/// head reads one of 450 KB over a link of 100 Mbit/s, with its decoding.
 const ASK_AGAIN: Duration = Duration::from_millis(100);
 
 /// How long a duty relies on another one of this process that asks a store which
@@ -465,9 +465,9 @@
 
 /// Returns the members that differ from a table with these marks, in MessagePack.
 ///
-/// While a fleet comes back from a loss of power every node is a little ahead of some
-/// others all the time. Told all members each time, 295 nodes sent each other 24 MB
-/// 295 nodes sent 0.385 GB between failure domains on a day, and 0.226 told the difference.
+/// While a fleet comes back from a loss of power, every node is a little behind some other
+/// all the time. With all members told each time, 295 nodes sent 0.399 GB between failure
+/// domains on such a day; with the difference, 0.226.
 pub fn members(host: &Host, marks: &[u32]) -> Bytes {
     let at = host.at(Stream::Members).unwrap_or(0);
     let members = host.members.read();
