--- a/src/coordination/source.rs
+++ b/src/coordination/source.rs
@@ -2,7 +2,7 @@
 //!
 //! Each node reads both streams once when it starts. After that the first node
 //! of each failure domain reads on, by long waits, and tells the others
-//! ([`watch`](crate::coordination::watch), [`spread`]). While the store can't be
+//! ([`watch`], [`spread`]). While the store can't be
 //! reached, and whenever another node names something newer, peers are asked
 //! instead.
 
