--- a/src/coordination/source.rs
+++ b/src/coordination/source.rs
@@ -1,10 +1,10 @@
 //! Takes in the store's streams: whole versions of the routes, and the members.
 //!
-//! Each node reads both streams once when it starts. After that the first node
-//! of each failure domain reads on, by long waits, and tells the others
-//! ([`watch`], [`spread`]). While the store can't be
-//! reached, and whenever another node names something newer, peers are asked
-//! instead.
+//! A starting node reads the members, and takes a first version of the routes from a peer;
+//! the heads of each failure domain's row read it themselves where no peer has one. After
+//! that the first node of each domain reads on, by long waits, and tells the others
+//! ([`watch`], [`spread`]). While the store can't be reached, and whenever another node
+//! names something newer, peers are asked instead.
 
 use std::{
     net::SocketAddr,
