A target's end is told from a broken connection, with a fingerprint of what it ran

Where 18 requests broke off at once the lines said "target broke off" 18 times, as they do where a target spoils single answers; that it had ended was noticed by a later request, and what the requests were could not be compared across nodes. E304 has a line for each request under way, with its content's fingerprint: method, host, path and body, 128 bits of BLAKE3. Bodies are digested while they are at hand, heads only where a target has ended. Whether it has is asked of its address; the connection that this makes where it has not is kept for the next request, which needs one anyway.

No decision changes but that the gate of a target that ended closes with the first request that finds it out. The reason "target ended" is new, "body broke off" of an answer became one of the two.

--- a/src/event.rs
+++ b/src/event.rs
@@ -71,6 +71,7 @@
     301 Warn  Refuted: "Others took this node for gone and it refuted that.";
     302 Info  TargetChanged: "A target announced itself, drains or let its lease lapse.";
     303 Info  MembersTaken: "Many members were taken in at once, from the store or a peer.";
+    304 Warn  TargetEnded: "A target ended while a request was under way at it; one line for each.";
     400 Info  Routed: "A request was routed: to which target, and why there.";
     401 Info  NoRoute: "No route matches a request.";
     402 Warn  NoTarget: "No allowed target is there for a request.";
--- /dev/null
+++ b/src/state/fingerprint.rs
@@ -0,0 +1,73 @@
+//! The content of a request, in a form that nodes can compare.
+
+use std::{fmt, str::FromStr};
+
+use serde::{Deserialize, Serialize};
+
+/// Bytes of a fingerprint: wide enough that nobody can make two requests that share one,
+/// which takes some 2^64 tries.
+const WIDTH: usize = 16;
+
+/// What makes two requests alike for a target: the same method, host, path and body.
+///
+/// Who sends it is left out. A request that comes by nodes beside different services bears
+/// different callers, and would end targets anew for each of them.
+///
+/// # Example
+///
+/// ```
+/// use rilltrack::state::fingerprint::Fingerprint;
+///
+/// let lookup = |path: &str| Fingerprint::of(&[b"GET", path.as_bytes()]);
+/// assert_eq!(lookup("/card/7"), lookup("/card/7"));
+/// assert_ne!(lookup("/card/7"), lookup("/card/8"));
+/// // Where one part ends and the next begins counts.
+/// assert_ne!(Fingerprint::of(&[b"ab", b"c"]), Fingerprint::of(&[b"a", b"bc"]));
+/// assert_eq!(lookup("/card/7").to_string().parse(), Ok(lookup("/card/7")));
+/// ```
+#[derive(Clone, Copy, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Fingerprint(u128);
+
+/// A text that is not a fingerprint.
+#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+#[error("`{0}` is not a fingerprint: 32 hexadecimal digits")]
+pub struct Error(String);
+
+impl Fingerprint {
+    /// Returns the fingerprint of a content with these parts, in this order.
+    pub fn of(parts: &[&[u8]]) -> Self {
+        let mut hasher = blake3::Hasher::new();
+        for part in parts {
+            hasher.update(&(part.len() as u64).to_le_bytes());
+            hasher.update(part);
+        }
+        let mut bytes = [0; WIDTH];
+        hasher.finalize_xof().fill(&mut bytes);
+        Self(u128::from_le_bytes(bytes))
+    }
+}
+
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
+
+impl fmt::Debug for Fingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(self, f)
+    }
+}
+
+impl FromStr for Fingerprint {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self, Error> {
+        let bits = u128::from_str_radix(text, 16);
+        match bits {
+            Ok(bits) if text.len() == 2 * WIDTH => Ok(Self(bits)),
+            _ => Err(Error(text.into())),
+        }
+    }
+}
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -13,6 +13,7 @@
 
 pub mod change;
 pub mod check;
+pub mod fingerprint;
 pub mod machine;
 pub mod member;
 pub mod resource;
--- a/src/transport/relay/body.rs
+++ b/src/transport/relay/body.rs
@@ -129,6 +129,12 @@
         exact.and_then(|length| usize::try_from(length).ok())
     }
 
+    /// Returns the bytes of a body that is all there.
+    pub fn known(&self) -> Option<&[u8]> {
+        let bytes = self.first.as_deref().unwrap_or_default();
+        self.is_whole().then_some(bytes)
+    }
+
     /// Returns whether nothing of it is still to come.
     pub fn is_whole(&self) -> bool {
         self.rest.is_none()
--- a/src/transport/relay/ingress.rs
+++ b/src/transport/relay/ingress.rs
@@ -26,6 +26,7 @@
         relay::{
             KEPT_BODY,
             body::{self, Body, Read},
+            content::Content,
             offer::Inflow,
             onward, plain,
             pool::{Exchange, Failure, Pool, Settings},
@@ -51,6 +52,12 @@
 /// The reason of a refusal by a node that is not the one that was meant.
 pub const OTHER_NODE: &str = "another node has this address";
 
+/// The reason of a refusal where the target broke off and is there.
+const BROKE_OFF: &str = "target broke off";
+
+/// The reason of a refusal where the target ended.
+pub const TARGET_ENDED: &str = "target ended";
+
 /// What is asked for the target here.
 pub struct Visit {
     /// The service that is meant.
@@ -76,6 +83,13 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Ran(pub Duration);
 
+/// A request that the target here runs.
+struct Run<'a> {
+    head: &'a request::Parts,
+    content: Content,
+    since: Instant,
+}
+
 /// The way to the target on this host.
 pub struct Ingress {
     host: Arc<Host>,
@@ -146,20 +160,27 @@
         self.note(id, visit, since, &entered);
         let permit = entered.map_err(Refused::before)?;
         let body = self.body(visit, head, body).await?;
+        let run = Run {
+            head,
+            content: Content::of(&body),
+            since: Instant::now(),
+        };
         let request = self.request(visit, &permit, head, body);
-        let since = Instant::now();
         let sent = self
             .pool
             .send(permit.target.address, request, visit.deadline)
             .await;
-        let exchange = sent.map_err(|failure| self.failed(&permit, &failure))?;
+        let exchange = match sent {
+            Ok(exchange) => exchange,
+            Err(failure) => return Err(self.failed(&permit, &run, &failure).await),
+        };
         if exchange.response.status() == StatusCode::MISDIRECTED_REQUEST {
             self.doubt(&permit, "another instance answers");
         }
         self.check(id, &exchange.response)?;
-        let mut response = self.pass(visit, permit, exchange).await?;
+        let mut response = self.pass(visit, permit, &run, exchange).await?;
         if response.status().is_success() {
-            let ran = since.elapsed();
+            let ran = run.since.elapsed();
             if let Some(usual) = visit.arrival.usual {
                 self.host.gate.note_run(ran, usual);
             }
@@ -257,19 +278,44 @@
         request
     }
 
-    fn failed(&self, permit: &Permit, failure: &Failure) -> Refused {
+    async fn failed(&self, permit: &Permit, run: &Run<'_>, failure: &Failure) -> Refused {
         match failure {
             Failure::NotSent(_) => {
                 self.doubt(permit, failure);
                 Refused::before(Refusal::not_run(NO_TARGET, Span::from_millis(100)))
             }
-            Failure::Broken(_) => Refused::after(Refusal::unknown(502, "target broke off")),
+            Failure::Broken(_) => {
+                Refused::after(Refusal::unknown(502, self.broken(permit, run).await))
+            }
             Failure::TimedOut | Failure::Untaken => {
                 Refused::after(Refusal::unknown(504, "target did not answer in time"))
             }
         }
     }
 
+    /// Finds out why a connection broke under a request; returns that.
+    ///
+    /// A target that ends breaks off all that it runs at once, and nothing listens at its
+    /// address any more; one that is there may break off a single answer.
+    async fn broken(&self, permit: &Permit, run: &Run<'_>) -> &'static str {
+        let target = &permit.target;
+        let until = Instant::now() + POOL.connect;
+        if !self.pool.is_closed(target.address, until).await {
+            return BROKE_OFF;
+        }
+        let dialect = &self.host.words.dialect;
+        note!(
+            self.host.journal,
+            Event::TargetEnded,
+            id = http::get(&run.head.headers, dialect.id.as_str()).unwrap_or("-"),
+            instance = target.instance,
+            content = run.content.fingerprint(run.head),
+            ran = run.since.elapsed().as_millis(),
+        );
+        self.doubt(permit, TARGET_ENDED);
+        TARGET_ENDED
+    }
+
     /// Closes the gate until the target is heard of again.
     fn doubt(&self, permit: &Permit, reason: impl std::fmt::Display) {
         let instance = &permit.target.instance;
@@ -320,6 +366,7 @@
         &self,
         visit: &Visit,
         permit: Permit,
+        run: &Run<'_>,
         exchange: Exchange,
     ) -> Result<Response<Body>, Refused> {
         let Exchange {
@@ -329,13 +376,16 @@
         let (head, incoming) = response.into_parts();
         let left = visit.deadline.saturating_duration_since(Instant::now());
         let read = body::read(incoming, KEPT_BODY, left).await;
-        let read = read.map_err(|error| {
-            let status = match error {
-                body::ReadError::Still => 504,
-                body::ReadError::Broken(_) => 502,
-            };
-            Refused::after(Refusal::unknown(status, error.to_string()))
-        })?;
+        let read = match read {
+            Ok(read) => read,
+            Err(error @ body::ReadError::Still) => {
+                return Err(Refused::after(Refusal::unknown(504, error.to_string())));
+            }
+            Err(body::ReadError::Broken(_)) => {
+                let why = self.broken(&permit, run).await;
+                return Err(Refused::after(Refusal::unknown(502, why)));
+            }
+        };
         let body = match read {
             Read::Whole(bytes) => {
                 self.pool.put_back(connection);
--- a/src/transport/relay/mod.rs
+++ b/src/transport/relay/mod.rs
@@ -12,6 +12,7 @@
 
 pub mod body;
 pub mod codec;
+pub mod content;
 pub mod control;
 pub mod egress;
 pub mod front;
--- a/src/transport/relay/pool.rs
+++ b/src/transport/relay/pool.rs
@@ -199,6 +199,19 @@
         }
     }
 
+    /// Returns whether nothing listens at `address` any more. Else the connection that was
+    /// made to find out is kept for the next request.
+    pub async fn is_closed(&self, address: SocketAddr, deadline: Instant) -> bool {
+        match self.connect(address, deadline).await {
+            Ok(connection) => {
+                self.put_back(connection);
+                false
+            }
+            Err(Failure::NotSent(error)) => error.kind() == std::io::ErrorKind::ConnectionRefused,
+            Err(_) => false,
+        }
+    }
+
     /// Takes back a connection whose answer was read to its end.
     pub fn put_back(&self, connection: Connection) {
         if connection.sender.is_closed() || connection.keep.is_zero() {
--- a/standins/src/target.rs
+++ b/standins/src/target.rs
@@ -6,6 +6,7 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
+    sync::watch,
 };
 
 /// How a target treats the requests that reach it.
@@ -59,6 +60,17 @@
     pub address: SocketAddr,
     mode: Arc<Mutex<Mode>>,
     seen: Arc<Mutex<Vec<Seen>>>,
+    /// A part of the request line under which it ends.
+    fatal: Arc<Mutex<Option<String>>>,
+    life: Arc<Mutex<Life>>,
+}
+
+/// One life after the other of a target's process.
+#[derive(Default)]
+struct Life {
+    /// Dropped when it ends, which ends all that it has open.
+    current: Option<watch::Sender<()>>,
+    ended: usize,
 }
 
 impl Target {
@@ -69,15 +81,70 @@
             address: socket.local_addr().unwrap(),
             mode: Arc::new(Mutex::new(Mode::Serves)),
             seen: Arc::default(),
+            fatal: Arc::default(),
+            life: Arc::default(),
         };
-        let served = target.clone();
+        target.live(socket);
+        target
+    }
+
+    /// Starts it again at its address, if it has ended.
+    pub async fn restart(&self) {
+        if self.is_there() {
+            return;
+        }
+        let socket = loop {
+            match TcpListener::bind(self.address).await {
+                Ok(socket) => break socket,
+                // The former life's listener is about to close.
+                Err(_) => tokio::time::sleep(std::time::Duration::from_millis(5)).await,
+            }
+        };
+        self.live(socket);
+    }
+
+    /// Ends as a process that crashes: all that it has open is closed at once.
+    pub fn end(&self) {
+        let mut life = self.life.lock();
+        life.ended += usize::from(life.current.take().is_some());
+    }
+
+    /// Ends whenever it begins to run a request with `part` in its first line.
+    pub fn end_under(&self, part: &str) {
+        *self.fatal.lock() = Some(part.into());
+    }
+
+    /// Returns whether it runs.
+    pub fn is_there(&self) -> bool {
+        self.life.lock().current.is_some()
+    }
+
+    /// Returns how often it has ended.
+    pub fn ended(&self) -> usize {
+        self.life.lock().ended
+    }
+
+    fn live(&self, socket: TcpListener) {
+        let (sender, life) = watch::channel(());
+        self.life.lock().current = Some(sender);
+        let target = self.clone();
         tokio::spawn(async move {
-            while let Ok((stream, _)) = socket.accept().await {
-                let target = served.clone();
-                tokio::spawn(async move { target.serve(stream).await });
+            let mut ends = life.clone();
+            loop {
+                let accepted = tokio::select! {
+                    accepted = socket.accept() => accepted,
+                    _ = ends.changed() => return,
+                };
+                let Ok((stream, _)) = accepted else { return };
+                let (target, mut ends) = (target.clone(), life.clone());
+                tokio::spawn(async move {
+                    tokio::select! {
+                        _ = target.serve(stream) => {}
+                        _ = ends.changed() => {}
+                    }
+                });
             }
         });
-        target
     }
 
     pub fn set(&self, mode: Mode) {
@@ -113,6 +180,11 @@
             let mode = *self.mode.lock();
             seen.ran = !matches!(mode, Mode::Sheds | Mode::Other);
             self.seen.lock().push(seen.clone());
+            let fatal = self.fatal.lock().clone();
+            if fatal.is_some_and(|part| seen.line.contains(&part)) {
+                self.end();
+                return None;
+            }
             if mode == Mode::Hangs {
                 // Ends when its caller does.
                 drop(stream.read_u8().await);
