Requests under which targets end are held back at every node

Cause: nothing remembered under which requests targets had ended. A request that ends what runs it came again by its caller at any node, and by the nodes' own repeats, and took the next target with all that it ran. Class: evidence that stays with one request, or one node, where the harm is the fleet's. Ruled out: load (targets ended with one request under way and three slots free), kills from outside (all ends share one content).

The node beside a target tells what it was running when it ended, in its record in the store; every node looks for the fewest requests that explain all ends. One that two ends share alone is refused at once, everywhere, without a time to come back; where several can't be told apart it takes a third. An answer since speaks for a request, wherever it was seen. One node tries it again at its own target, after 10 s, 1, 6 and 36 minutes as targets are lost, never after six. A node is not ready before it has read what was told.

--- a/examples/capacity.rs
+++ b/examples/capacity.rs
@@ -303,6 +303,7 @@
             instance: Default::default(),
         }],
         bandwidth: 0,
+        evidence: Default::default(),
     }
 }
 
--- a/examples/choice.rs
+++ b/examples/choice.rs
@@ -71,5 +71,6 @@
             instance: format!("i{number}").into(),
         }],
         bandwidth: 0,
+        evidence: Default::default(),
     })
 }
--- a/examples/fleet.rs
+++ b/examples/fleet.rs
@@ -453,6 +453,7 @@
             labels: Default::default(),
             targets: Vec::new(),
             bandwidth: 0,
+            evidence: Default::default(),
         });
     }
     members.into_iter().find(|i| {
--- a/src/coordination/decision/mod.rs
+++ b/src/coordination/decision/mod.rs
@@ -10,11 +10,13 @@
 //! * [`allowance`]: what may be sent again;
 //! * [`age`]: how long callers have been trying;
 //! * [`tries`]: how often a request is tried, and what its caller is told;
+//! * [`quarantine`]: which requests are held back because targets end under them;
 //! * [`split`]: how requests of a split route are dealt.
 
 pub mod age;
 pub mod allowance;
 pub mod balance;
+pub mod quarantine;
 pub mod queue;
 pub mod reach;
 pub mod split;
--- a/src/coordination/decision/tries.rs
+++ b/src/coordination/decision/tries.rs
@@ -157,7 +157,11 @@
                 if refusal.outcome != Outcome::NotRun && kind == Kind::Once {
                     return Some(Err(refusal));
                 }
+                let is_final = refusal.is_final();
                 self.note(refusal);
+                if is_final {
+                    return Some(self.end());
+                }
             }
         }
         None
@@ -195,7 +199,7 @@
 
     /// Keeps the refusal that leaves most in doubt: "not run" is said only if it
     /// holds for every try.
-    fn note(&mut self, refusal: Refusal) {
+    pub fn note(&mut self, refusal: Refusal) {
         let keeps = match &self.last {
             Some(Last::Answered(_)) => true,
             Some(Last::Refused(held)) => {
--- a/src/coordination/host.rs
+++ b/src/coordination/host.rs
@@ -21,6 +21,7 @@
             age::Ages,
             allowance::{Allowance, Rule},
             balance::{self, Balance},
+            quarantine::Quarantine,
             split::Split,
         },
         gate::Gate,
@@ -34,10 +35,11 @@
         Settings,
         metrics::{self, Metrics},
     },
-    id::{Name, Node},
+    id::{Instance, Name, Node},
     journal::note,
     protocol::news::Seen,
     state::{
+        fingerprint::Fingerprint,
         member::{Member, Table},
         routing::{self, Delta},
     },
@@ -79,6 +81,13 @@
     pub allowance: Mutex<Allowance>,
     /// How long callers have been trying.
     pub ages: Mutex<Ages>,
+    /// Which requests are held back because targets end under them.
+    pub quarantine: Mutex<Quarantine>,
+    /// Wakes the duty that decides on that.
+    pub suspected: Notify,
+    /// Whether anything is to be looked for in requests: most of the time nothing is.
+    watching: AtomicBool,
+    reviewed: AtomicBool,
     /// When large answers leave.
     pub outflow: Outflow,
     /// How split routes are dealt.
@@ -167,6 +176,10 @@
             allowance: Mutex::new(Allowance::new(rule(&settings))),
             grace: Mutex::new(settings.grace),
             ages: Mutex::default(),
+            quarantine: Mutex::default(),
+            suspected: Notify::new(),
+            watching: AtomicBool::new(false),
+            reviewed: AtomicBool::new(false),
             outflow: Outflow::new(settings.bandwidth()),
             split: Mutex::default(),
             changed: Notify::new(),
@@ -309,6 +322,7 @@
             return;
         }
         let count = members.len();
+        let tells = members.iter().any(|member| !member.evidence.is_empty());
         let mut table = self.members.write();
         let news = members
             .into_iter()
@@ -316,6 +330,9 @@
             .sum::<usize>();
         let known = table.len();
         drop(table);
+        if tells || self.is_watching() {
+            self.suspected.notify_one();
+        }
         note!(
             self.journal,
             Event::MembersTaken,
@@ -330,7 +347,11 @@
     pub fn take_member(&self, member: Member, from: &str) -> bool {
         let (node, domain) = (member.node.clone(), member.domain.clone());
         let (status, targets) = (member.status, told(&member));
+        let tells = !member.evidence.is_empty();
         let is_news = self.members.write().merge(member);
+        if is_news && (tells || self.is_watching()) {
+            self.suspected.notify_one();
+        }
         if is_news {
             note!(
                 self.journal,
@@ -449,7 +470,58 @@
 
     /// Returns whether the process can serve callers.
     pub fn is_ready(&self) -> bool {
-        self.routes.load().is_some() && self.at(Stream::Members).is_some()
+        self.routes.load().is_some()
+            && self.at(Stream::Members).is_some()
+            && self.reviewed.load(Ordering::Relaxed)
+    }
+
+    /// Takes in, once, what an earlier life of this node told of requests under which
+    /// targets ended.
+    pub fn recall_evidence(&self) {
+        let members = self.members.read();
+        let recorded = members.get(&self.settings.node);
+        let told = recorded.map(|member| &member.evidence);
+        self.quarantine.lock().recall(told, Instant::now());
+    }
+
+    /// Notes that the target here ended while it ran this request.
+    pub fn note_end(&self, instance: &Instance, content: Fingerprint) {
+        let mut quarantine = self.quarantine.lock();
+        quarantine.note_end(instance, content, Instant::now());
+        self.watching.store(true, Ordering::Relaxed);
+        drop(quarantine);
+        self.suspected.notify_one();
+    }
+
+    /// Notes that a target answered a request.
+    pub fn note_answer(&self, content: Fingerprint) {
+        self.quarantine.lock().note_answer(content, Instant::now());
+    }
+
+    /// Returns whether a request is held back.
+    pub fn is_held(&self, content: &Fingerprint) -> bool {
+        self.is_watching() && self.quarantine.lock().is_held(content)
+    }
+
+    /// Returns whether a request that is held back is tried again now at the target here.
+    pub fn try_again(&self, content: &Fingerprint) -> bool {
+        let may = self.quarantine.lock().try_again(content, Instant::now());
+        if may {
+            note!(self.journal, Event::TriedAgain, content = content);
+        }
+        may
+    }
+
+    /// Notes that it is known which requests are held back, and whether there is anything
+    /// to look for.
+    pub fn set_watching(&self, is_watching: bool) {
+        self.watching.store(is_watching, Ordering::Relaxed);
+        self.reviewed.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether anything is to be looked for in requests.
+    pub fn is_watching(&self) -> bool {
+        self.watching.load(Ordering::Relaxed)
     }
 
     /// Notes that another node names a newer version or later members than are
@@ -535,6 +607,7 @@
             reading: *self.reading.borrow(),
             lines_lost: self.journal.lost(),
             members: (members.len() - silent, silent),
+            held: self.quarantine.lock().held().len(),
         })
     }
 
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -24,6 +24,7 @@
 //!   others hear of it;
 //! * [`local`], [`presence`]: the target on this host, and what is told of it;
 //! * [`gate`]: what that target is given;
+//! * [`review`]: which requests are held back because targets end under them;
 //! * [`decision`]: who waits, who is turned away, where a request goes, and again.
 //!
 //! This layer opens no sockets. It is handed closures, so that the tests put
@@ -50,6 +51,7 @@
 pub mod probe;
 pub mod publish;
 pub mod rank;
+pub mod review;
 pub mod scatter;
 pub mod snapshot;
 pub mod source;
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -167,6 +167,7 @@
         labels: settings.labels.clone(),
         targets: Vec::new(),
         bandwidth: 0,
+        evidence: Default::default(),
     }
 }
 
--- a/src/event.rs
+++ b/src/event.rs
@@ -72,6 +72,9 @@
     302 Info  TargetChanged: "A target announced itself, drains or let its lease lapse.";
     303 Info  MembersTaken: "Many members were taken in at once, from the store or a peer.";
     304 Warn  TargetEnded: "A target ended while a request was under way at it; one line for each.";
+    305 Warn  HeldBack: "A request is held back at this node: targets ended under it.";
+    306 Info  LetGo: "A request is not held back any more at this node.";
+    307 Info  TriedAgain: "A request that is held back is tried again, at the target here.";
     400 Info  Routed: "A request was routed: to which target, and why there.";
     401 Info  NoRoute: "No route matches a request.";
     402 Warn  NoTarget: "No allowed target is there for a request.";
--- a/src/host/metrics.rs
+++ b/src/host/metrics.rs
@@ -55,6 +55,7 @@
     waiting: Gauge<i64, AtomicI64>,
     slots: Gauge<i64, AtomicI64>,
     reading: Gauge<i64, AtomicI64>,
+    held: Gauge<i64, AtomicI64>,
     lines_lost: Gauge<i64, AtomicI64>,
 }
 
@@ -73,6 +74,8 @@
     pub lines_lost: u64,
     /// Members that answer, and those that did not when last checked.
     pub members: (usize, usize),
+    /// Requests that are held back because targets ended under them.
+    pub held: usize,
 }
 
 /// A request by what became of it.
@@ -223,6 +226,11 @@
             "Whether the node reads the store for its failure domain",
             g.reading.clone(),
         );
+        r.register(
+            "held_back",
+            "Requests that are held back because targets ended under them",
+            g.held.clone(),
+        );
         r.register(
             "log_lines_lost",
             "Log lines passed over",
@@ -239,6 +247,7 @@
         g.waiting.set(i64::from(now.load.waiting));
         g.slots.set(i64::from(now.load.slots));
         g.reading.set(i64::from(now.reading));
+        g.held.set(now.held as i64);
         g.lines_lost.set(now.lines_lost as i64);
         let (present, silent) = now.members;
         for (state, count) in [("present", present), ("silent", silent)] {
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -22,7 +22,7 @@
         host,
         link::{Ask, Store, Stream, Words},
         presence::{self, Written},
-        probe, source, watch as reader,
+        probe, review, source, watch as reader,
     },
     event::{Event, Journal},
     journal::note,
@@ -257,6 +257,7 @@
     }
     tokio::spawn(source::follow_hints(host.clone(), ask.clone()));
     tokio::spawn(reader::keep(host.clone(), ask.clone()));
+    tokio::spawn(review::keep(host.clone()));
     tokio::spawn(probe::keep(host.clone(), ask));
     tokio::spawn(presence::keep_written(host, store, written));
     serve_all(listeners).await;
--- a/src/protocol/answer.rs
+++ b/src/protocol/answer.rs
@@ -96,6 +96,11 @@
         }
     }
 
+    /// Returns whether it did not run and will not anywhere, as it stands.
+    pub fn is_final(&self) -> bool {
+        self.outcome == Outcome::NotRun && self.retry_after.is_none()
+    }
+
     /// Returns the answer to a request of which it isn't known whether it ran.
     pub fn unknown(status: u16, reason: impl Into<String>) -> Self {
         Self {
--- a/src/state/fingerprint.rs
+++ b/src/state/fingerprint.rs
@@ -48,6 +48,13 @@
     }
 }
 
+impl Fingerprint {
+    /// Returns its place among so many.
+    pub fn place(&self, places: usize) -> usize {
+        (self.0 % places.max(1) as u128) as usize
+    }
+}
+
 impl fmt::Display for Fingerprint {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{:032x}", self.0)
--- a/src/state/member.rs
+++ b/src/state/member.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     id::{Incarnation, Instance, Name, Node},
-    state::selector::Labels,
+    state::{evidence::Evidence, selector::Labels},
 };
 
 /// Groups into which members fall for comparing two tables.
@@ -41,6 +41,9 @@
     /// What its host's link carries, in Mbit/s, if it says so; 0 if not.
     #[serde(default)]
     pub bandwidth: u32,
+    /// What it knows of requests under which targets ended.
+    #[serde(default, skip_serializing_if = "Evidence::is_empty")]
+    pub evidence: Evidence,
 }
 
 /// Whether a member is there. The order decides between two claims about the
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -9,10 +9,12 @@
 //! * [`check`]: what makes a change acceptable;
 //! * [`view`]: what one proxy needs of the whole;
 //! * [`member`]: the nodes and targets of the mesh;
+//! * [`evidence`], [`fingerprint`]: what nodes tell of requests under which targets ended;
 //! * [`routing`]: a whole version of routes from a source outside.
 
 pub mod change;
 pub mod check;
+pub mod evidence;
 pub mod fingerprint;
 pub mod machine;
 pub mod member;
--- a/src/transport/relay/egress.rs
+++ b/src/transport/relay/egress.rs
@@ -16,6 +16,7 @@
     coordination::{
         decision::{
             balance::{self, Choice, Report, Wish},
+            quarantine::HELD_BACK,
             tries,
         },
         host::Host,
@@ -26,12 +27,13 @@
     id::{Name, Node},
     journal::note,
     protocol::answer::{Outcome, Refusal},
-    state::routing::Route,
+    state::{fingerprint::Fingerprint, routing::Route},
     transport::{
         http,
         relay::{
             KEPT_BODY,
             body::{self, Body, Read, ReadError},
+            content,
             ingress::{Ingress, Ran, Visit},
             next::{self, Next},
             outstanding::{Tried, Watch},
@@ -225,8 +227,21 @@
         };
         // A longer body is as long as what is kept at the least.
         let bytes = whole.as_ref().map_or(KEPT_BODY, Bytes::len);
+        let content = content::fingerprint(&call.head, whole.as_deref());
         while tries.may_ask(&call.request(), Instant::now()) {
-            let Some(choice) = self.choose(call, bytes, &tries.nodes) else {
+            let trial = match self.host.is_held(&content) {
+                false => None,
+                true => match self.trial(call, &content, tries) {
+                    Some(trial) => Some(trial),
+                    None => {
+                        tries.note(Refusal::rejected(503, HELD_BACK));
+                        break;
+                    }
+                },
+            };
+            let is_trial = trial.is_some();
+            let choice = trial.or_else(|| self.choose(call, bytes, &tries.nodes));
+            let Some(choice) = choice else {
                 self.note_no_target(call, tries);
                 break;
             };
@@ -241,7 +256,7 @@
                 },
             };
             tries.nodes.push(choice.member.node.clone());
-            let tried = self.try_one(call, &choice, body, tries).await;
+            let tried = self.try_one(call, &choice, body, tries, is_trial).await;
             if tries.arrivals == 0 && tried.has_arrived() {
                 let mut allowance = self.host.allowance.lock();
                 allowance.arrive(&call.service, Instant::now());
@@ -250,6 +265,11 @@
                 // Its target has seen a part, so nothing is said of its run.
                 return Err(Refusal::unknown(413, too_large(most)));
             }
+            if let Tried::Answered(response) = &tried
+                && response.body().is_whole()
+            {
+                self.host.note_answer(content);
+            }
             if let Tried::Answered(response) = &tried
                 && let Some(bytes) = response.body().length()
             {
@@ -317,7 +337,27 @@
         is_allowed
     }
 
-    async fn try_one(&self, call: &Call, choice: &Choice, body: Body, tries: &Tries) -> Tried {
+    /// Returns the target here, if a request that is held back is tried again at it now.
+    fn trial(&self, call: &Call, content: &Fingerprint, tries: &Tries) -> Option<Choice> {
+        let may = tries.nodes.is_empty() && call.service == *self.host.service();
+        let members = self.host.members.read();
+        let member = members.get(&self.host.settings.node).filter(|_| may)?;
+        self.host.try_again(content).then(|| Choice {
+            member: member.clone(),
+            usage: 0.0,
+            candidates: 1,
+            cost: 0.0,
+        })
+    }
+
+    async fn try_one(
+        &self,
+        call: &Call,
+        choice: &Choice,
+        body: Body,
+        tries: &Tries,
+        is_trial: bool,
+    ) -> Tried {
         let member = &choice.member;
         let since = Instant::now();
         let mut watch = Watch::start(&self.host, member, &call.route.name, &call.service);
@@ -336,6 +376,7 @@
             arrival,
             answer,
             deadline: call.deadline,
+            is_trial,
         };
         let is_large = body.length().is_none_or(balance::is_large);
         let tried = if member.node == self.host.settings.node {
--- a/src/transport/relay/ingress.rs
+++ b/src/transport/relay/ingress.rs
@@ -10,6 +10,7 @@
 
 use crate::{
     coordination::{
+        decision::quarantine::HELD_BACK,
         gate::{Arrival, LEAVING, NO_TARGET, Permit},
         host::Host,
         outflow::Leave,
@@ -21,12 +22,13 @@
         answer::{Outcome, Refusal},
         hop::{self, Ask, Told},
     },
+    state::fingerprint::Fingerprint,
     transport::{
         http,
         relay::{
             KEPT_BODY,
             body::{self, Body, Read},
-            content::Content,
+            content,
             offer::Inflow,
             onward, plain,
             pool::{Exchange, Failure, Pool, Settings},
@@ -68,6 +70,8 @@
     pub answer: usize,
     /// When an answer is of no more use.
     pub deadline: Instant,
+    /// Whether it is held back and tried again.
+    pub is_trial: bool,
 }
 
 /// Why there is no answer of the target.
@@ -86,7 +90,7 @@
 /// A request that the target here runs.
 struct Run<'a> {
     head: &'a request::Parts,
-    content: Content,
+    content: Fingerprint,
     since: Instant,
 }
 
@@ -162,9 +166,13 @@
         let body = self.body(visit, head, body).await?;
         let run = Run {
             head,
-            content: Content::of(&body),
+            content: content::fingerprint(head, body.known()),
             since: Instant::now(),
         };
+        // Whoever sent it may not have heard yet that targets end under it.
+        if !visit.is_trial && self.host.is_held(&run.content) {
+            return Err(Refused::before(Refusal::rejected(503, HELD_BACK)));
+        }
         let request = self.request(visit, &permit, head, body);
         let sent = self
             .pool
@@ -304,12 +312,13 @@
             return BROKE_OFF;
         }
         let dialect = &self.host.words.dialect;
+        self.host.note_end(&target.instance, run.content);
         note!(
             self.host.journal,
             Event::TargetEnded,
             id = http::get(&run.head.headers, dialect.id.as_str()).unwrap_or("-"),
             instance = target.instance,
-            content = run.content.fingerprint(run.head),
+            content = run.content,
             ran = run.since.elapsed().as_millis(),
         );
         self.doubt(permit, TARGET_ENDED);
@@ -389,6 +398,7 @@
         let body = match read {
             Read::Whole(bytes) => {
                 self.pool.put_back(connection);
+                self.host.note_answer(run.content);
                 Body::whole(bytes)
             }
             Read::Start(first, rest) => {
@@ -503,6 +513,7 @@
             },
             answer: ask.answer,
             deadline: now + ask.deadline.duration(),
+            is_trial: false,
         })
     }
 }
--- a/standins/src/load/fleet.rs
+++ b/standins/src/load/fleet.rs
@@ -151,5 +151,6 @@
             instance: format!("i{number}").into(),
         }],
         bandwidth: 0,
+        evidence: Default::default(),
     }
 }
--- a/tests/coordination.rs
+++ b/tests/coordination.rs
@@ -73,6 +73,7 @@
         labels: BTreeMap::new(),
         targets: Vec::new(),
         bandwidth: 0,
+        evidence: Default::default(),
     }
 }
 
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -118,6 +118,7 @@
             instance: format!("i-{node}").into(),
         }],
         bandwidth: 0,
+        evidence: Default::default(),
     }
 }
 
