Tests over processes: what is held back outlives restarts, refusals of the store, and accuses nobody

Five of six nodes and all of them started anew, a node that the store turned away meanwhile, a target that breaks off and is there, a request that runs once.

--- a/standins/tests/fatal.rs
+++ b/standins/tests/fatal.rs
@@ -13,9 +13,13 @@
 //! TargetEnded node n1, instance i1, content 84465ffc090820f1b83aa7b6007538ae
 //! ```
 
+use std::time::Duration;
+
+use rilltrack::coordination::decision::quarantine::HELD_BACK;
 use rilltrack_standins::{
     fleet::{Host, version},
-    store::Store,
+    store::{Mode as StoreMode, Store},
+    target::Mode,
     until,
 };
 
@@ -66,6 +70,33 @@
         }
     }
 
+    /// Sends the request that ends targets until it is refused at every node.
+    async fn until_held(&mut self) {
+        for i in 0..self.hosts.len() {
+            let mut count = 0;
+            loop {
+                let id = format!("until-{i}-{count}");
+                let answer = self.hosts[i].ask("GET", FATAL, &id, "").await;
+                self.restart().await;
+                if status(&answer) == "503" && answer.contains(HELD_BACK) {
+                    break;
+                }
+                count += 1;
+                tokio::time::sleep(Duration::from_millis(200)).await;
+            }
+        }
+    }
+
+    /// Sends it once at every node; it must be held back at each.
+    async fn check_held(&mut self, why: &str) {
+        let before = self.ended();
+        for host in &self.hosts {
+            let answer = host.ask("GET", FATAL, &format!("held-{why}"), "").await;
+            assert!(answer.contains(HELD_BACK), "{why}: {answer}");
+        }
+        assert_eq!(self.ended(), before, "{why}");
+    }
+
     fn ended(&self) -> usize {
         self.hosts.iter().map(|host| host.target.ended()).sum()
     }
@@ -93,7 +124,7 @@
             self.restart().await;
             if self.ended() > before {
                 // What one node knows reaches the others by the store.
-                tokio::time::sleep(std::time::Duration::from_millis(500)).await;
+                tokio::time::sleep(Duration::from_millis(500)).await;
             }
         }
         last
@@ -112,6 +143,71 @@
         assert_eq!(fleet.ended(), 1, "by the repeats of one node");
     }
 
+    nodes_that_start_anew_hold_back_what_they_held => {
+        let mut fleet = Fleet::start().await;
+        fleet.until_held().await;
+        // What is told of it has come to rest in the store.
+        tokio::time::sleep(Duration::from_secs(3)).await;
+        for most in [5, 6] {
+            for host in fleet.hosts.iter_mut().take(most) {
+                host.stop().await;
+            }
+            for host in fleet.hosts.iter_mut().take(most) {
+                host.run();
+            }
+            for host in &fleet.hosts {
+                host.until_ready().await;
+            }
+            fleet.check_held(&format!("{most} of 6 nodes started anew")).await;
+        }
+    }
+
+    node_that_the_store_refused_holds_back_what_the_others_do => {
+        let mut fleet = Fleet::start().await;
+        fleet.hosts[4].store.set_own(StoreMode::Refusing);
+        fleet.until_held().await;
+        fleet.hosts[4].store.set_own(StoreMode::Up);
+        fleet.check_held("after the store refused one").await;
+    }
+
+    target_that_breaks_off_and_is_there_speaks_against_no_request => {
+        let fleet = Fleet::start().await;
+        for host in &fleet.hosts {
+            host.target.set(Mode::Breaks);
+        }
+        for i in 0..6 {
+            let answer = fleet.hosts[4].ask("GET", "/get/a/same", &format!("b{i}"), "").await;
+            assert_eq!(status(&answer), "502", "{answer}");
+        }
+        for host in &fleet.hosts {
+            host.target.set(Mode::Serves);
+        }
+        let answer = fleet.hosts[4].ask("GET", "/get/a/same", "served", "").await;
+        assert_eq!(status(&answer), "200", "{answer}");
+    }
+
+    request_that_runs_once_is_refused_as_not_run => {
+        let mut fleet = Fleet::start().await;
+        for i in 0.. {
+            let id = format!("once-{i}");
+            let answer = fleet.hosts[i % 6].ask("POST", "/post/a/fatal", &id, "x").await;
+            fleet.restart().await;
+            if status(&answer) == "503" {
+                assert!(answer.contains(HELD_BACK), "{answer}");
+                let runs = fleet.hosts.iter().filter(|host| host.target.ran().contains(&id));
+                assert_eq!(runs.count(), 0);
+                break;
+            }
+            assert_eq!(status(&answer), "502", "{answer}");
+            assert!(i < MOST, "{i} targets ended");
+            tokio::time::sleep(Duration::from_millis(500)).await;
+        }
+        // Nothing speaks against others of its route.
+        let host = &fleet.hosts[5];
+        let answer = host.ask("POST", "/post/a/other", "other", "x").await;
+        assert_eq!(status(&answer), "200", "{answer}");
+    }
+
     request_under_which_targets_end_is_held_back_at_every_node => {
         let mut fleet = Fleet::start().await;
         let mut last = String::new();
