Operators see what is held back and let it go; a target that closes its listener last is found out

rilltrack held and let-go, at the peers address of a node: an operator's word counts as an answer and reaches all nodes (operator_sees_what_is_held_back_and_lets_it_go).

request_ends_one_target_at_the_most failed once beside other work: three targets ended, two "target broke off". Cause, from its lines: the stand-in closed the connection of the request before its listener, the look at the address found it open, and the request was sent on. The kernel closes what a process had open one after the other as well, so a connection that is accepted and closed at once is asked for again; only a refusal tells. The stand-in closes its listener first now, as most processes do. Ruled out: load alone; the order of the lines is the same without it.

--- a/src/coordination/decision/quarantine/mod.rs
+++ b/src/coordination/decision/quarantine/mod.rs
@@ -136,8 +136,10 @@
     accused: HashMap<Fingerprint, Instant>,
     recent: Recent,
     held: HashMap<Fingerprint, Instant>,
-    /// Requests that this node may try again, with the targets that ended under each.
-    mine: HashMap<Fingerprint, u8>,
+    /// Targets that ended under what nodes tell to be held back.
+    ends: HashMap<Fingerprint, u8>,
+    /// Requests that this node may try again.
+    mine: HashSet<Fingerprint>,
     trials: HashMap<Fingerprint, Instant>,
 }
 
@@ -256,9 +258,10 @@
     /// Returns whether a request that is held back is tried again now, at the target here.
     /// That is a trial: until something is heard of it there is no other.
     pub fn try_again(&mut self, content: &Fingerprint, now: Instant) -> bool {
-        let Some(ends) = self.mine.get(content).copied() else {
+        let ends = self.ends.get(content).copied().unwrap_or(0);
+        if !self.mine.contains(content) {
             return false;
-        };
+        }
         let wait = HELD_FOR * LONGER.pow(u32::from(ends).saturating_sub(ENDS as u32));
         let is_due = |since: &Instant| now - *since >= wait;
         let is_over = |since: &Instant| now - *since >= TRIAL;
@@ -271,9 +274,24 @@
         may
     }
 
-    /// Returns the requests that are held back.
-    pub fn held(&self) -> impl ExactSizeIterator<Item = &Fingerprint> {
-        self.held.keys()
+    /// Returns the requests that are held back, since when, and how many targets are known
+    /// to have ended under each.
+    pub fn held(&self) -> impl ExactSizeIterator<Item = (&Fingerprint, Instant, u8)> {
+        let ends = |content| self.ends.get(content).copied().unwrap_or(0);
+        self.held
+            .iter()
+            .map(move |(content, since)| (content, *since, ends(content)))
+    }
+
+    /// Lets a request go by an operator's word, which counts as an answer of a target.
+    /// Returns whether it was held back.
+    pub fn let_go(&mut self, content: Fingerprint, now: Instant) -> bool {
+        let was_held = self.held.contains_key(&content);
+        if was_held {
+            self.answered.insert(content, now);
+            self.tell_cleared(content, now);
+        }
+        was_held
     }
 
     /// Decides anew, by what this node, `me`, and the `others` of a fleet of `nodes` tell;
@@ -305,7 +323,9 @@
         self.explain(&held, &told, &ends, now);
         let is_mine = |(_, told): &(&Fingerprint, &Told<'_>)| told.first == Some(me);
         let mine = told.iter().filter(is_mine);
-        self.mine = mine.map(|(content, told)| (*content, told.ends)).collect();
+        self.mine = mine.map(|(content, _)| *content).collect();
+        let with_ends = told.iter().map(|(content, told)| (*content, told.ends));
+        self.ends = with_ends.collect();
         self.suspects = ends.iter().flat_map(|end| end.all).copied().collect();
         self.forget(others, now);
         let is_news = self.own != self.told;
--- a/src/coordination/host.rs
+++ b/src/coordination/host.rs
@@ -37,7 +37,7 @@
     },
     id::{Instance, Name, Node},
     journal::note,
-    protocol::news::Seen,
+    protocol::{news::Seen, operator::Quarantined},
     state::{
         fingerprint::Fingerprint,
         member::{Member, Table},
@@ -512,6 +512,26 @@
         may
     }
 
+    /// Returns the requests that are held back.
+    pub fn held(&self) -> Vec<Quarantined> {
+        let now = Instant::now();
+        let quarantine = self.quarantine.lock();
+        let held = quarantine.held().map(|(content, since, ends)| Quarantined {
+            content: *content,
+            ends,
+            since_ms: Span::of(now - since).as_millis(),
+        });
+        held.collect()
+    }
+
+    /// Lets a request go at every node, by an operator's word; returns whether it was held
+    /// back here.
+    pub fn let_go(&self, content: Fingerprint) -> bool {
+        let was_held = self.quarantine.lock().let_go(content, Instant::now());
+        self.suspected.notify_one();
+        was_held
+    }
+
     /// Notes that it is known which requests are held back, and whether there is anything
     /// to look for.
     pub fn set_watching(&self, is_watching: bool) {
--- a/src/protocol/operator.rs
+++ b/src/protocol/operator.rs
@@ -10,6 +10,7 @@
     state::{
         change::{Anchor, Change},
         check::{Held, Problem},
+        fingerprint::Fingerprint,
         machine::{Outcome, Verdict},
         member::{Status, Target},
         selector::Labels,
@@ -17,6 +18,18 @@
     },
 };
 
+/// A request that is held back: the answer to `GET /held` of a node on the users' platform
+/// has one for each.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Quarantined {
+    /// What the request is.
+    pub content: Fingerprint,
+    /// Targets that ended under it, as far as the node knows.
+    pub ends: u8,
+    /// Since when the node holds it back, in milliseconds.
+    pub since_ms: u64,
+}
+
 /// The answer to `GET /status`.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Report {
--- a/src/state/fingerprint.rs
+++ b/src/state/fingerprint.rs
@@ -2,7 +2,7 @@
 
 use std::{fmt, str::FromStr};
 
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize, Serializer, de};
 
 /// Bytes of a fingerprint: wide enough that nobody can make two requests that share one,
 /// which takes some 2^64 tries.
@@ -25,8 +25,9 @@
 /// assert_ne!(Fingerprint::of(&[b"ab", b"c"]), Fingerprint::of(&[b"a", b"bc"]));
 /// assert_eq!(lookup("/card/7").to_string().parse(), Ok(lookup("/card/7")));
 /// ```
-#[derive(Clone, Copy, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
-#[serde(transparent)]
+///
+/// Messages for people have it as text, records and messages of nodes as bytes.
+#[derive(Clone, Copy, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct Fingerprint(u128);
 
 /// A text that is not a fingerprint.
@@ -72,6 +73,25 @@
     }
 }
 
+impl Serialize for Fingerprint {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        if serializer.is_human_readable() {
+            return serializer.collect_str(self);
+        }
+        self.0.serialize(serializer)
+    }
+}
+
+impl<'de> Deserialize<'de> for Fingerprint {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        if deserializer.is_human_readable() {
+            let text = String::deserialize(deserializer)?;
+            return text.parse().map_err(de::Error::custom);
+        }
+        u128::deserialize(deserializer).map(Self)
+    }
+}
+
 impl FromStr for Fingerprint {
     type Err = Error;
 
--- a/src/tool/mod.rs
+++ b/src/tool/mod.rs
@@ -18,6 +18,7 @@
     settings::{Security, Tls},
     state::{
         change::Op,
+        fingerprint::Fingerprint,
         machine::Verdict,
         resource::{Key, Resource},
         version::Version,
@@ -82,6 +83,8 @@
     History(HistoryJob),
     Rollback(Rollback),
     Recover(Recover),
+    Held(HeldJob),
+    LetGo(LetGoJob),
     Trace(TraceJob),
 }
 
@@ -220,6 +223,21 @@
 #[argh(subcommand, name = "recover")]
 struct Recover {}
 
+/// Show the requests that a node on the users' platform holds back; --daemon is its peers
+/// address.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "held")]
+struct HeldJob {}
+
+/// Let a request go that is held back, at every node.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "let-go")]
+struct LetGoJob {
+    /// its content, as `held` shows it
+    #[argh(positional)]
+    content: Fingerprint,
+}
+
 /// Runs the tool and returns its exit code.
 pub fn run(args: Args) -> ExitCode {
     let runtime = tokio::runtime::Builder::new_current_thread()
@@ -281,6 +299,11 @@
                 .await?;
             show::targets(&left, json)
         }
+        Job::Held(_) => show::held(&desk.get::<Vec<_>>("held").await?, json),
+        Job::LetGo(job) => {
+            let was_held: bool = desk.post("let-go", &job.content).await?;
+            show::let_go(&job.content, was_held)
+        }
         Job::History(_) => show::history(&desk.get("history").await?, json),
         Job::Rollback(job) => rollback(&desk, job).await,
         Job::Recover(_) => {
--- a/src/tool/show.rs
+++ b/src/tool/show.rs
@@ -6,9 +6,11 @@
 use crate::{
     files::{Difference, Files},
     id,
-    protocol::operator::{Convergence, Explanation, History, Published, Report},
-    state::{machine::Verdict, member::Target, resource::Key, version::Version},
-    tool::{Code, Done},
+    protocol::operator::{Convergence, Explanation, History, Published, Quarantined, Report},
+    state::{
+        fingerprint::Fingerprint, machine::Verdict, member::Target, resource::Key, version::Version,
+    },
+    tool::{Code, Done, Failure},
 };
 
 fn print_json(value: &impl Serialize) {
@@ -25,6 +27,36 @@
         .join(", ")
 }
 
+pub fn held(held: &[Quarantined], json: bool) -> Done {
+    if json {
+        print_json(&held);
+        return Ok(Code::Accepted);
+    }
+    for Quarantined {
+        content,
+        ends,
+        since_ms,
+    } in held
+    {
+        println!("{content}: {ends} targets ended under it, held back for {since_ms} ms");
+    }
+    if held.is_empty() {
+        println!("nothing is held back");
+    }
+    Ok(Code::Accepted)
+}
+
+pub fn let_go(content: &Fingerprint, was_held: bool) -> Done {
+    if !was_held {
+        return Err(Failure::new(
+            Code::Rejected,
+            format!("{content} is not held back here"),
+        ));
+    }
+    println!("{content} is let go; targets that end under it again hold it back again");
+    Ok(Code::Accepted)
+}
+
 pub fn status(report: &Report, json: bool) -> Done {
     if json {
         print_json(report);
--- a/src/transport/relay/control.rs
+++ b/src/transport/relay/control.rs
@@ -27,6 +27,7 @@
     event::Event,
     journal::note,
     protocol::announce::Message,
+    state::fingerprint::Fingerprint,
     transport::relay::{
         body::{self, Body, Read},
         plain,
@@ -71,6 +72,12 @@
 /// Where peers tell what they read.
 const NEWS: &str = "/news";
 
+/// Where operators ask what is held back.
+const HELD: &str = "/held";
+
+/// Where operators let a request go that is held back.
+const LET_GO: &str = "/let-go";
+
 /// Returns the way to ask other nodes.
 pub fn ask() -> Ask {
     let pool = Arc::new(Pool::new(POOL));
@@ -129,6 +136,8 @@
                 MEMBERS => members(&host, request.into_body()).await,
                 SEEN => Response::new(Body::whole(encode(&host.seen()))),
                 NEWS => news(&host, &ask, request.into_body()).await,
+                HELD => json(&host.held()),
+                LET_GO => let_go(&host, request.into_body()).await,
                 _ => plain(StatusCode::NOT_FOUND),
             }
         }
@@ -174,6 +183,22 @@
     }
 }
 
+async fn let_go(host: &Host, body: Body) -> Response<Body> {
+    let read = body::read(body, MAX_CALL, ANSWER).await;
+    let Ok(Read::Whole(bytes)) = read else {
+        return plain(StatusCode::BAD_REQUEST);
+    };
+    match serde_json::from_slice::<Fingerprint>(&bytes) {
+        Ok(content) => json(&host.let_go(content)),
+        Err(_) => plain(StatusCode::BAD_REQUEST),
+    }
+}
+
+fn json(value: &impl serde::Serialize) -> Response<Body> {
+    let body = serde_json::to_vec(value).expect("plain data always encodes");
+    acknowledged(body.into())
+}
+
 /// Returns the handler of readiness checks, whatever path they ask for.
 pub fn ready(host: Arc<Host>, phase: watch::Receiver<Phase>) -> Handler {
     Arc::new(move |_| {
--- a/src/transport/relay/pool.rs
+++ b/src/transport/relay/pool.rs
@@ -24,6 +24,10 @@
     io::{self, Idle, Io},
 };
 
+/// How long the system takes to close all that a process had open, with a margin: short
+/// against the wait of a request that broke off.
+const ENDING: Duration = Duration::from_millis(5);
+
 /// Connections to some addresses.
 pub struct Pool {
     settings: Settings,
@@ -201,14 +205,23 @@
 
     /// Returns whether nothing listens at `address` any more. Else the connection that was
     /// made to find out is kept for the next request.
+    ///
+    /// A process that ends loses its connections and its listener one after the other, so
+    /// one that still accepts is asked again if it closes the connection at once. Only a
+    /// refusal tells: targets that are full accept and close, too.
     pub async fn is_closed(&self, address: SocketAddr, deadline: Instant) -> bool {
-        match self.connect(address, deadline).await {
-            Ok(connection) => {
+        let mut made = self.connect(address, deadline).await;
+        if let Ok(connection) = made {
+            tokio::time::sleep(ENDING).await;
+            if io::look(&connection.stream) == Idle::Clean {
                 self.put_back(connection);
-                false
+                return false;
             }
+            made = self.connect(address, deadline).await;
+        }
+        match made {
             Err(Failure::NotSent(error)) => error.kind() == std::io::ErrorKind::ConnectionRefused,
-            Err(_) => false,
+            Ok(_) | Err(_) => false,
         }
     }
 
--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -182,6 +182,28 @@
         raw::until_closed((self.ip, TARGETS).into(), call.as_bytes()).await
     }
 
+    /// Returns the contents that it holds back, as an operator sees them.
+    pub async fn held(&self) -> Vec<String> {
+        let ask = "GET /held HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
+        let answer = raw::until_closed(self.peers(), ask.as_bytes()).await;
+        let (_, body) = answer.split_once("\r\n\r\n").unwrap_or_default();
+        let held: Vec<Value> = serde_json::from_str(body).unwrap();
+        let content = |held: &Value| held["content"].as_str().unwrap().to_owned();
+        held.iter().map(content).collect()
+    }
+
+    /// Lets a content go as an operator does; returns the status.
+    pub async fn let_go(&self, content: &str) -> String {
+        let body = format!("\"{content}\"");
+        let length = body.len();
+        let call = format!(
+            "POST /let-go HTTP/1.1\r\nhost: x\r\ncontent-length: {length}\r\n\
+             connection: close\r\n\r\n{body}"
+        );
+        let answer = raw::until_closed(self.peers(), call.as_bytes()).await;
+        answer.get(9..12).unwrap_or_default().to_owned()
+    }
+
     /// Sends a caller's request with a body; returns the answer.
     pub async fn ask(&self, method: &str, path: &str, id: &str, body: &str) -> String {
         self.ask_within(method, path, id, body, 60_000).await
@@ -204,6 +226,11 @@
         raw::until_closed((self.ip, CALLERS).into(), request.as_bytes()).await
     }
 
+    /// Returns where other nodes, and operators, ask it.
+    pub fn peers(&self) -> SocketAddr {
+        (self.ip, PEERS).into()
+    }
+
     /// Returns where other nodes send requests for its target.
     pub fn inbound(&self) -> SocketAddr {
         (self.ip, INBOUND).into()
--- a/standins/src/target.rs
+++ b/standins/src/target.rs
@@ -125,25 +125,28 @@
     }
 
     fn live(&self, socket: TcpListener) {
-        let (sender, life) = watch::channel(());
+        let (sender, mut ends) = watch::channel(());
         self.life.lock().current = Some(sender);
+        // Its listener closes before its connections do.
+        let (closing, closed) = watch::channel(());
         let target = self.clone();
         tokio::spawn(async move {
-            let mut ends = life.clone();
             loop {
                 let accepted = tokio::select! {
                     accepted = socket.accept() => accepted,
-                    _ = ends.changed() => return,
+                    _ = ends.changed() => break,
                 };
-                let Ok((stream, _)) = accepted else { return };
-                let (target, mut ends) = (target.clone(), life.clone());
+                let Ok((stream, _)) = accepted else { break };
+                let (target, mut closed) = (target.clone(), closed.clone());
                 tokio::spawn(async move {
                     tokio::select! {
                         _ = target.serve(stream) => {}
-                        _ = ends.changed() => {}
+                        _ = closed.changed() => {}
                     }
                 });
             }
+            drop(socket);
+            drop(closing);
         });
     }
 
@@ -183,7 +186,8 @@
             let fatal = self.fatal.lock().clone();
             if fatal.is_some_and(|part| seen.line.contains(&part)) {
                 self.end();
-                return None;
+                // Its connection closes with all others.
+                std::future::pending::<()>().await;
             }
             if mode == Mode::Hangs {
                 // Ends when its caller does.
--- a/standins/tests/fatal.rs
+++ b/standins/tests/fatal.rs
@@ -170,6 +170,23 @@
         fleet.check_held("after the store refused one").await;
     }
 
+    operator_sees_what_is_held_back_and_lets_it_go => {
+        let mut fleet = Fleet::start().await;
+        fleet.until_held().await;
+        let held = fleet.hosts[5].held().await;
+        let [content] = &held[..] else { panic!("{held:?}") };
+        for host in &fleet.hosts {
+            host.target.end_under("nothing");
+        }
+        assert_eq!(fleet.hosts[5].let_go("0123").await, "400");
+        assert_eq!(fleet.hosts[5].let_go(content).await, "200");
+        for host in &fleet.hosts {
+            until("it is let go", async || host.held().await.is_empty()).await;
+            let answer = host.ask("GET", FATAL, "mended", "").await;
+            assert_eq!(status(&answer), "200", "{answer}");
+        }
+    }
+
     target_that_breaks_off_and_is_there_speaks_against_no_request => {
         let fleet = Fleet::start().await;
         for host in &fleet.hosts {
