--- a/src/coordination/decision/quarantine/mod.rs
+++ b/src/coordination/decision/quarantine/mod.rs
@@ -49,15 +49,18 @@
 
 mod culprits;
 mod recent;
+mod words;
 
 use std::{
     collections::{BTreeMap, HashMap, HashSet, VecDeque},
     time::{Duration, Instant},
 };
 
+pub use self::words::Word;
 use self::{
     culprits::{ENDS, culprits},
     recent::Recent,
+    words::{Open, Told, all_ends, speaks_since, told},
 };
 use crate::{
     id::{Instance, Node},
@@ -143,17 +146,6 @@
     trials: HashMap<Fingerprint, Instant>,
 }
 
-/// What another node tells.
-#[derive(Clone, Copy, Debug)]
-pub struct Word<'a> {
-    /// The node.
-    pub node: &'a Node,
-    /// Whether it is there.
-    pub is_present: bool,
-    /// What it tells.
-    pub evidence: &'a Evidence,
-}
-
 /// What a review came to.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Review {
@@ -166,26 +158,6 @@
     pub is_news: bool,
 }
 
-/// An end as this node sees it.
-struct Open<'a> {
-    node: Option<&'a Node>,
-    instance: &'a Instance,
-    learned: Instant,
-    /// What it was running.
-    all: &'a [Fingerprint],
-    /// The same without what a target has answered since.
-    left: HashSet<Fingerprint>,
-}
-
-/// What all nodes together tell of a request that is held back.
-#[derive(Clone, Copy)]
-struct Told<'a> {
-    /// Targets that ended under it.
-    ends: u8,
-    /// The first by name of the nodes that tell so and are there.
-    first: Option<&'a Node>,
-}
-
 impl Quarantine {
     /// Returns what this node tells the others.
     pub fn evidence(&self) -> &Evidence {
@@ -573,43 +545,3 @@
         self.trials.retain(|content, _| held.contains_key(content));
     }
 }
-
-/// Returns the ends that this node and others tell; its own have no node.
-fn all_ends<'a>(
-    own: &'a Evidence,
-    others: &[Word<'a>],
-) -> impl Iterator<Item = (Option<&'a Node>, &'a End)> {
-    let theirs = others.iter().flat_map(|word| {
-        let node = word.node;
-        word.evidence.ends.iter().map(move |end| (Some(node), end))
-    });
-    own.ends.iter().map(|end| (None, end)).chain(theirs)
-}
-
-/// Returns since when so many ends speak against a request that it may be held back; an
-/// answer that came later speaks for it.
-fn speaks_since(ends: &[Open<'_>], content: &Fingerprint) -> Option<Instant> {
-    let with = ends.iter().filter(|end| end.all.contains(content));
-    let mut learned: Vec<Instant> = with.map(|end| end.learned).collect();
-    learned.sort_unstable();
-    learned.into_iter().rev().nth(ENDS - 1)
-}
-
-/// Returns what all nodes tell to be held back.
-fn told<'a>(me: &'a Node, own: &Evidence, others: &[Word<'a>]) -> HashMap<Fingerprint, Told<'a>> {
-    let own = own.held.iter().map(|held| (Some(me), held));
-    let theirs = others.iter().flat_map(|word| {
-        let node = Some(word.node).filter(|_| word.is_present);
-        word.evidence.held.iter().map(move |held| (node, held))
-    });
-    let mut told: HashMap<Fingerprint, Told<'a>> = HashMap::new();
-    for (node, held) in own.chain(theirs) {
-        let all = told.entry(held.content).or_insert(Told {
-            ends: 0,
-            first: None,
-        });
-        all.ends = all.ends.max(held.ends);
-        all.first = all.first.into_iter().chain(node).min();
-    }
-    told
-}
