--- a/src/transport/relay/egress.rs
+++ b/src/transport/relay/egress.rs
@@ -229,20 +229,16 @@
         let bytes = whole.as_ref().map_or(KEPT_BODY, Bytes::len);
         let content = content::fingerprint(&call.head, whole.as_deref());
         while tries.may_ask(&call.request(), Instant::now()) {
-            let trial = match self.host.is_held(&content) {
-                false => None,
-                true => match self.trial(call, &content, tries) {
-                    Some(trial) => Some(trial),
-                    None => {
-                        tries.note(Refusal::rejected(503, HELD_BACK));
-                        break;
-                    }
-                },
+            let is_held = self.host.is_held(&content);
+            let choice = match is_held {
+                true => self.trial(call, &content, tries),
+                false => self.choose(call, bytes, &tries.nodes),
             };
-            let is_trial = trial.is_some();
-            let choice = trial.or_else(|| self.choose(call, bytes, &tries.nodes));
             let Some(choice) = choice else {
-                self.note_no_target(call, tries);
+                match is_held {
+                    true => tries.note(Refusal::rejected(503, HELD_BACK)),
+                    false => self.note_no_target(call, tries),
+                }
                 break;
             };
             if !self.may_send(call, tries) {
@@ -256,7 +252,7 @@
                 },
             };
             tries.nodes.push(choice.member.node.clone());
-            let tried = self.try_one(call, &choice, body, tries, is_trial).await;
+            let tried = self.try_one(call, &choice, body, tries, is_held).await;
             if tries.arrivals == 0 && tried.has_arrived() {
                 let mut allowance = self.host.allowance.lock();
                 allowance.arrive(&call.service, Instant::now());
