--- a/src/event.rs
+++ b/src/event.rs
@@ -90,6 +90,7 @@
     411 Info  Shed: "A request was refused before the target saw it.";
     412 Warn  Misplaced: "A request came that this node's view doesn't allow here; it was refused.";
     413 Warn  CutShort: "A target ended midway through an answer; the caller is told by a broken body.";
+    414 Info  BodyTaken: "A request's body was taken in over the host's link, or could not be in time.";
     420 Info  KeyIssued: "Idempotency keys were issued.";
     421 Info  Replayed: "A keyed request came again and got the recorded answer.";
     422 Warn  KeyRefused: "A keyed request could not be run or replayed.";
--- a/src/transport/relay/ingress.rs
+++ b/src/transport/relay/ingress.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     coordination::{
-        decision::quarantine::HELD_BACK,
+        decision::{balance, quarantine::HELD_BACK},
         gate::{Arrival, LEAVING, MIN_RETRY_AFTER, NO_TARGET, Permit},
         host::Host,
         outflow::Leave,
@@ -513,16 +513,32 @@
             return Ok(Body::streamed(Default::default(), body, visit.deadline));
         }
         let is_offered = head.headers.contains_key(hyper::header::EXPECT);
+        let since = Instant::now();
+        let mut waited = Duration::ZERO;
         let read = async {
             let _room = match is_offered {
                 true => self.inflow.enter(length).await,
                 false => None,
             };
+            waited = since.elapsed();
             let left = visit.deadline.saturating_duration_since(Instant::now());
             body::read(body, KEPT_BODY, left).await
         };
         let refuse = |why: String| Refused::before(Refusal::not_run(why, Span::from_millis(100)));
-        match tokio::time::timeout_at(visit.deadline.into(), read).await {
+        let read = tokio::time::timeout_at(visit.deadline.into(), read).await;
+        if length.is_some_and(balance::is_large) {
+            note!(
+                self.host.journal,
+                Event::BodyTaken,
+                id = http::get(&head.headers, self.host.words.dialect.id.as_str()).unwrap_or("-"),
+                service = visit.service,
+                bytes = length.unwrap_or_default(),
+                waited = waited.as_millis(),
+                took = since.elapsed().as_millis(),
+                is_whole = matches!(read, Ok(Ok(Read::Whole(_)))),
+            );
+        }
+        match read {
             Ok(Ok(Read::Whole(bytes))) => Ok(Body::whole(bytes)),
             Ok(Ok(Read::Start(first, rest))) => Ok(Body::streamed(first, rest, visit.deadline)),
             Ok(Err(error)) => Err(refuse(error.to_string())),
