Stand-in fleet: a process starts again once the listeners of the one before have closed

A process that is stopped inside the test process leaves its control thread behind, whose listeners close a moment later; a real process ends with all of them. The stand-in now waits for that.

--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -11,8 +11,9 @@
 use rilltrack::{
     coordination::link::Words,
     document::Document,
-    host::{Process, Settings},
+    host::{self, Process, Settings},
     id::Instance,
+    transport,
 };
 use rilltrack_platform::{config, heartbeat, request, rollout, store};
 use serde_json::{Value, json};
@@ -95,8 +96,21 @@
             acknowledgement: heartbeat::ACKNOWLEDGEMENT.into(),
             dialect: request::dialect(),
         };
-        self.process =
-            Some(Process::start(settings, store::store(self.store.address), words).unwrap());
+        // A process that is stopped in here goes on for a moment with what holds nothing: its
+        // listeners for questions and metrics close once their thread sees that it ended.
+        let process = loop {
+            let store = store::store(self.store.address);
+            match Process::start(settings.clone(), store, words.clone()) {
+                Ok(process) => break process,
+                Err(host::Error::Transport(transport::Error::Listen { source, .. }))
+                    if source.kind() == std::io::ErrorKind::AddrInUse =>
+                {
+                    std::thread::sleep(std::time::Duration::from_millis(5));
+                }
+                Err(error) => panic!("{error}"),
+            }
+        };
+        self.process = Some(process);
     }
 
     /// Stops the process in good order.
