--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -1690,8 +1690,8 @@
     }
 
     bodies_come_in_as_far_as_the_link_has_room => {
-        // 150 ms of 10 Mbit/s are 183 KiB.
-        let thin = Inflow::new(10);
+        // 75 ms of 20 Mbit/s are 183 KiB.
+        let thin = Inflow::new(20);
         let first = thin.enter(Some(120 << 10)).await;
         assert!(thin.enter(Some(100 << 10)).now_or_never().is_none());
         assert!(thin.enter(None).now_or_never().is_none());
