An ended roll-out is told again where an earlier stage comes late

Cause: a node that was cut off may write a stage after another one has ended the roll-out. Those that know the end pass it over, but the store then has it as the newest, and whoever starts anew would read that: all requests to a release that was taken back, but for the gates beside its targets. Found by reading; the test fails without the change (no such method).

--- a/src/coordination/rollout/duty.rs
+++ b/src/coordination/rollout/duty.rs
@@ -41,6 +41,9 @@
 /// writes is known everywhere by then, and the others need not write it, too.
 const TURN: Duration = Duration::from_millis(500);
 
+/// How long a store that failed is waited for before it is asked again.
+const RELY: Duration = Duration::from_millis(400);
+
 /// How often a word is tried before the next look: others write at the same time at most
 /// once for each failure domain.
 const TRIES: usize = 8;
@@ -53,6 +56,13 @@
     loop {
         // The host outlives its duties.
         let _ = reading.wait_for(|reads| *reads).await;
+        for rollout in host.rollouts.overtaken() {
+            if let Err(error) = tell(&host, &store, &rollout).await {
+                note_down(&host, &error);
+                host.until_store_answers(RELY).await;
+                host.rollouts.retell(&rollout.service);
+            }
+        }
         let mut under_way = host.rollouts.known(Instant::now());
         under_way.retain(|(rollout, ..)| !rollout.stage.is_final());
         if under_way.is_empty() {
@@ -115,19 +125,23 @@
             old_slots = count.old_slots,
         ),
         Err(error) => {
-            let why = crate::logging::chain(&error);
-            note!(
-                host.journal,
-                Event::LogDown,
-                stream = "Rollouts",
-                write = true,
-                why = why
-            );
-            host.until_store_answers(LOOK * 4).await;
+            note_down(host, &error);
+            host.until_store_answers(RELY).await;
         }
     }
 }
 
+fn note_down(host: &Host, error: &Error) {
+    let why = crate::logging::chain(error);
+    note!(
+        host.journal,
+        Event::LogDown,
+        stream = "Rollouts",
+        write = true,
+        why = why
+    );
+}
+
 /// Returns how many failure domains act before this one.
 fn turn(host: &Host) -> u32 {
     let members = host.members.read();
@@ -161,13 +175,18 @@
         stage,
         ..rollout.clone()
     };
-    let record = rmp_serde::to_vec_named(&told).expect("plain data always encodes");
+    tell(host, store, &told).await?;
+    host.rollouts.take(told, Duration::ZERO, Instant::now());
+    Ok(stage)
+}
+
+/// Tells all nodes how far a roll-out has come.
+async fn tell(host: &Host, store: &Store, told: &Rollout) -> Result<(), Error> {
+    let record = rmp_serde::to_vec_named(told).expect("plain data always encodes");
     let since = Instant::now();
     let put = (store.put)(source::rollout_key(&told.service), record.into()).await;
     host.note_store("put", &put, Some(since.elapsed()));
-    put?;
-    host.rollouts.take(told, Duration::ZERO, Instant::now());
-    Ok(stage)
+    put
 }
 
 /// Writes the word on an order, unless a final one stands; returns the stage of the word
--- a/src/coordination/rollout/mod.rs
+++ b/src/coordination/rollout/mod.rs
@@ -72,6 +72,8 @@
     since: BTreeMap<Name, Since>,
     deal: Deal,
     usual: Usual,
+    /// Roll-outs that have ended, and of which an earlier stage was told afterwards.
+    overtaken: Vec<Name>,
     /// The trial of the target here.
     trial: Option<(u64, Instance, Trial)>,
 }
@@ -122,8 +124,16 @@
             return false;
         }
         let mut state = self.state.lock();
-        let (service, order) = (told.service.clone(), told.order);
+        let (service, order, stage) = (told.service.clone(), told.order, told.stage);
         if !state.book.merge(told) {
+            let held = state.book.get(&service);
+            let is_overtaken = held.is_some_and(|held| {
+                held.stage.is_final() && (order, stage) < (held.order, held.stage)
+            });
+            if is_overtaken && !state.overtaken.contains(&service) {
+                state.overtaken.push(service);
+                self.changed.notify_one();
+            }
             return false;
         }
         let held = state.since.get(&service).filter(|held| held.order == order);
@@ -147,6 +157,24 @@
         self.state.lock().book.iter().cloned().collect()
     }
 
+    /// Returns, once each, the roll-outs that have ended and of which an earlier stage was
+    /// told afterwards: a node that was cut off wrote late, and whoever starts anew would
+    /// read that last.
+    pub fn overtaken(&self) -> Vec<Rollout> {
+        let mut state = self.state.lock();
+        let services = std::mem::take(&mut state.overtaken);
+        let held = services
+            .iter()
+            .filter_map(|service| state.book.get(service));
+        held.cloned().collect()
+    }
+
+    /// Notes that the end of a roll-out is to be told again.
+    pub fn retell(&self, service: &Name) {
+        self.state.lock().overtaken.push(service.clone());
+        self.changed.notify_one();
+    }
+
     /// Returns the latest roll-outs, how long ago each was ordered, and how long it has been
     /// in its stage.
     pub fn known(&self, now: Instant) -> Vec<(Rollout, Duration, Duration)> {
--- a/tests/rollout.rs
+++ b/tests/rollout.rs
@@ -342,6 +342,19 @@
         }
     }
 
+    end_is_told_again_where_an_earlier_stage_is_told_late => {
+        let rollouts = Rollouts::new(Some(0.1));
+        let take = |order, stage| rollouts.take(rollout(order, stage), Duration::ZERO, Instant::now());
+        assert!(take(1, Stage::Moving) && !take(1, Stage::Trial) && rollouts.overtaken().is_empty());
+        assert!(take(1, Stage::RolledBack));
+        assert!(!take(1, Stage::RolledBack) && rollouts.overtaken().is_empty());
+        // Whoever starts anew would take this for the latest.
+        assert!(!take(1, Stage::Moving));
+        let stages: Vec<Stage> = rollouts.overtaken().iter().map(|r| r.stage).collect();
+        assert_eq!(stages, [Stage::RolledBack]);
+        assert!(rollouts.overtaken().is_empty(), "once");
+    }
+
     lanes_follow_the_stage => {
         let rollouts = Rollouts::new(Some(0.1));
         let (table, service, now) = (table(8, 8), name("a"), Instant::now());
