--- a/src/coordination/decision/mod.rs
+++ b/src/coordination/decision/mod.rs
@@ -6,7 +6,7 @@
 //!
 //! * [`queue`]: slots of a target, and those that wait for one;
 //! * [`balance`]: which node a request goes to;
-//! * [`line`]: which large bodies a host's link may carry;
+//! * [`mod@line`]: which large bodies a host's link may carry;
 //! * [`reach`]: which nodes can't be reached, and when they are tried again;
 //! * [`allowance`]: what may be sent again;
 //! * [`age`]: how long callers have been trying;
