--- a/tests/rollout.rs
+++ b/tests/rollout.rs
@@ -287,8 +287,8 @@
     release_that_is_bad_on_one_route_or_late_is_found => {
         let mut trial = Trial::default();
         // One answer of ten is on the route that it spoils, after a good start.
-        for i in 0..400 {
-            let is_spoiled = i % 10 == 0 && i > 100;
+        for i in 0..4_000 {
+            let is_spoiled = i % 10 == 0 && i > 3_000;
             let route = name(if i % 10 == 0 { "spoiled" } else { "fine" });
             trial.note(&route, 0.01, is_spoiled);
             if trial.verdict() == Some(true) {
