One copy of what the roll-outs and the link wrote again

Read once more: the target of a service beside a member, the verdict on an order, an order's case, the time of day, the refusal where no target is here, the spare time of a body (which the replay had written again) and the macro that names process tests each stood several times; tuples of an order and its ages are Known now; the node beside a target asked for its standing twice a request (three locks each), now once.

--- a/src/coordination/decision/balance.rs
+++ b/src/coordination/decision/balance.rs
@@ -367,8 +367,8 @@
         let is_large = is_large(wish.bytes) || is_large(answer);
         let means = if is_large { &self.hauls } else { &self.routes };
         let mean = means.get(wish.route).copied().unwrap_or(FIRST_MEAN);
-        let slots = member.targets.iter().find(|t| t.service == *wish.service);
-        let slots = f64::from(slots.map_or(1, |target| target.slots.max(1)));
+        let target = member.target(wish.service);
+        let slots = f64::from(target.map_or(1, |target| target.slots.max(1)));
         let peer = self.peer(member, now);
         let held = if member.node == *wish.node {
             wish.own.running + wish.own.waiting
--- a/src/coordination/decision/line.rs
+++ b/src/coordination/decision/line.rs
@@ -5,13 +5,23 @@
 //! that can't have passed in time behind those under way is turned away before its bytes go
 //! anywhere; one that is alone always passes, however thin the link.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
+
+use crate::coordination::decision::queue::Arrival;
 
 /// The part of the link that large bodies may take; the rest is for lookups, versions
 /// and heartbeats. Eight tenths, with every download begun, let more wait than it
 /// carried; shares other than these two were not measured (docs/POLICY.md).
 const SHARE: f64 = 0.9;
 
+/// Returns how long the body of a request may take to come, so that its run still ends in
+/// time: of a late one as much as its run takes, lest the link fill with what nobody waits
+/// for any more.
+pub fn spare(arrival: &Arrival, now: Instant) -> Duration {
+    let run = arrival.usual.unwrap_or_default();
+    arrival.due.saturating_duration_since(now + run).max(run)
+}
+
 /// One way of a link.
 #[derive(Clone, Debug)]
 pub struct Line {
--- a/src/coordination/decision/rollout/deal.rs
+++ b/src/coordination/decision/rollout/deal.rs
@@ -67,16 +67,14 @@
     let mut serving = 0;
     let mut new: Vec<(u64, &Arc<Member>)> = Vec::new();
     for member in offers {
-        let mut targets = member.targets.iter();
-        let Some(target) = targets.find(|target| target.service == rollout.service) else {
+        let Some(target) = member.target(&rollout.service) else {
             continue;
         };
         if target.release.as_ref() != Some(&rollout.to) {
             serving += 1;
             continue;
         }
-        let verdict = target.verdict.filter(|v| v.order == rollout.order);
-        let is_failing = verdict.is_some_and(|verdict| verdict.is_failing);
+        let is_failing = target.is_failing(rollout.order) == Some(true);
         if member.status == Status::Alive && !target.draining && !is_failing {
             let mark = format!("{} {}", member.node, rollout.order);
             new.push((xxh3_64(mark.as_bytes()), member));
--- a/src/coordination/gate.rs
+++ b/src/coordination/gate.rs
@@ -13,9 +13,9 @@
 use parking_lot::Mutex;
 use tokio::sync::oneshot;
 
-pub use crate::coordination::decision::queue::{Arrival, MIN_RETRY_AFTER};
+pub use crate::coordination::decision::queue::Arrival;
 use crate::{
-    coordination::decision::queue::{Entry, Place, Queue},
+    coordination::decision::queue::{Entry, MIN_RETRY_AFTER, Place, Queue},
     id::Instance,
     protocol::{
         answer::Refusal,
@@ -82,6 +82,11 @@
 /// The reason of a refusal for want of room.
 pub const FULL: &str = "target is full";
 
+/// Returns the refusal of a request for which no target is here.
+pub fn no_target() -> Refusal {
+    Bar::NoTarget.refusal()
+}
+
 impl Gate {
     /// Returns a gate with no target behind it.
     pub fn new() -> Self {
--- a/src/coordination/rollout/duty.rs
+++ b/src/coordination/rollout/duty.rs
@@ -17,6 +17,7 @@
         decision::rollout::judge::{self, Case, Count},
         host::Host,
         link::Store,
+        rollout::Known,
         source,
     },
     event::Event,
@@ -64,13 +65,13 @@
             }
         }
         let mut under_way = host.rollouts.known(Instant::now());
-        under_way.retain(|(rollout, ..)| !rollout.stage.is_final());
+        under_way.retain(|known| !known.rollout.stage.is_final());
         if under_way.is_empty() {
             host.rollouts.changed.notified().await;
             continue;
         }
-        for (rollout, age, in_stage) in under_way {
-            look(&host, &store, &mut wanted, &rollout, age, in_stage).await;
+        for known in under_way {
+            look(&host, &store, &mut wanted, &known).await;
         }
         tokio::time::sleep(LOOK).await;
     }
@@ -79,22 +80,10 @@
 /// Since when the next stage of each roll-out is due.
 type Wanted = BTreeMap<Name, (u64, Stage, Instant)>;
 
-async fn look(
-    host: &Arc<Host>,
-    store: &Store,
-    wanted: &mut Wanted,
-    rollout: &Rollout,
-    age: Duration,
-    in_stage: Duration,
-) {
-    let count = count(&host.members.read(), rollout);
-    let case = Case {
-        stage: rollout.stage,
-        age,
-        in_stage,
-        duration: rollout.duration.duration(),
-        count,
-    };
+async fn look(host: &Arc<Host>, store: &Store, wanted: &mut Wanted, known: &Known) {
+    let case = case(&host.members.read(), known);
+    let Case { age, count, .. } = case;
+    let rollout = &known.rollout;
     let Some((stage, why)) = judge::next(&case) else {
         return;
     };
@@ -229,21 +218,12 @@
 pub fn progress(host: &Host) -> Vec<Progress> {
     let now = Instant::now();
     let members = host.members.read();
-    let of = |(rollout, age, in_stage): (Rollout, Duration, Duration)| {
-        let case = Case {
-            stage: rollout.stage,
-            age,
-            in_stage,
-            duration: rollout.duration.duration(),
-            count: count(&members, &rollout),
-        };
-        Progress {
-            age_ms: Span::of(age).as_millis(),
-            waits_for: judge::waits_for(&case).into(),
-            decides: *host.reading().borrow(),
-            targets: tried(&members, &rollout),
-            rollout,
-        }
+    let of = |known: Known| Progress {
+        age_ms: Span::of(known.age).as_millis(),
+        waits_for: judge::waits_for(&case(&members, &known)).into(),
+        decides: *host.reading().borrow(),
+        targets: tried(&members, &known.rollout),
+        rollout: known.rollout,
     };
     host.rollouts.known(now).into_iter().map(of).collect()
 }
@@ -252,23 +232,32 @@
 fn tried(table: &Table, rollout: &Rollout) -> Vec<Tried> {
     let offers = table.offers(&rollout.service).iter();
     let new = offers.filter_map(|member| {
-        let mut targets = member.targets.iter();
-        let target = targets.find(|target| target.release.as_ref() == Some(&rollout.to))?;
-        let verdict = target.verdict.filter(|v| v.order == rollout.order);
-        Some(Tried {
+        let target = member.target(&rollout.service)?;
+        let is_new = target.release.as_ref() == Some(&rollout.to);
+        is_new.then(|| Tried {
             node: member.node.clone(),
-            is_failing: verdict.map(|verdict| verdict.is_failing),
+            is_failing: target.is_failing(rollout.order),
         })
     });
     new.collect()
 }
 
+/// Returns an order and how it stands.
+fn case(table: &Table, known: &Known) -> Case {
+    Case {
+        stage: known.rollout.stage,
+        age: known.age,
+        in_stage: known.in_stage,
+        duration: known.rollout.duration.duration(),
+        count: count(table, &known.rollout),
+    }
+}
+
 /// Counts the targets of an order's service.
 fn count(table: &Table, rollout: &Rollout) -> Count {
     let mut count = Count::default();
     for member in table.offers(&rollout.service) {
-        let mut targets = member.targets.iter();
-        let Some(target) = targets.find(|target| target.service == rollout.service) else {
+        let Some(target) = member.target(&rollout.service) else {
             continue;
         };
         let is_there = member.status == Status::Alive && !target.draining;
@@ -276,11 +265,10 @@
             count.old_slots += u32::from(is_there) * target.slots;
             continue;
         }
-        let verdict = target.verdict.filter(|v| v.order == rollout.order);
-        let is_failing = verdict.is_some_and(|verdict| verdict.is_failing);
-        count.failing += usize::from(is_failing);
+        let is_failing = target.is_failing(rollout.order);
+        count.failing += usize::from(is_failing == Some(true));
         count.new += usize::from(is_there);
-        count.passing += usize::from(is_there && verdict.is_some() && !is_failing);
+        count.passing += usize::from(is_there && is_failing == Some(false));
         count.new_slots += u32::from(is_there) * target.slots;
     }
     count
--- a/src/coordination/rollout/here.rs
+++ b/src/coordination/rollout/here.rs
@@ -7,6 +7,7 @@
     event::Event,
     journal::note,
     state::rollout::{Rollout, Standing},
+    unit::Span,
 };
 
 /// Takes in what became of orders for roll-outs.
@@ -68,9 +69,13 @@
     );
 }
 
+/// Returns the time of day in milliseconds since 1970; 0 of a clock that stands before that.
+pub fn time_of_day() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |since| Span::of(since).as_millis())
+}
+
 /// Returns how long ago a time of day was, in milliseconds since 1970.
 fn since(moment: u64) -> Duration {
-    let now = SystemTime::now().duration_since(UNIX_EPOCH);
-    let now = now.unwrap_or_default();
-    now.saturating_sub(Duration::from_millis(moment))
+    Duration::from_millis(time_of_day().saturating_sub(moment))
 }
--- a/src/coordination/rollout/mod.rs
+++ b/src/coordination/rollout/mod.rs
@@ -45,8 +45,7 @@
             Self::All => true,
             Self::Trial(nodes) => nodes.contains(&member.node),
             Self::Release(release) => {
-                let mut targets = member.targets.iter();
-                let target = targets.find(|target| target.service == *service);
+                let target = member.target(service);
                 let offered = target.and_then(|target| target.release.as_ref());
                 offered.is_none_or(|offered| offered == release)
             }
@@ -78,6 +77,25 @@
     trial: Option<(u64, Instance, Trial)>,
 }
 
+impl State {
+    /// Returns the roll-out in which a release of a service is being tried.
+    fn tried(&self, service: &Name) -> Option<&Rollout> {
+        let rollout = self.book.get(service);
+        rollout.filter(|rollout| matches!(rollout.stage, Stage::Trial | Stage::Moving))
+    }
+}
+
+/// A roll-out and how long it has been known.
+#[derive(Clone, Debug)]
+pub struct Known {
+    /// What became of the order.
+    pub rollout: Rollout,
+    /// How long ago it was given.
+    pub age: Duration,
+    /// How long it has been in its stage.
+    pub in_stage: Duration,
+}
+
 /// When a roll-out was heard of.
 #[derive(Clone, Copy, Debug)]
 struct Since {
@@ -175,13 +193,16 @@
         self.changed.notify_one();
     }
 
-    /// Returns the latest roll-outs, how long ago each was ordered, and how long it has been
-    /// in its stage.
-    pub fn known(&self, now: Instant) -> Vec<(Rollout, Duration, Duration)> {
+    /// Returns the latest roll-outs.
+    pub fn known(&self, now: Instant) -> Vec<Known> {
         let state = self.state.lock();
         let aged = state.book.iter().filter_map(|rollout| {
             let since = state.since.get(&rollout.service)?;
-            Some((rollout.clone(), now - since.ordered, now - since.stage))
+            Some(Known {
+                rollout: rollout.clone(),
+                age: now - since.ordered,
+                in_stage: now - since.stage,
+            })
         });
         aged.collect()
     }
@@ -250,11 +271,10 @@
         }
     }
 
-    /// Returns whether a new release has all requests of a service while its old targets
-    /// are still there.
-    pub fn is_moving(&self, service: &Name) -> bool {
-        let is_moving = |rollout: &Rollout| rollout.stage == Stage::Moving;
-        self.share.is_some() && self.state.lock().book.get(service).is_some_and(is_moving)
+    /// Returns whether a release of a service is being tried, with a share of its requests
+    /// or with all.
+    pub fn is_trying(&self, service: &Name) -> bool {
+        self.share.is_some() && self.state.lock().tried(service).is_some()
     }
 
     /// Returns the share of bad answers that this node sees on a route of the releases that
@@ -283,9 +303,7 @@
                 _ => Standing::Serves,
             };
         };
-        let is_failing = target
-            .verdict
-            .is_some_and(|verdict| verdict.order == rollout.order && verdict.is_failing);
+        let is_failing = target.is_failing(rollout.order) == Some(true);
         match rollout.standing(release) {
             _ if is_failing && *release == rollout.to && !rollout.stage.is_final() => {
                 Standing::Barred
@@ -306,9 +324,8 @@
     ) -> Option<(Verdict, (u32, u32))> {
         let release = target.release.as_ref().filter(|_| self.share.is_some())?;
         let mut state = self.state.lock();
-        let rollout = state.book.get(&target.service)?;
-        let is_tried = matches!(rollout.stage, Stage::Trial | Stage::Moving);
-        if !is_tried || *release != rollout.to {
+        let rollout = state.tried(&target.service)?;
+        if *release != rollout.to {
             return None;
         }
         let order = rollout.order;
--- a/src/coordination/source.rs
+++ b/src/coordination/source.rs
@@ -9,7 +9,7 @@
 use std::{
     net::SocketAddr,
     sync::Arc,
-    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+    time::{Duration, Instant},
 };
 
 use bytes::Bytes;
@@ -481,7 +481,7 @@
             to: order.to,
             duration: order.duration,
             stage: Stage::Ordered,
-            began: time_of_day(),
+            began: here::time_of_day(),
         })
     });
     let rollouts: Vec<Rollout> = decoded.collect();
@@ -489,13 +489,6 @@
     rollouts
 }
 
-/// Returns the time of day in milliseconds since 1970.
-fn time_of_day() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    // A clock before 1970 tells nothing.
-    since.map_or(0, |since| Span::of(since).as_millis())
-}
-
 /// The key of a roll-out among the members: no node's name has a slash.
 pub fn rollout_key(service: &Name) -> String {
     format!("rollout/{service}")
--- a/src/state/member.rs
+++ b/src/state/member.rs
@@ -85,6 +85,14 @@
     pub verdict: Option<Verdict>,
 }
 
+impl Target {
+    /// Returns whether it fails on the trial of an order, if that is known.
+    pub fn is_failing(&self, order: u64) -> Option<bool> {
+        let verdict = self.verdict.filter(|verdict| verdict.order == order);
+        verdict.map(|verdict| verdict.is_failing)
+    }
+}
+
 /// How a target of a release on trial did.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Verdict {
@@ -100,6 +108,11 @@
         (self.incarnation, self.sequence, self.status)
     }
 
+    /// Returns the target of a service beside it, if there is one.
+    pub fn target(&self, service: &Name) -> Option<&Target> {
+        self.targets.iter().find(|t| t.service == *service)
+    }
+
     fn mark(&self) -> u32 {
         let (incarnation, sequence, status) = self.stamp();
         xxh3_64(format!("{} {incarnation} {sequence} {status:?}", self.node).as_bytes()) as u32
--- a/src/transport/inbound.rs
+++ b/src/transport/inbound.rs
@@ -142,7 +142,7 @@
 
     fn target(&self, service: &Name) -> Result<Target, Refusal> {
         let me = self.node.me();
-        let found = me.targets.iter().find(|target| target.service == *service);
+        let found = me.target(service);
         let leaving = me.status == Status::Leaving || self.node.is_stopping();
         match found {
             Some(target) if !target.draining && !leaving => Ok(target.clone()),
--- a/src/transport/relay/egress.rs
+++ b/src/transport/relay/egress.rs
@@ -321,8 +321,7 @@
         usual: Option<Duration>,
         ran: Option<Duration>,
     ) {
-        let mut targets = member.targets.iter();
-        let target = targets.find(|target| target.service == call.service);
+        let target = member.target(&call.service);
         let answer = match tried {
             Tried::Answered(response) => Some(Answer {
                 route: &call.route.name,
--- a/src/transport/relay/ingress.rs
+++ b/src/transport/relay/ingress.rs
@@ -10,9 +10,9 @@
 
 use crate::{
     coordination::{
-        decision::{balance, quarantine::HELD_BACK},
+        decision::{balance, line, quarantine::HELD_BACK},
         flow::Counted,
-        gate::{Arrival, LEAVING, MIN_RETRY_AFTER, NO_TARGET, Permit},
+        gate::{self, Arrival, LEAVING, NO_TARGET, Permit},
         host::Host,
         rollout::{Answer, here},
     },
@@ -166,10 +166,7 @@
         }
         if here::standing(&self.host) == Standing::Barred {
             // Its release is not ordered, or was taken back, or it fails on trial.
-            return Err(Refused::before(Refusal::not_run(
-                NO_TARGET,
-                MIN_RETRY_AFTER,
-            )));
+            return Err(Refused::before(gate::no_target()));
         }
         let id = head.headers.get(&self.host.words.dialect.id);
         let since = Instant::now();
@@ -224,9 +221,7 @@
 
     /// Weighs an answer of the target, where its release is on trial.
     fn weigh(&self, visit: &Visit, head: &request::Parts, is_fault: bool, ran: Duration) {
-        if here::standing(&self.host) != Standing::Trial
-            && !self.host.rollouts.is_moving(&visit.service)
-        {
+        if !self.host.rollouts.is_trying(&visit.service) {
             return;
         }
         let routes = self.host.routes();
@@ -525,11 +520,8 @@
         }
         let arrival = &visit.arrival;
         self.host.gate.check(arrival).map_err(Refused::before)?;
-        let run = arrival.usual.unwrap_or_default();
-        let spare = arrival.due.saturating_duration_since(Instant::now() + run);
-        // Of a late one as much as its run takes, lest the link fill with what nobody waits
-        // for any more.
-        let counted = self.inflow.count_in(length, spare.max(run));
+        let spare = line::spare(arrival, Instant::now());
+        let counted = self.inflow.count_in(length, spare);
         let refused = |wait| Refused::before(Refusal::not_run(LINK_FULL, Span::of(wait)));
         let _counted = counted.map_err(refused)?;
         self.body(visit, head, body).await
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -24,3 +24,11 @@
         tokio::time::sleep(Duration::from_millis(10)).await;
     }
 }
+
+/// Names each case: a test over processes, on several threads.
+#[macro_export]
+macro_rules! cases {
+    ($($name:ident => $body:block)*) => {
+        $(#[tokio::test(flavor = "multi_thread")] async fn $name() $body)*
+    };
+}
--- a/standins/src/load/model.rs
+++ b/standins/src/load/model.rs
@@ -9,6 +9,7 @@
 use rilltrack::{
     coordination::decision::{
         balance::{End, Report, Wish, is_large},
+        line,
         queue::{Arrival, Entry, Place},
         tries::{self, Ended, Tries},
     },
@@ -304,9 +305,7 @@
         if !host.queue.has_place(&arrival, now) {
             return self.refuse(request);
         }
-        let run = arrival.usual.unwrap_or_default();
-        let spare = arrival.due.saturating_duration_since(now + run).max(run);
-        match host.line.count_in(body, spare) {
+        match host.line.count_in(body, line::spare(&arrival, now)) {
             Ok(()) => self.cross(request),
             Err(wait) => {
                 let refusal = Refusal::not_run("the link has no room", Span::of(wait));
--- a/standins/tests/fatal.rs
+++ b/standins/tests/fatal.rs
@@ -17,18 +17,13 @@
 
 use rilltrack::coordination::decision::quarantine::HELD_BACK;
 use rilltrack_standins::{
+    cases,
     fleet::{Host, version},
     store::{Mode as StoreMode, Store},
     target::Mode,
     until,
 };
 
-macro_rules! cases {
-    ($($name:ident => $body:block)*) => {
-        $(#[tokio::test(flavor = "multi_thread")] async fn $name() $body)*
-    };
-}
-
 /// The path of the requests that end targets.
 const FATAL: &str = "/get/a/fatal";
 
--- a/standins/tests/rollout.rs
+++ b/standins/tests/rollout.rs
@@ -4,18 +4,13 @@
 use std::time::Duration;
 
 use rilltrack_standins::{
+    cases,
     fleet::{Host, version},
     store::{Mode as StoreMode, Store},
     target::Mode,
     until,
 };
 
-macro_rules! cases {
-    ($($name:ident => $body:block)*) => {
-        $(#[tokio::test(flavor = "multi_thread")] async fn $name() $body)*
-    };
-}
-
 /// Requests between two heartbeats of every target: a fraction of a second's.
 const HEARTBEAT: usize = 60;
 
--- a/standins/tests/whole_path.rs
+++ b/standins/tests/whole_path.rs
@@ -2,6 +2,7 @@
 //! processes, each with its own listeners.
 
 use rilltrack_standins::{
+    cases,
     fleet::{Host, ready, version},
     raw,
     store::{Mode as StoreMode, Store},
@@ -9,12 +10,6 @@
     until,
 };
 
-macro_rules! cases {
-    ($($name:ident => $body:block)*) => {
-        $(#[tokio::test(flavor = "multi_thread")] async fn $name() $body)*
-    };
-}
-
 /// Two hosts in one failure domain and their store: `one` has a target of
 /// service a, `two` one of `service`.
 async fn pair(service: &str) -> (Store, Host, Host) {
