Sight: what is sent again for a service, and what calls of repeats add to it

A node tells the next one whether a target has seen a request before, the gate counts which of the runs under way are such repeats, and a first send is noted as a call of a repeat as likely as they are (E408, fleet by summing over nodes). No decision depends on it yet.

Tried first and not kept: passing the share on with first sends, too.

The replay counts what comes to targets more than once, with calls of runs that were repeats.

--- a/src/coordination/decision/allowance.rs
+++ b/src/coordination/decision/allowance.rs
@@ -37,6 +37,14 @@
     pub window: Duration,
 }
 
+impl Rule {
+    /// Returns the further sends that a node's `requests` allow it, with its part of the
+    /// slack.
+    fn allowed(&self, requests: f64, nodes: usize) -> f64 {
+        self.ratio * requests + self.slack / nodes.max(1) as f64
+    }
+}
+
 /// What this node sent, for each service.
 ///
 /// # Example
@@ -71,6 +79,25 @@
     again: u32,
     /// Of those, requests that may have run before.
     repeated: u32,
+    /// First sends that are calls of repeats, as far as the runs tell.
+    carried: f64,
+}
+
+/// What was sent for one service within the window, and what may be sent again.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Used {
+    /// Requests: first sends.
+    pub first: u32,
+    /// Of those, requests that a target has seen.
+    pub arrived: u32,
+    /// Further sends.
+    pub again: u32,
+    /// Of those, requests that may have run before.
+    pub repeated: u32,
+    /// First sends that are calls of repeats, as far as the runs tell.
+    pub carried: f64,
+    /// Further arrivals that the fleet's rule allows for this node's requests.
+    pub allowed: f64,
 }
 
 /// What a request that is sent again did before.
@@ -96,9 +123,12 @@
         self.rule = rule;
     }
 
-    /// Notes the first send of a request for `service`.
-    pub fn earn(&mut self, service: &Name, now: Instant) {
-        self.step(service, now).first += 1;
+    /// Notes the first send of a request for `service`; `carried` is how likely it is a call
+    /// of a run that is a repeat.
+    pub fn earn(&mut self, service: &Name, carried: f64, now: Instant) {
+        let step = self.step(service, now);
+        step.first += 1;
+        step.carried += carried;
     }
 
     /// Notes that a target has seen a request for `service` for the first time.
@@ -126,8 +156,7 @@
                 .filter(|step| now - step.begins <= self.rule.window);
             f64::from(within.map(of).sum::<u32>())
         };
-        let allowed =
-            |requests: f64| self.rule.ratio * requests + self.rule.slack / nodes.max(1) as f64;
+        let allowed = |requests| self.rule.allowed(requests, nodes);
         let first = earned(|step| step.first);
         let arrived = earned(|step| step.arrived);
         let has_room = sum(|step| step.again) + 1.0 <= USED * allowed(first);
@@ -142,6 +171,29 @@
         is_left
     }
 
+    /// Returns what was sent within the window, for each service of which something was
+    /// sent again. `nodes` is the size of the fleet.
+    pub fn used(&mut self, nodes: usize, now: Instant) -> Vec<(Name, Used)> {
+        let services: Vec<Name> = self.services.keys().cloned().collect();
+        let used = services.into_iter().filter_map(|service| {
+            self.step(&service, now);
+            let steps = &self.services[&service];
+            let sum = |of: fn(&Step) -> u32| steps.iter().map(of).sum::<u32>();
+            let first = sum(|step| step.first);
+            let carried = steps.iter().map(|step| step.carried).sum();
+            let used = Used {
+                first,
+                arrived: sum(|step| step.arrived),
+                again: sum(|step| step.again),
+                repeated: sum(|step| step.repeated),
+                carried,
+                allowed: self.rule.allowed(f64::from(first), nodes),
+            };
+            (used.again > 0 || carried > 0.0).then_some((service, used))
+        });
+        used.collect()
+    }
+
     /// Returns the step of now, forgetting those that are out of the window.
     fn step(&mut self, service: &Name, now: Instant) -> &mut Step {
         let length = self.rule.window / STEPS;
@@ -157,6 +209,7 @@
                 arrived: 0,
                 again: 0,
                 repeated: 0,
+                carried: 0.0,
             });
         }
         steps.back_mut().expect("just pushed")
--- a/src/coordination/decision/mod.rs
+++ b/src/coordination/decision/mod.rs
@@ -9,6 +9,7 @@
 //! * [`mod@line`]: which large bodies a host's link may carry;
 //! * [`reach`]: which nodes can't be reached, and when they are tried again;
 //! * [`allowance`]: what may be sent again;
+//! * [`runs`]: which part of what a target runs was sent before;
 //! * [`age`]: how long callers have been trying;
 //! * [`tries`]: how often a request is tried, and what its caller is told;
 //! * [`quarantine`]: which requests are held back because targets end under them;
@@ -23,5 +24,6 @@
 pub mod queue;
 pub mod reach;
 pub mod rollout;
+pub mod runs;
 pub mod split;
 pub mod tries;
--- a/src/coordination/decision/tries.rs
+++ b/src/coordination/decision/tries.rs
@@ -64,6 +64,8 @@
     pub priority: u8,
     /// Targets that may see it.
     pub attempts: u32,
+    /// How likely it is a call of a run that is a repeat.
+    pub carried: f64,
     /// When it should be answered, counted from its caller's first try.
     pub due: Instant,
     /// When its caller has no more use for an answer.
@@ -125,7 +127,7 @@
     ) -> bool {
         if self.arrivals == 0 {
             if self.nodes.is_empty() {
-                allowance.earn(request.service, now);
+                allowance.earn(request.service, request.carried, now);
             }
             return true;
         }
--- a/src/coordination/gate.rs
+++ b/src/coordination/gate.rs
@@ -15,7 +15,10 @@
 
 pub use crate::coordination::decision::queue::Arrival;
 use crate::{
-    coordination::decision::queue::{Entry, MIN_RETRY_AFTER, Place, Queue},
+    coordination::decision::{
+        queue::{Entry, MIN_RETRY_AFTER, Place, Queue},
+        runs::Runs,
+    },
     id::Instance,
     protocol::{
         answer::Refusal,
@@ -46,6 +49,8 @@
     /// The target as it is now.
     pub target: Target,
     since: Instant,
+    /// Whether the run is a repeat, once it has begun.
+    is_again: Option<bool>,
 }
 
 #[derive(Default)]
@@ -54,6 +59,7 @@
     closed: bool,
     /// What waits is woken with the sender; dropped, it turns its task away.
     queue: Queue<oneshot::Sender<()>>,
+    runs: Runs,
 }
 
 /// Why a request may not enter now.
@@ -142,6 +148,11 @@
         self.state.lock().queue.pace()
     }
 
+    /// Returns the part of the runs under way that are repeats.
+    pub fn repeats(&self) -> f64 {
+        self.state.lock().runs.repeats()
+    }
+
     /// Waits for leave to send one request to the target.
     ///
     /// # Errors
@@ -214,6 +225,7 @@
             gate: self.clone(),
             target: state.target.clone().expect("checked by `bar`"),
             since: Instant::now(),
+            is_again: None,
         }
     }
 
@@ -273,8 +285,19 @@
     }
 }
 
+impl Permit {
+    /// Notes that the request goes to the target now, and whether one has seen it before.
+    pub fn begin(&mut self, is_again: bool) {
+        self.gate.state.lock().runs.start(is_again);
+        self.is_again = Some(is_again);
+    }
+}
+
 impl Drop for Permit {
     fn drop(&mut self) {
+        if let Some(is_again) = self.is_again {
+            self.gate.state.lock().runs.end(is_again);
+        }
         self.gate.leave(Some(self.since.elapsed()));
     }
 }
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -237,6 +237,7 @@
         loop {
             tokio::time::sleep(TIDY).await;
             egress.tidy();
+            egress.note_sent_again();
             ingress.tidy();
         }
     });
--- a/src/protocol/hop.rs
+++ b/src/protocol/hop.rs
@@ -7,7 +7,7 @@
 //! ```
 //! use rilltrack::protocol::hop::{Ask, Told};
 //!
-//! let ask: Ask = "n-7;ledger;1;300;1200;2500;340;0;4".parse()?;
+//! let ask: Ask = "n-7;ledger;1;300;1200;2500;340;0;4;1".parse()?;
 //! assert_eq!((ask.to.as_str(), ask.usual.unwrap().as_millis()), ("n-7", 340));
 //! let told: Told = "not-run;0;83/152;12,3,12;0.85;;250;target is full".parse()?;
 //! assert_eq!((told.version, told.reason.as_str()), (83, "target is full"));
@@ -50,6 +50,8 @@
     /// How many of 1,000 answers on its route the sender sees to be bad, of the release
     /// that serves.
     pub faults: u16,
+    /// Whether a target has seen it before.
+    pub is_again: bool,
 }
 
 /// What a node tells with an answer or a refusal.
@@ -93,7 +95,13 @@
             self.priority
         )?;
         write_span(f, self.usual)?;
-        write!(f, ";{};{}", self.answer, self.faults)
+        write!(
+            f,
+            ";{};{};{}",
+            self.answer,
+            self.faults,
+            u8::from(self.is_again)
+        )
     }
 }
 
@@ -116,6 +124,7 @@
             usual,
             answer,
             faults,
+            is_again,
         ] = fields[..]
         else {
             return Err(fault());
@@ -131,6 +140,7 @@
             usual: parse_span(usual).ok_or_else(fault)?,
             answer: answer.parse().map_err(|_| fault())?,
             faults: faults.parse().map_err(|_| fault())?,
+            is_again: parse_flag(is_again).ok_or_else(fault)?,
         })
     }
 }
@@ -170,7 +180,7 @@
         let (version, members) = seen.split_once('/').ok_or_else(fault)?;
         Ok(Self {
             outcome: outcome.parse().map_err(|_| fault())?,
-            arrived: arrived == "1",
+            arrived: parse_flag(arrived).ok_or_else(fault)?,
             version: version.parse().map_err(|_| fault())?,
             members: members.parse().map_err(|_| fault())?,
             load: load.parse().map_err(|_| fault())?,
@@ -197,3 +207,11 @@
     let millis = text.parse().ok()?;
     Some(Some(Span::from_millis(millis)))
 }
+
+fn parse_flag(text: &str) -> Option<bool> {
+    match text {
+        "0" => Some(false),
+        "1" => Some(true),
+        _ => None,
+    }
+}
--- a/src/transport/relay/egress.rs
+++ b/src/transport/relay/egress.rs
@@ -65,6 +65,8 @@
     pub service: Name,
     /// When it came.
     pub arrived: Instant,
+    /// How likely a run of the target here that is a repeat sent it.
+    pub carried: f64,
     /// When it should be answered, counted from its caller's first try.
     pub due: Instant,
     /// When its caller, or its route, has no more use for an answer.
@@ -81,6 +83,7 @@
             kind: self.route.kind,
             priority: self.route.priority,
             attempts: self.route.attempts,
+            carried: self.carried,
             due: self.due,
             deadline: self.deadline,
         }
@@ -107,6 +110,28 @@
         })
     }
 
+    /// Writes down what was sent again for each service.
+    pub fn note_sent_again(&self) {
+        let used = self
+            .host
+            .allowance
+            .lock()
+            .used(self.host.nodes(), Instant::now());
+        for (service, used) in used {
+            note!(
+                self.host.journal,
+                Event::SentAgain,
+                service = service,
+                first = used.first,
+                arrived = used.arrived,
+                again = used.again,
+                repeated = used.repeated,
+                carried = format_args!("{:.1}", used.carried),
+                allowed = format_args!("{:.1}", used.allowed),
+            );
+        }
+    }
+
     /// Closes connections that were unused for long, and forgets nodes that have left
     /// and routes that are gone.
     pub fn tidy(&self) {
@@ -178,6 +203,7 @@
             route,
             service,
             arrived,
+            carried: self.host.gate.repeats(),
             // A clock that began later than that: it is late all the same.
             due: due.unwrap_or(arrived),
             deadline: arrived + left.duration(),
@@ -419,6 +445,7 @@
             answer,
             deadline: call.deadline,
             is_trial,
+            is_again: tries.arrivals > 0,
             faults: (self.host.rollouts.usual(&call.route.name) * 1000.0) as u16,
         };
         let is_large = body.length().is_none_or(balance::is_large);
--- a/src/transport/relay/ingress.rs
+++ b/src/transport/relay/ingress.rs
@@ -78,6 +78,8 @@
     pub is_trial: bool,
     /// How many of 1,000 answers on its route its sender sees to be bad.
     pub faults: u16,
+    /// Whether a target has seen it before.
+    pub is_again: bool,
 }
 
 /// Why there is no answer of the target.
@@ -174,7 +176,7 @@
         let body = self.body_first(visit, head, body).await?;
         let entered = self.host.gate.enter(visit.arrival).await;
         self.note(id, visit, since, &entered);
-        let permit = entered.map_err(Refused::before)?;
+        let mut permit = entered.map_err(Refused::before)?;
         let body = self.body(visit, head, body).await?;
         let run = Run {
             head,
@@ -187,6 +189,7 @@
             return Err(Refused::before(Refusal::rejected(503, HELD_BACK)));
         }
         let request = self.request(visit, &permit, head, body);
+        permit.begin(visit.is_again);
         let sent = self
             .pool
             .send(permit.target.address, request, visit.deadline)
@@ -597,6 +600,7 @@
             deadline: now + ask.deadline.duration(),
             is_trial: false,
             faults: ask.faults,
+            is_again: ask.is_again,
         })
     }
 }
--- a/src/transport/relay/next.rs
+++ b/src/transport/relay/next.rs
@@ -204,6 +204,7 @@
             usual: visit.arrival.usual.map(Span::of),
             answer: visit.answer,
             faults: visit.faults,
+            is_again: visit.is_again,
         };
         http::set(request.headers_mut(), hop::HEADER, ask);
         request
--- a/standins/src/load/figures.rs
+++ b/standins/src/load/figures.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use rilltrack::coordination::decision::allowance::Rule;
+
 /// What became of the requests of one replay.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Figures {
@@ -11,6 +13,17 @@
     pub runs: Vec<Vec<u32>>,
     /// Sends to targets beyond the first of each request, by service.
     pub repeats: Vec<u32>,
+    /// What was asked of each service, and what its targets saw more than once.
+    pub arrivals: Vec<Arrivals>,
+}
+
+/// What was asked of a service and what came to its targets, by time from the start.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Arrivals {
+    /// Requests, a caller's own retries among them.
+    pub requests: Vec<Duration>,
+    /// Arrivals beyond the first of each request, with all calls of runs that were repeats.
+    pub further: Vec<Duration>,
 }
 
 /// What became of the requests of one kind.
@@ -55,6 +68,29 @@
     }
 }
 
+impl Arrivals {
+    /// Returns the further arrivals in the worst window, and what `rule` allows there: a share
+    /// of the requests in that window or the one before it.
+    pub fn worst(&self, rule: Rule) -> (usize, f64) {
+        let within = |times: &[Duration], from: Duration, until: Duration| {
+            let before = |end| times.partition_point(|at| *at < end);
+            before(until) - before(from)
+        };
+        let worst = self.further.iter().map(|from| {
+            let until = *from + rule.window;
+            let former = from.saturating_sub(rule.window);
+            let requests =
+                within(&self.requests, *from, until).max(within(&self.requests, former, *from));
+            let allowed = rule.ratio * requests as f64 + rule.slack;
+            (within(&self.further, *from, until), allowed)
+        });
+        let part = |(further, allowed): &(usize, f64)| *further as f64 / allowed;
+        worst
+            .max_by(|a, b| part(a).total_cmp(&part(b)))
+            .unwrap_or((0, rule.slack))
+    }
+}
+
 impl Count {
     /// Returns the part of the requests for which `count` stands.
     pub fn share(&self, count: u32) -> f64 {
--- a/standins/src/load/fleet.rs
+++ b/standins/src/load/fleet.rs
@@ -8,11 +8,7 @@
 
 use rilltrack::{
     coordination::decision::{
-        age::Ages,
-        allowance::{Allowance, Rule},
-        balance::Balance,
-        line::Line,
-        queue::Queue,
+        age::Ages, allowance::Allowance, balance::Balance, line::Line, queue::Queue, runs::Runs,
     },
     id::{Incarnation, Name},
     state::{
@@ -33,6 +29,7 @@
     pub speed: f64,
     pub balance: Balance,
     pub queue: Queue<usize>,
+    pub runs: Runs,
     pub line: Line,
     /// When its link has carried all that was let in, from the start of the load.
     pub free: Duration,
@@ -47,18 +44,11 @@
     pub services: Vec<Name>,
 }
 
-/// The window of what may be sent again.
-const RESEND_WINDOW: Duration = Duration::from_secs(10);
-
 impl Fleet {
     pub fn new(load: &Load) -> Self {
         let domains: Vec<_> = (0..load.domains).map(|i| name("d", i)).collect();
         let services: Vec<_> = (0..load.services.len()).map(|i| name("s", i)).collect();
-        let rule = Rule {
-            ratio: load.resend_ratio,
-            slack: load.resend_slack,
-            window: RESEND_WINDOW,
-        };
+        let rule = load.rule();
         let mut hosts = Vec::new();
         let mut table = Table::default();
         for (service, of) in load.services.iter().enumerate() {
@@ -78,6 +68,7 @@
                     speed: of.speeds[(index / load.domains) % of.speeds.len()],
                     balance: Balance::default(),
                     queue,
+                    runs: Runs::default(),
                     line: Line::new(of.bandwidth),
                     free: Duration::ZERO,
                     allowance: Allowance::new(rule),
--- a/standins/src/load/mod.rs
+++ b/standins/src/load/mod.rs
@@ -34,11 +34,14 @@
 
 use std::{ops::Range, time::Duration};
 
-use rilltrack::state::routing;
+use rilltrack::{coordination::decision::allowance::Rule, state::routing};
 
-pub use figures::{Count, Figures, Took};
+pub use figures::{Arrivals, Count, Figures, Took};
 pub use file::Experiment;
 
+/// The window of what may be sent again.
+const RESEND_WINDOW: Duration = Duration::from_secs(10);
+
 /// What is replayed.
 #[derive(Clone, Debug)]
 pub struct Load {
@@ -159,6 +162,17 @@
     Slows(f64),
 }
 
+impl Load {
+    /// Returns what the fleet may send again.
+    pub fn rule(&self) -> Rule {
+        Rule {
+            ratio: self.resend_ratio,
+            slack: self.resend_slack,
+            window: RESEND_WINDOW,
+        }
+    }
+}
+
 impl Default for Load {
     fn default() -> Self {
         Self {
--- a/standins/src/load/model.rs
+++ b/standins/src/load/model.rs
@@ -79,6 +79,10 @@
     /// Tries of the caller that are left.
     retries: u32,
     parent: Option<usize>,
+    /// Whether it is a call of a run that is itself a repeat.
+    is_call_of_repeat: bool,
+    /// How likely that is, as far as its node can tell.
+    carried: f64,
     /// The host that was chosen last.
     at: usize,
     /// The try that is under way, counted over all returns.
@@ -91,6 +95,13 @@
     outcome: Option<(Ended<bool>, Report)>,
 }
 
+impl Request {
+    /// Returns whether its run at the host that was chosen last is a repeat.
+    fn is_repeat(&self) -> bool {
+        self.is_call_of_repeat || self.tries.arrivals > 0
+    }
+}
+
 impl<'a> Model<'a> {
     pub fn new(load: &'a Load, seed: u64) -> Self {
         // The decisions draw from the generator of their thread.
@@ -101,6 +112,9 @@
             .resize_with(load.kinds.len(), Default::default);
         figures.runs = load.services.iter().map(|s| vec![0; s.targets]).collect();
         figures.repeats = vec![0; load.services.len()];
+        figures
+            .arrivals
+            .resize_with(load.services.len(), Default::default);
         let route = |number| format!("r{number}").parse().expect("a letter and a number");
         Self {
             load,
@@ -180,6 +194,8 @@
             tries: Tries::default(),
             retries: if parent.is_some() { 0 } else { of.retries },
             parent,
+            is_call_of_repeat: parent.is_some_and(|parent| self.requests[parent].is_repeat()),
+            carried: 0.0,
             at: home,
             count: 0,
             sent: self.now,
@@ -208,7 +224,9 @@
         let age = ages.note(&self.routes[held.kind], left);
         held.due = (now + of.objective).checked_sub(age).unwrap_or(now);
         held.begun = self.now;
+        held.carried = self.fleet.hosts[held.home].runs.repeats();
         held.tries = Tries::default();
+        self.figures.arrivals[of.service].requests.push(self.now);
         self.ask(request);
     }
 
@@ -268,6 +286,7 @@
             kind: of.kind,
             priority: of.priority,
             attempts: ATTEMPTS,
+            carried: held.carried,
             due: held.due,
             deadline: self.origin + held.deadline,
         }
@@ -411,7 +430,12 @@
 
     /// Gives a request to the target.
     fn run_on(&mut self, request: usize) {
-        let host = self.requests[request].at;
+        let held = &self.requests[request];
+        let host = held.at;
+        if held.is_repeat() {
+            let service = self.load.kinds[held.kind].service;
+            self.figures.arrivals[service].further.push(self.now);
+        }
         let chance = self.rng.f64();
         let harms: Vec<_> = self.fleet.hosts[host].harms(self.load, self.now).collect();
         let sheds = harms
@@ -424,7 +448,9 @@
             self.answer(request, Ended::Refused { refusal, arrived }, None);
             return self.grant(host);
         }
-        let of = &self.load.kinds[self.requests[request].kind];
+        let held = &self.requests[request];
+        let of = &self.load.kinds[held.kind];
+        self.fleet.hosts[host].runs.start(held.tries.arrivals > 0);
         self.figures.runs[of.service][self.fleet.hosts[host].index] += 1;
         match of.calls.filter(|calls| self.rng.f64() < calls.share) {
             None => self.work(request),
@@ -467,6 +493,7 @@
             .harms(self.load, self.now)
             .any(|harm| matches!(harm, Harm::Fails(part) if chance < part));
         let is_fault = fails || held.has_failed_call;
+        self.fleet.hosts[host].runs.end(held.tries.arrivals > 0);
         let queue = &mut self.fleet.hosts[host].queue;
         queue.leave(Some(ran));
         if let Some(usual) = usual.filter(|_| !is_fault) {
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -488,6 +488,7 @@
                 usual: rng.bool().then(|| span(&mut rng)),
                 answer: rng.usize(..1 << 20),
                 faults: rng.u16(..=1000),
+                is_again: rng.bool(),
             };
             assert_eq!(ask.to_string().parse(), Ok(ask.clone()));
             let told = Told {
@@ -591,7 +592,7 @@
             // Traffic shifts between nodes all the while.
             let busy = (step / 3000) as usize % nodes;
             let node = if rng.bool() { busy } else { rng.usize(..nodes) };
-            fleet[node].earn(&service, now);
+            fleet[node].earn(&service, 0.0, now);
             first.push(step);
             if rng.f64() < 0.6 && fleet[node].spend(&service, Again::NotRun, nodes, now) {
                 again.push(step);
@@ -610,7 +611,7 @@
         let mut again = Vec::new();
         for step in 0..3000u64 {
             let now = begin + Duration::from_millis(step * 10);
-            allowance.earn(&service, now);
+            allowance.earn(&service, 0.0, now);
             if step > 1200 && allowance.spend(&service, Again::NotRun, 1, now) {
                 again.push(step);
             }
@@ -634,7 +635,7 @@
         for step in 0..40_000u64 {
             let now = begin + Duration::from_millis(step);
             let allowance = &mut fleet[rng.usize(0..nodes)];
-            allowance.earn(&parents, now);
+            allowance.earn(&parents, 0.0, now);
             // Under overload only each third gets past the gate of its target.
             if step / 10_000 % 2 == 1 && step % 3 != 0 {
                 continue;
@@ -644,7 +645,7 @@
             let repeats = rng.bool() && allowance.spend(&parents, Again::Repeated, nodes, now);
             for run in 0..1 + u32::from(repeats) {
                 for _ in 0..2 {
-                    fleet[rng.usize(0..nodes)].earn(&calls, now);
+                    fleet[rng.usize(0..nodes)].earn(&calls, 0.0, now);
                     if run == 0 { first.push(step) } else { again.push(step) }
                     if rng.bool() && fleet[rng.usize(0..nodes)].spend(&calls, Again::NotRun, nodes, now) {
                         again.push(step);
