Calls of retries are paid from the retry budget of rilltrackd, too

An outbound proxy tells that a request may have run before, the inbound one counts such runs, and a call made meanwhile pays as likely as they are. What is refused before its target got it is no retry in this.

--- a/src/coordination/door.rs
+++ b/src/coordination/door.rs
@@ -10,7 +10,10 @@
 use tokio::sync::oneshot;
 
 use crate::{
-    coordination::admit::{Arrival, Gate, Ticket},
+    coordination::{
+        admit::{Arrival, Gate, Ticket},
+        decision::runs::Runs,
+    },
     id::Name,
     protocol::answer::Refusal,
     state::resource::{Class, Policy},
@@ -59,6 +62,13 @@
         self.doors.lock().values().for_each(Door::close);
     }
 
+    /// Returns the part of the runs under way, at all targets, that are retries.
+    pub fn repeats(&self) -> f64 {
+        let doors = self.doors.lock();
+        let runs = doors.values().map(|door| door.inner.lock().runs);
+        runs.fold(Runs::default(), Runs::and).repeats()
+    }
+
     /// Returns the load of the fullest target, in hundredths of its slots.
     pub fn load(&self) -> u32 {
         self.doors
@@ -74,6 +84,7 @@
 struct Inner {
     gate: Gate,
     waiters: HashMap<Ticket, Waiter>,
+    runs: Runs,
 }
 
 #[derive(Debug)]
@@ -88,6 +99,8 @@
     door: Door,
     class: Class,
     since: Instant,
+    /// Whether the run is a retry, once it has begun.
+    is_again: Option<bool>,
 }
 
 /// A place in the queue; given up when dropped, as when the caller goes away.
@@ -104,6 +117,7 @@
             inner: Arc::new(Mutex::new(Inner {
                 gate,
                 waiters: HashMap::new(),
+                runs: Runs::default(),
             })),
         }
     }
@@ -173,6 +187,7 @@
             door: self.clone(),
             class,
             since: Instant::now(),
+            is_again: None,
         }
     }
 
@@ -212,15 +227,24 @@
     }
 }
 
+impl Permit {
+    /// Notes that the request goes to the target now, and whether it is a retry.
+    pub fn begin(&mut self, is_again: bool) {
+        self.door.inner.lock().runs.start(is_again);
+        self.is_again = Some(is_again);
+    }
+}
+
 impl Drop for Permit {
     fn drop(&mut self) {
         let took: Duration = self.since.elapsed();
-        let granted = self
-            .door
-            .inner
-            .lock()
-            .gate
-            .finish(self.class, took, Instant::now());
+        let granted = {
+            let mut inner = self.door.inner.lock();
+            if let Some(is_again) = self.is_again {
+                inner.runs.end(is_again);
+            }
+            inner.gate.finish(self.class, took, Instant::now())
+        };
         self.door.hand_out(granted);
     }
 }
--- a/src/protocol/answer.rs
+++ b/src/protocol/answer.rs
@@ -30,6 +30,8 @@
 pub const VERSION: &str = "rilltrack-version";
 /// From an outbound proxy: the class of the request.
 pub const CLASS: &str = "rilltrack-class";
+/// From an outbound proxy: the request may have run before, or runs elsewhere.
+pub const AGAIN: &str = "rilltrack-again";
 /// From an inbound proxy: requests running and waiting over slots, in
 /// hundredths.
 pub const LOAD: &str = "rilltrack-load";
--- a/src/transport/attempt.rs
+++ b/src/transport/attempt.rs
@@ -93,7 +93,7 @@
             .retain(|node| table.get(node).is_some_and(|m| m.is_present()));
     }
 
-    /// Makes one attempt at the target chosen.
+    /// Makes one attempt at the target chosen; `is_again` if the request may have run before.
     ///
     /// # Errors
     ///
@@ -103,8 +103,13 @@
         plan: &'a Plan,
         choice: Choice,
         body: reqwest::Body,
+        is_again: bool,
     ) -> BoxFuture<'a, Result<reqwest::Response, Failed>> {
-        self.attempt_with(plan, choice, self.headers(plan), body)
+        let mut headers = self.headers(plan);
+        if is_again {
+            http::set(&mut headers, answer::AGAIN, 1);
+        }
+        self.attempt_with(plan, choice, headers, body)
     }
 
     /// The same, with headers of its own.
--- a/src/transport/inbound.rs
+++ b/src/transport/inbound.rs
@@ -61,6 +61,8 @@
     pub class: Class,
     /// When its answer must have begun.
     pub deadline: Instant,
+    /// Whether another target may have run it.
+    pub is_again: bool,
 }
 
 impl Inbound {
@@ -110,6 +112,7 @@
             policy,
             class,
             deadline,
+            is_again: headers.contains_key(answer::AGAIN),
         })
     }
 
@@ -160,7 +163,11 @@
         let door = self.node.doors.get(&visit.target.service, &visit.policy);
         let permit = door.enter(visit.class, visit.deadline).await;
         // The target may have begun to leave while the request waited.
-        let permit = permit.and_then(|permit| self.target(&visit.target.service).map(|_| permit));
+        let permit = permit.and_then(|mut permit| {
+            self.target(&visit.target.service)?;
+            permit.begin(visit.is_again);
+            Ok(permit)
+        });
         let service = &visit.target.service;
         match &permit {
             Ok(_) => {
--- a/src/transport/outbound.rs
+++ b/src/transport/outbound.rs
@@ -94,7 +94,7 @@
             let Some(sent) = body.take() else { break };
             tried.push(choice.member.node.clone());
             let failed = match self
-                .hedged(plan, choice, sent, body.kept(), &mut tried)
+                .hedged(plan, choice, sent, body.kept(), doubt.is_some(), &mut tried)
                 .await
             {
                 Ok(response) => return Ok(response),
@@ -124,16 +124,17 @@
     }
 
     /// Makes one attempt, and a second one beside it if the first is slow and
-    /// the request may run twice.
+    /// the request may run twice; `is_again` if it may have run before.
     async fn hedged(
         &self,
         plan: &Plan,
         choice: Choice,
         sent: reqwest::Body,
         again: Option<Bytes>,
+        is_again: bool,
         tried: &mut Vec<id::Node>,
     ) -> Result<reqwest::Response, Failed> {
-        let mut first = self.sender.attempt(plan, choice, sent);
+        let mut first = self.sender.attempt(plan, choice, sent, is_again);
         let (Some(after), true, Some(bytes)) =
             (plan.service.policy.hedge_after, plan.repeatable, again)
         else {
@@ -154,7 +155,7 @@
             format_args!("service={service} node={}", choice.member.node),
         );
         tried.push(choice.member.node.clone());
-        let second = self.sender.attempt(plan, choice, bytes.into());
+        let second = self.sender.attempt(plan, choice, bytes.into(), true);
         match futures_util::future::select(first, second)
             .await
             .factor_first()
@@ -165,11 +166,12 @@
     }
 
     fn earn(&self, plan: &Plan) {
+        let carried = self.node.doors.repeats();
         let mut budgets = self.budgets.lock();
         budgets
             .entry(plan.service.name.clone())
             .or_default()
-            .earn(plan.service.policy.retry);
+            .earn(plan.service.policy.retry, carried);
     }
 
     fn spend(&self, service: &Name) -> bool {
--- a/tests/coordination.rs
+++ b/tests/coordination.rs
@@ -568,11 +568,36 @@
         let mut budget = Budget::default();
         let mut retries = 0;
         for fails in &calls {
-            budget.earn(Percent::new(share));
+            budget.earn(Percent::new(share), 0.0);
             retries += u32::from(*fails && budget.spend());
         }
         prop_assert!(f64::from(retries) <= 5.0 + calls.len() as f64 * f64::from(share) / 100.0 + 1e-6);
     }
+
+    /// Each service of a chain of calls fails half of what it gets. A retry runs at another
+    /// target and makes its call again there: to the service behind that is a further
+    /// attempt, too, whoever pays for it.
+    #[test]
+    fn retries_and_the_calls_of_retries_stay_a_share_of_first_attempts(
+        steps in vec((any::<bool>(), any::<bool>()), 500..3000), share in 5..50u8,
+    ) {
+        let (mut front, mut behind) = (Budget::default(), Budget::default());
+        let (mut first, mut further) = (0, 0);
+        for (fails, call_fails) in steps {
+            front.earn(Percent::new(share), 0.0);
+            let retries = u32::from(fails && front.spend());
+            for run in 0..=retries {
+                behind.earn(Percent::new(share), f64::from(run));
+                first += 1;
+                further += run + u32::from(call_fails && behind.spend());
+            }
+        }
+        let share = f64::from(share) / 100.0;
+        // Beside what is saved up at the start: what the one in front pays for may not be
+        // refused here.
+        let most = 10.0 + f64::from(first) * share;
+        prop_assert!(f64::from(further) <= most, "{further} of {most}");
+    }
 }
 
 /// Names each case of plain tests.
