A change is refused as invalid only by a node that has applied what the log holds

A node that finds a problem first applies what the log holds, then looks again; where it can't know, it says that the change was not taken, which may be tried again.

--- a/src/coordination/publish.rs
+++ b/src/coordination/publish.rs
@@ -30,7 +30,7 @@
 ///
 /// Only if the daemon is ending.
 pub async fn publish(node: &Arc<Node>, log: &Log, change: Change) -> Result<Published, Error> {
-    if let Some(refused) = refuse(node, &change).await? {
+    if let Some(refused) = refuse(node, log, &change).await? {
         return Ok(refused);
     }
     let id = change.id.clone();
@@ -65,7 +65,7 @@
 }
 
 /// Returns the final word on a change that need not go to the log.
-async fn refuse(node: &Arc<Node>, change: &Change) -> Result<Option<Published>, Error> {
+async fn refuse(node: &Arc<Node>, log: &Log, change: &Change) -> Result<Option<Published>, Error> {
     if node.view.load().is_none() {
         return Ok(Some(Published::NotAccepted(
             "this node holds no complete view yet".into(),
@@ -78,11 +78,43 @@
     if let Some(first) = node.applier.look(move |m| m.outcome(&id).cloned()).await? {
         return Ok(Some(Published::Decided(first)));
     }
-    let problems = check(node, change).await?;
+    let mut problems = check(node, change).await?;
+    if !problems.is_empty() {
+        // What the change needs may have been published through another node a moment ago.
+        if let Err(lag) = catch_up(node, log).await? {
+            return Ok(Some(Published::NotAccepted(lag)));
+        }
+        problems = check(node, change).await?;
+    }
     let refused = (!problems.is_empty()).then_some(Published::Refused(Verdict::Invalid(problems)));
     Ok(refused)
 }
 
+/// Waits until this node has applied what the log holds now; returns why it could not.
+///
+/// # Errors
+///
+/// Only if the daemon is ending.
+async fn catch_up(node: &Arc<Node>, log: &Log) -> Result<Result<(), String>, Error> {
+    let stream = node.settings.log.config_stream.clone();
+    let held = node.version();
+    let end = match (log.read)(stream, held.offset, Span::default()).await {
+        Ok(batch) => Version {
+            offset: batch.next,
+            ..held
+        },
+        Err(error) => {
+            return Ok(Err(format!(
+                "whether it is valid is not known here: {error}"
+            )));
+        }
+    };
+    match timeout(DECISION.duration(), node.applier.reached(end)).await {
+        Ok(reached) => reached.map(Ok),
+        Err(_) => Ok(Err("this node lags behind the log".into())),
+    }
+}
+
 /// Returns what is wrong with `change` as things stand.
 ///
 /// # Errors
