--- a/standins/tests/whole_path.rs
+++ b/standins/tests/whole_path.rs
@@ -179,6 +179,32 @@
         assert!(answer.contains("retry-after"), "{answer}");
     }
 
+    what_is_sent_beside_a_repeat_counts_as_its_call => {
+        let (_store, one, two) = pair("a").await;
+        one.target.set(Mode::Sheds);
+        two.target.set(Mode::Hangs);
+        assert_eq!(two.carried("a"), 0.0);
+        // Some begin at the target here, which sheds them; one at a time, so that the other
+        // has a slot for them.
+        let asked = async {
+            for i in 0.. {
+                one.ask_within("GET", "/get/a/", &format!("id{i}"), "", 300).await;
+            }
+        };
+        let sent = async {
+            until("a request that was shed here runs there", async || two.repeats() > 0.0).await;
+            two.ask_within("GET", "/get/a/", "call", "", 50).await;
+        };
+        tokio::select! {
+            () = asked => unreachable!("it asks on and on"),
+            () = sent => {}
+        }
+        assert!(two.carried("a") > 0.0);
+        // What this node's target shed runs elsewhere, so nothing here is its call.
+        assert_eq!(one.carried("a"), 0.0);
+        until("all have ended", async || two.repeats() == 0.0).await;
+    }
+
     fault_of_a_target_is_passed_on_as_it_is => {
         let (_store, one, two) = pair("b").await;
         two.target.set(Mode::Fails);
