--- a/src/coordination/decision/allowance.rs
+++ b/src/coordination/decision/allowance.rs
@@ -22,8 +22,7 @@
 const USED: f64 = 0.7;
 
 /// Part of the allowed share for requests that may have run already. The larger
-/// part goes to those that certainly did not: they cost no second work, and nothing
-/// further down.
+/// part goes to those that certainly did not: they cost no second work.
 const REPEATED: f64 = 0.25;
 
 /// Part of the allowed share that this node's further sends and the calls of repeats may take
@@ -54,13 +53,6 @@
     }
 }
 
-impl Used {
-    /// Returns what came to targets, or will, beyond the first arrival of each request.
-    pub fn further(&self) -> f64 {
-        f64::from(self.again) + self.carried
-    }
-}
-
 /// What this node sent, for each service.
 ///
 /// # Example
@@ -128,6 +120,13 @@
     Repeated,
 }
 
+impl Used {
+    /// Returns what came to targets, or will, beyond the first arrival of each request.
+    pub fn further(&self) -> f64 {
+        f64::from(self.again) + self.carried
+    }
+}
+
 impl Allowance {
     /// Returns an allowance of which nothing is used.
     pub fn new(rule: Rule) -> Self {
