A new release that breaks off its answers is taken back

What callers saw: 502 for a part of their requests for as long as the order's time lasted. A test over processes whose new targets break off everything had no verdict after 6,000 requests.

Cause: the node beside a target on trial weighed answers alone, and what was broken off, answered for another request or without a proof is none. Such ends are weighed as bad now, and counted as usual where the serving release has them, so that a way which breaks is held against neither. A body that breaks off on its way to the target is no fault of it.

Deployments without roll-outs weigh nothing, before and after.

--- a/src/transport/relay/egress.rs
+++ b/src/transport/relay/egress.rs
@@ -353,7 +353,14 @@
                 ran: ran.unwrap_or_default(),
                 usual,
             }),
-            Tried::Refused(_) => None,
+            // What the serving release breaks off is held against the new one no more than
+            // what it answers badly.
+            Tried::Refused(refused) => refused.is_fault().then(|| Answer {
+                route: &call.route.name,
+                is_fault: true,
+                ran: ran.unwrap_or_default(),
+                usual,
+            }),
         };
         let rollouts = &self.host.rollouts;
         rollouts.note_try(target, &call.service, tried.has_arrived(), answer.as_ref());
--- a/src/transport/relay/ingress.rs
+++ b/src/transport/relay/ingress.rs
@@ -61,6 +61,9 @@
 /// The reason of a refusal where the target broke off and is there.
 const BROKE_OFF: &str = "target broke off";
 
+/// The reason of a refusal where the body did, which is no fault of the target.
+const BODY_BROKE_OFF: &str = "request body broke off";
+
 /// The reason of a refusal where the target ended.
 pub const TARGET_ENDED: &str = "target ended";
 
@@ -131,6 +134,18 @@
             arrived: true,
         }
     }
+
+    /// Returns whether the target, or the way to it, broke off what may have run, or its
+    /// answer was none to this request.
+    pub fn is_fault(&self) -> bool {
+        let Refusal {
+            outcome,
+            status,
+            reason,
+            ..
+        } = &self.refusal;
+        self.arrived && *outcome == Outcome::Unknown && *status == 502 && reason != BODY_BROKE_OFF
+    }
 }
 
 impl Ingress {
@@ -196,28 +211,13 @@
         if !visit.is_trial && self.host.reviews.is_held(&run.content) {
             return Err(Refused::before(Refusal::rejected(503, HELD_BACK)));
         }
-        let request = self.request(visit, &permit, head, body);
         permit.begin(visit.is_again);
-        let sent = self
-            .pool
-            .send(permit.target.address, request, visit.deadline)
-            .await;
-        let exchange = match sent {
-            Ok(exchange) => exchange,
-            Err(failure) => {
-                if matches!(failure, Failure::TimedOut) {
-                    self.weigh(visit, head, false, run.since.elapsed());
-                }
-                return Err(self.failed(&permit, &run, &failure).await);
-            }
-        };
-        if exchange.response.status() == StatusCode::MISDIRECTED_REQUEST {
-            self.doubt(&permit, "another instance answers");
-        }
-        self.check(id, &exchange.response)?;
-        let mut response = self.pass(visit, permit, &run, exchange).await?;
+        let ended = self.run(visit, permit, &run, body).await;
         let ran = run.since.elapsed();
-        self.weigh(visit, head, response.status().is_server_error(), ran);
+        if let Some(is_fault) = is_fault(&ended) {
+            self.weigh(visit, head, is_fault, ran);
+        }
+        let mut response = ended?;
         if response.status().is_success() {
             if let Some(usual) = visit.arrival.usual {
                 self.host.gate.note_run(ran, usual);
@@ -230,6 +230,28 @@
         Ok(response)
     }
 
+    /// Lets the target run a request.
+    async fn run(
+        &self,
+        visit: &Visit,
+        permit: Permit,
+        run: &Run<'_>,
+        body: Body,
+    ) -> Result<Response<Body>, Refused> {
+        let request = self.request(visit, &permit, run.head, body);
+        let address = permit.target.address;
+        let exchange = match self.pool.send(address, request, visit.deadline).await {
+            Ok(exchange) => exchange,
+            Err(failure) => return Err(self.failed(&permit, run, &failure).await),
+        };
+        if exchange.response.status() == StatusCode::MISDIRECTED_REQUEST {
+            self.doubt(&permit, "another instance answers");
+        }
+        let id = run.head.headers.get(&self.host.words.dialect.id);
+        self.check(id, &exchange.response)?;
+        self.pass(visit, permit, run, exchange).await
+    }
+
     /// Refuses a repeat whose calls would go beyond what may come again to the services that
     /// its run calls.
     fn carries(&self, visit: &Visit) -> Result<(), Refusal> {
@@ -352,6 +374,10 @@
                 self.doubt(permit, failure);
                 Refused::before(Refusal::not_run(NO_TARGET, Span::from_millis(100)))
             }
+            // The body was its caller's to give.
+            Failure::Broken(error) if error.is_user() => {
+                Refused::after(Refusal::unknown(502, BODY_BROKE_OFF))
+            }
             Failure::Broken(_) => {
                 Refused::after(Refusal::unknown(502, self.broken(permit, run).await))
             }
@@ -629,6 +655,17 @@
     [LEAVING, NO_TARGET].contains(&reason)
 }
 
+/// Returns whether a run that has ended was a fault of the target; nothing if it did not run.
+///
+/// One whose time is over is none by itself: how long it took is weighed.
+fn is_fault(ended: &Result<Response<Body>, Refused>) -> Option<bool> {
+    match ended {
+        Ok(response) => Some(response.status().is_server_error()),
+        Err(refused) if refused.is_fault() => Some(true),
+        Err(refused) => (refused.arrived && refused.refusal.status == 504).then_some(false),
+    }
+}
+
 fn bare(status: u16) -> Response<Body> {
     plain(StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY))
 }
--- a/standins/tests/rollout.rs
+++ b/standins/tests/rollout.rs
@@ -73,6 +73,21 @@
         }
     }
 
+    /// Sends requests that run once at every old host until `is_done`.
+    async fn send_once_until(&mut self, is_done: impl Fn(&Self) -> bool) {
+        while !is_done(self) {
+            for host in &self.old {
+                if self.sent.is_multiple_of(HEARTBEAT) {
+                    self.heartbeat().await;
+                }
+                self.sent += 1;
+                let id = format!("id{}", self.sent);
+                host.ask("POST", "/post/a/x", &id, "x").await;
+            }
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+    }
+
     /// Lets all targets that are there say so.
     async fn heartbeat(&self) {
         for host in self.old.iter().chain(&self.new) {
@@ -185,6 +200,21 @@
         assert!(fleet.new_ran() - before < 50, "{}", fleet.new_ran() - before);
     }
 
+    release_that_breaks_off_is_taken_back_and_runs_no_request_twice => {
+        let mut fleet = Fleet::start().await;
+        fleet.set_new(Mode::Breaks);
+        fleet.store.order("a", "v2", "60s");
+        fleet.send_once_until(|fleet| fleet.last_word() == "rolled_back" || fleet.sent > 6_000).await;
+        assert_eq!(fleet.store.words("a"), ["running", "rolled_back"]);
+        assert!(fleet.new_ran() < 50, "{}", fleet.new_ran());
+        let hosts = fleet.old.iter().chain(&fleet.new);
+        let mut ids: Vec<String> = hosts.flat_map(|host| host.target.ran()).collect();
+        let runs = ids.len();
+        ids.sort_unstable();
+        ids.dedup();
+        assert_eq!(ids.len(), runs, "none ran twice");
+    }
+
     second_order_for_the_same_release_is_another => {
         let mut fleet = Fleet::start().await;
         fleet.set_new(Mode::Fails);
