--- a/standins/tests/rollout.rs
+++ b/standins/tests/rollout.rs
@@ -59,33 +59,33 @@
     /// `all_served`.
     async fn send_until(&mut self, all_served: bool, is_done: impl Fn(&Self) -> bool) {
         while !is_done(self) {
-            for host in &self.old {
-                if self.sent.is_multiple_of(HEARTBEAT) {
-                    self.heartbeat().await;
-                }
-                self.sent += 1;
-                let id = format!("id{}", self.sent);
-                let answer = host.ask("GET", "/get/a/x", &id, "").await;
+            for answer in self.send("GET", "/get/a/x", "").await {
                 let status = answer.get(9..12).unwrap_or(&answer);
                 assert!(!all_served || status == "200", "{answer}");
             }
-            tokio::time::sleep(Duration::from_millis(2)).await;
         }
     }
 
     /// Sends requests that run once at every old host until `is_done`.
     async fn send_once_until(&mut self, is_done: impl Fn(&Self) -> bool) {
         while !is_done(self) {
-            for host in &self.old {
-                if self.sent.is_multiple_of(HEARTBEAT) {
-                    self.heartbeat().await;
-                }
-                self.sent += 1;
-                let id = format!("id{}", self.sent);
-                host.ask("POST", "/post/a/x", &id, "x").await;
+            self.send("POST", "/post/a/x", "x").await;
+        }
+    }
+
+    /// Sends a request at every old host, one after the other; returns the answers.
+    async fn send(&mut self, method: &str, path: &str, body: &str) -> Vec<String> {
+        let mut answers = Vec::new();
+        for host in &self.old {
+            if self.sent.is_multiple_of(HEARTBEAT) {
+                self.heartbeat().await;
             }
-            tokio::time::sleep(Duration::from_millis(2)).await;
+            self.sent += 1;
+            let id = format!("id{}", self.sent);
+            answers.push(host.ask(method, path, &id, body).await);
         }
+        tokio::time::sleep(Duration::from_millis(2)).await;
+        answers
     }
 
     /// Lets all targets that are there say so.
