Callers' keys: teams in the routes, 401 without one, the key stays on the host

Ruled out: telling a target's calls by their source.

Change: teams with digests of keys in a version and its deltas, the decision in decision::access, the request's head in relay::call.

--- a/src/coordination/decision/mod.rs
+++ b/src/coordination/decision/mod.rs
@@ -4,6 +4,7 @@
 //! as arguments and return decisions. They use no socket, clock, task, lock or log line, so
 //! a test can replay a load on them with the same outcome each time.
 //!
+//! * [`access`]: whether a caller may send a request, and on whose behalf;
 //! * [`queue`]: slots of a target, and the requests that wait for one;
 //! * [`balance`]: which node a request goes to;
 //! * [`link_share`]: which large bodies a host's link may carry;
@@ -17,6 +18,7 @@
 //!   rolled back;
 //! * [`split`]: how the requests of a split route are shared among its services.
 
+pub mod access;
 pub mod age;
 pub mod attempts;
 pub mod balance;
--- a/src/coordination/host.rs
+++ b/src/coordination/host.rs
@@ -611,7 +611,7 @@
 fn retry_rule(settings: &Settings) -> Rule {
     Rule {
         ratio: settings.resend.ratio,
-        slack: f64::from(settings.resend.slack),
+        slack: settings.resend.slack,
         window: settings.resend.window.duration(),
     }
 }
--- a/src/host/settings.rs
+++ b/src/host/settings.rs
@@ -93,7 +93,7 @@
     /// The maximum ratio of retries to requests.
     pub ratio: f64,
     /// The number of retries allowed in addition to the ratio.
-    pub slack: u32,
+    pub slack: f64,
     /// The length of the window.
     pub window: Span,
 }
@@ -154,7 +154,8 @@
     fn range_faults(&self) -> Vec<(&'static [&'static str], &'static str)> {
         let ratio = self.resend.ratio;
         let share = self.exposure.map_or(1.0, |exposure| exposure.share);
-        let checks: [(bool, &[&str], &str); 6] = [
+        let slack = self.resend.slack;
+        let checks: [(bool, &[&str], &str); 7] = [
             (
                 !(share > 0.0 && share <= 1.0),
                 &["exposure", "share"],
@@ -175,6 +176,11 @@
                 &["resend", "ratio"],
                 "must lie between 0 and 1",
             ),
+            (
+                !(slack.is_finite() && slack >= 0.0),
+                &["resend", "slack"],
+                "must be 0 or more",
+            ),
             (
                 self.resend.window.as_millis() == 0,
                 &["resend", "window"],
--- a/src/protocol/dialect.rs
+++ b/src/protocol/dialect.rs
@@ -19,6 +19,8 @@
     pub expected_instance: HeaderName,
     /// The service on whose host the request began.
     pub caller_service: HeaderName,
+    /// The team of the request's caller, for the target.
+    pub team: HeaderName,
     /// A target's proof that it produced the response.
     pub proof: HeaderName,
     /// On a target's response: the request has not run.
@@ -36,6 +38,7 @@
             deadline: HeaderName::from_static(super::answer::DEADLINE),
             expected_instance: HeaderName::from_static("rilltrack-target"),
             caller_service: HeaderName::from_static("rilltrack-caller"),
+            team: HeaderName::from_static("rilltrack-team"),
             proof: HeaderName::from_static("rilltrack-proof"),
             not_run: HeaderName::from_static("rilltrack-not-run"),
             load: HeaderName::from_static(super::answer::LOAD),
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -13,6 +13,7 @@
 //! * [`evidence`], [`fingerprint`]: what nodes report about requests under which
 //!   targets crashed;
 //! * [`routing`]: a complete version of routes from an external source;
+//! * [`team`]: the teams whose callers may send requests, and their keys;
 //! * [`rollout`]: the progress of moving a service to another release;
 //! * [`version`]: the position of a state in the log.
 
@@ -26,6 +27,7 @@
 pub mod rollout;
 pub mod routing;
 pub mod selector;
+pub mod team;
 pub mod version;
 pub mod view;
 
--- a/src/state/routing.rs
+++ b/src/state/routing.rs
@@ -13,7 +13,8 @@
 
 use crate::{
     id::Name,
-    unit::{Size, Span},
+    state::team::{self, Team, Teams},
+    unit::{Rate, Size, Span},
 };
 
 /// All routes of one version.
@@ -22,7 +23,8 @@
 ///
 /// ```
 /// use rilltrack::{
-///     state::routing::{Kind, Limits, Part, Route, Table},
+///     id::Name,
+///     state::routing::{Kind, Limits, Part, Route, Service, Table},
 ///     unit::Span,
 /// };
 ///
@@ -36,8 +38,11 @@
 ///     priority: 2,
 ///     attempts: 2,
 ///     parts: vec![Part { service: "ledger".parse()?, weight: 1 }],
+///     is_anonymous: false,
+///     unsupported: vec![],
 /// };
-/// let table = Table::new(7, vec![route], vec!["ledger".parse()?], Limits::default())?;
+/// let ledger = Service::from("ledger".parse::<Name>()?);
+/// let table = Table::new(7, vec![route], vec![ledger], Limits::default())?;
 /// assert!(table.find("fares.example", "/balance/7").is_some());
 /// assert!(table.find("fares.example", "/balance").is_none());
 /// # Ok::<(), Box<dyn std::error::Error>>(())
@@ -48,12 +53,17 @@
     pub version: u64,
     /// The limits on callers' requests.
     pub limits: Limits,
+    /// The teams whose callers may send requests. If there are none, callers need no key.
+    pub teams: Teams,
     routes: BTreeMap<Name, Arc<Route>>,
     hosts: HashMap<String, Prefixes>,
-    services: Vec<Name>,
+    services: Vec<Service>,
 }
 
 /// The changes from one version to another, or a complete version.
+///
+/// All fields are required when a delta is decoded: a node of a release that knows no teams
+/// sends none, and its delta must not open the routes to callers without a key.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Delta {
     /// The version that it changes; 0 for a complete version.
@@ -63,11 +73,15 @@
     /// The limits.
     pub limits: Limits,
     /// All services.
-    pub services: Vec<Name>,
+    pub services: Vec<Service>,
     /// New and changed routes.
     pub put: Vec<Arc<Route>>,
     /// The names of removed routes.
     pub gone: Vec<Name>,
+    /// New and changed teams.
+    pub put_teams: Vec<Arc<Team>>,
+    /// The names of removed teams.
+    pub gone_teams: Vec<Name>,
 }
 
 /// The routes of one `Host` by path prefix.
@@ -96,6 +110,31 @@
     pub attempts: u32,
     /// The services among which its requests are divided; never empty.
     pub parts: Vec<Part>,
+    /// Whether it also serves callers without a key.
+    pub is_anonymous: bool,
+    /// Settings of the route that this release doesn't know. They may restrict who may send
+    /// requests or where they may go, so its requests are refused.
+    pub unsupported: Vec<String>,
+}
+
+/// A service that routes refer to.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Service {
+    /// The name.
+    pub name: Name,
+    /// The requests per second that a target of the service tolerates while it warms up; `None`
+    /// if it tolerates as many as later.
+    pub warmup_rate: Option<Rate>,
+}
+
+impl From<Name> for Service {
+    /// Returns a service whose targets need no warm-up.
+    fn from(name: Name) -> Self {
+        Self {
+            name,
+            warmup_rate: None,
+        }
+    }
 }
 
 /// One service's share of a route's requests.
@@ -167,6 +206,9 @@
         /// The name of the second route.
         other: Name,
     },
+    /// Two teams have the same key.
+    #[error(transparent)]
+    SharedKey(#[from] team::SharedKey),
 }
 
 impl Default for Limits {
@@ -190,7 +232,7 @@
     pub fn new(
         version: u64,
         routes: Vec<Route>,
-        services: Vec<Name>,
+        services: Vec<Service>,
         limits: Limits,
     ) -> Result<Self, Error> {
         let mut named = BTreeMap::new();
@@ -202,10 +244,23 @@
         Self::from_named(version, named, services, limits)
     }
 
+    /// Returns the table with these teams, in place of none.
+    ///
+    /// # Errors
+    ///
+    /// If two teams have a key in common.
+    pub fn with_teams(
+        self,
+        teams: impl IntoIterator<Item = impl Into<Arc<Team>>>,
+    ) -> Result<Self, Error> {
+        let teams = Teams::new(teams)?;
+        Ok(Self { teams, ..self })
+    }
+
     fn from_named(
         version: u64,
         routes: BTreeMap<Name, Arc<Route>>,
-        services: Vec<Name>,
+        services: Vec<Service>,
         limits: Limits,
     ) -> Result<Self, Error> {
         let mut hosts: HashMap<String, Prefixes> = HashMap::new();
@@ -222,6 +277,7 @@
         Ok(Self {
             version,
             limits,
+            teams: Teams::default(),
             routes,
             hosts,
             services,
@@ -241,6 +297,13 @@
             .filter(|route| in_base(&route.name) != Some(route));
         let removed = base.iter().flat_map(|base| base.routes.keys());
         let removed = removed.filter(|name| !self.routes.contains_key(*name));
+        let team_in_base = |name: &Name| base.and_then(|base| base.teams.get(name));
+        let put_teams = self.teams.iter();
+        let put_teams = put_teams.filter(|team| team_in_base(&team.name) != Some(team));
+        let removed_teams = base.iter().flat_map(|base| base.teams.iter());
+        let removed_teams = removed_teams
+            .map(|team| &team.name)
+            .filter(|name| self.teams.get(name).is_none());
         Delta {
             base: base.map_or(0, |base| base.version),
             version: self.version,
@@ -248,6 +311,8 @@
             services: self.services.clone(),
             put: put.cloned().collect(),
             gone: removed.cloned().collect(),
+            put_teams: put_teams.cloned().collect(),
+            gone_teams: removed_teams.cloned().collect(),
         }
     }
 
@@ -258,9 +323,13 @@
     /// If the change applies to another version, or the resulting routes are
     /// invalid.
     pub fn apply_delta(current: Option<&Self>, delta: Delta) -> Result<Self, Error> {
-        let mut routes = match current {
-            _ if delta.base == 0 => BTreeMap::new(),
-            Some(current) if current.version == delta.base => current.routes.clone(),
+        let (mut routes, mut teams) = match current {
+            _ if delta.base == 0 => (BTreeMap::new(), BTreeMap::new()),
+            Some(current) if current.version == delta.base => {
+                let teams = current.teams.iter();
+                let teams = teams.map(|team| (team.name.clone(), team.clone()));
+                (current.routes.clone(), teams.collect())
+            }
             _ => {
                 return Err(Error::Base {
                     base: delta.base,
@@ -274,7 +343,14 @@
         for route in delta.put {
             routes.insert(route.name.clone(), route);
         }
-        Self::from_named(delta.version, routes, delta.services, delta.limits)
+        for name in &delta.gone_teams {
+            teams.remove(name);
+        }
+        for team in delta.put_teams {
+            teams.insert(team.name.clone(), team);
+        }
+        Self::from_named(delta.version, routes, delta.services, delta.limits)?
+            .with_teams(teams.into_values())
     }
 
     /// Returns the route of `host` with the longest prefix of `path`.
@@ -290,9 +366,9 @@
             .find_map(|prefix| prefixes.get(prefix))
     }
 
-    /// Returns whether `service` is listed in this version.
-    pub fn has_service(&self, service: &Name) -> bool {
-        self.services.contains(service)
+    /// Returns a service that is listed in this version.
+    pub fn service(&self, name: &Name) -> Option<&Service> {
+        self.services.iter().find(|service| service.name == *name)
     }
 
     /// Returns whether this version has a route named `name`.
@@ -312,8 +388,9 @@
 }
 
 impl Route {
-    fn check(&self, services: &[Name]) -> Result<(), Error> {
-        let unknown = self.parts.iter().find(|p| !services.contains(&p.service));
+    fn check(&self, services: &[Service]) -> Result<(), Error> {
+        let is_listed = |name: &Name| services.iter().any(|service| service.name == *name);
+        let unknown = self.parts.iter().find(|part| !is_listed(&part.service));
         if let Some(part) = unknown {
             return Err(Error::UnknownService {
                 route: self.name.clone(),
--- /dev/null
+++ b/src/transport/relay/call.rs
@@ -0,0 +1,179 @@
+//! A caller's request with what a version of the routes says about it.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use hyper::{
+    header::{AUTHORIZATION, HeaderValue},
+    http::request,
+};
+
+use crate::{
+    coordination::{
+        decision::{access, attempts},
+        host::Host,
+    },
+    event::Event,
+    id::Name,
+    journal::note,
+    protocol::answer::Refusal,
+    state::{
+        routing::{Route, Table},
+        team::Team,
+    },
+    transport::{http, relay::host_of},
+    unit::Span,
+};
+
+/// The `Retry-After` of refusals while no version is in force.
+const NO_VERSION_RETRY_AFTER: Span = Span::from_millis(300);
+
+/// A caller's request with its route and its time limits.
+pub struct Call {
+    /// The head of the request, as it is sent to the target.
+    pub head: request::Parts,
+    /// The route that matches the request.
+    pub route: Arc<Route>,
+    /// The service whose target is to run the request.
+    pub service: Name,
+    /// The priority under overload: the team's, or else the route's; 0 is the highest.
+    pub priority: u8,
+    /// When the request arrived.
+    pub arrived: Instant,
+    /// The probability that the request was made by a run of the target on this host that is
+    /// itself a repeat.
+    pub repeat_chance: f64,
+    /// The due time of the route's objective, counted from the caller's first attempt.
+    pub due: Instant,
+    /// The earlier of the caller's deadline and the end of the route's timeout.
+    pub deadline: Instant,
+}
+
+/// A request that is refused before it is sent to any target.
+pub struct Denied {
+    /// The refusal.
+    pub refusal: Refusal,
+    /// The time left until the request's deadline.
+    pub remaining: Duration,
+}
+
+impl Call {
+    /// Returns the request with its route, and the version in force that the route is from.
+    ///
+    /// # Errors
+    ///
+    /// If no version is in force, no route matches, or the caller may not send the request.
+    pub fn new(host: &Host, head: request::Parts, arrived: Instant) -> Result<(Self, u64), Denied> {
+        let dialect = &host.decoders.dialect;
+        let deadline = http::parse(&head.headers, dialect.deadline.as_str());
+        let deadline = deadline.map(Duration::from_millis);
+        let denied = |refusal| Denied {
+            refusal,
+            // Without a deadline, `Retry-After` is not limited.
+            remaining: deadline.unwrap_or(Duration::MAX),
+        };
+        let Some(table) = host.routes() else {
+            let refusal = Refusal::not_run("no version is in force", NO_VERSION_RETRY_AFTER);
+            return Err(denied(refusal));
+        };
+        let route = find_route(host, &table, &head).map_err(denied)?;
+        let team = identify(host, &table, &route, &head).map_err(denied)?;
+        let age = deadline.map_or(Duration::ZERO, |remaining| {
+            host.request_ages.lock().note(&route.name, remaining)
+        });
+        let timeout = route.timeout.duration();
+        let remaining = deadline.map_or(timeout, |remaining| remaining.min(timeout));
+        let due = (arrived + route.objective.duration()).checked_sub(age);
+        let service = host.split.lock().next(&route);
+        let priority = team.as_ref().and_then(|team| team.priority);
+        let mut call = Self {
+            head,
+            priority: priority.unwrap_or(route.priority),
+            route,
+            service,
+            arrived,
+            repeat_chance: host.gate.repeat_share(),
+            // `None` means that the due time lies before the start of the clock. The
+            // request is late in that case, too.
+            due: due.unwrap_or(arrived),
+            deadline: arrived + remaining,
+        };
+        call.set_origin(host, &table, team.as_deref());
+        Ok((call, table.version))
+    }
+
+    /// Sets the headers that tell a target where the request began, whatever the caller sent,
+    /// and removes the key, which stays on this host.
+    fn set_origin(&mut self, host: &Host, table: &Table, team: Option<&Team>) {
+        let dialect = &host.decoders.dialect;
+        let headers = &mut self.head.headers;
+        let value =
+            |name: &Name| HeaderValue::from_str(name.as_str()).expect("names are valid in headers");
+        headers.insert(dialect.caller_service.clone(), value(host.service()));
+        headers.remove(&dialect.team);
+        if let Some(team) = team {
+            headers.insert(dialect.team.clone(), value(&team.name));
+        }
+        if !table.teams.is_empty() {
+            headers.remove(AUTHORIZATION);
+        }
+    }
+
+    /// Returns what the decisions on attempts need to know of the request.
+    pub fn request(&self) -> attempts::Request<'_> {
+        attempts::Request {
+            service: &self.service,
+            kind: self.route.kind,
+            priority: self.priority,
+            attempts: self.route.attempts,
+            repeat_chance: self.repeat_chance,
+            due: self.due,
+            deadline: self.deadline,
+        }
+    }
+}
+
+fn find_route(host: &Host, table: &Table, head: &request::Parts) -> Result<Arc<Route>, Refusal> {
+    let (authority, path) = (host_of(head), head.uri.path());
+    let route = table.find(&authority, path).cloned();
+    route.ok_or_else(|| {
+        note!(
+            host.journal,
+            Event::NoRoute,
+            id = request_id(host, head),
+            host = authority,
+            path = path,
+            version = table.version
+        );
+        Refusal::rejected(404, "no route matches")
+    })
+}
+
+/// Returns the team on whose behalf a request is sent.
+fn identify(
+    host: &Host,
+    table: &Table,
+    route: &Route,
+    head: &request::Parts,
+) -> Result<Option<Arc<Team>>, Refusal> {
+    let authorization = head.headers.get(AUTHORIZATION);
+    let team = access::team(table, route, authorization.map(HeaderValue::as_bytes));
+    team.inspect_err(|refusal| {
+        note!(
+            host.journal,
+            Event::Denied,
+            id = request_id(host, head),
+            route = route.name,
+            status = refusal.status,
+            reason = refusal.reason,
+            version = table.version
+        );
+    })
+}
+
+/// Returns the id that the caller gave the request, or `-`.
+fn request_id<'a>(host: &Host, head: &'a request::Parts) -> &'a str {
+    http::get(&head.headers, host.decoders.dialect.attempt_id.as_str()).unwrap_or("-")
+}
--- a/src/transport/relay/egress.rs
+++ b/src/transport/relay/egress.rs
@@ -10,7 +10,7 @@
 
 use bytes::Bytes;
 use futures_util::FutureExt;
-use hyper::{Request, Response, header::HeaderValue, http::request};
+use hyper::{Request, Response};
 
 use crate::{
     coordination::{
@@ -25,29 +25,26 @@
     },
     event::Event,
     host::metrics,
-    id::{Name, Node},
+    id::Node,
     journal::note,
     protocol::answer::{Outcome, Refusal},
-    state::{fingerprint::Fingerprint, member::Member, routing::Route},
+    state::{fingerprint::Fingerprint, member::Member},
     transport::{
         http,
         relay::{
             MAX_BUFFERED_BODY,
             attempt::{AttemptGuard, AttemptOutcome},
             body::{self, Body, ReadError, ReadResult},
-            host_of,
+            call::Call,
             ingress::{Delivery, Ingress, RunTime},
             peer_client::{self, PeerClient},
             refusal_response, request_fingerprint,
             serve::Handler,
         },
     },
-    unit::{Size, Span},
+    unit::Size,
 };
 
-/// The `Retry-After` of refusals while no version is in force.
-const NO_VERSION_RETRY_AFTER: Span = Span::from_millis(300);
-
 /// Routes requests of callers and sends them to targets here or on other hosts.
 pub struct Egress {
     host: Arc<Host>,
@@ -55,42 +52,9 @@
     peers: PeerClient,
 }
 
-/// A caller's request with its route and its time limits.
-pub struct Call {
-    /// The head of the request, as it is sent to the target.
-    pub head: request::Parts,
-    /// The route that matches the request.
-    pub route: Arc<Route>,
-    /// The service whose target is to run the request.
-    pub service: Name,
-    /// When the request arrived.
-    pub arrived: Instant,
-    /// The probability that the request was made by a run of the target on this host that is
-    /// itself a repeat.
-    pub repeat_chance: f64,
-    /// The due time of the route's objective, counted from the caller's first attempt.
-    pub due: Instant,
-    /// The earlier of the caller's deadline and the end of the route's timeout.
-    pub deadline: Instant,
-}
-
 /// The attempts made for a request so far.
 type Attempts = attempts::Attempts<Response<Body>>;
 
-impl Call {
-    fn request(&self) -> attempts::Request<'_> {
-        attempts::Request {
-            service: &self.service,
-            kind: self.route.kind,
-            priority: self.route.priority,
-            attempts: self.route.attempts,
-            repeat_chance: self.repeat_chance,
-            due: self.due,
-            deadline: self.deadline,
-        }
-    }
-}
-
 impl Egress {
     /// Returns the egress side of `host`. Requests for the host's own target are passed
     /// directly to `ingress`.
@@ -152,13 +116,9 @@
     async fn handle(&self, request: Request<Body>) -> Response<Body> {
         let arrived = Instant::now();
         let (head, incoming) = request.into_parts();
-        let (call, version) = match self.find_route(head, arrived) {
+        let (call, version) = match Call::new(&self.host, head, arrived) {
             Ok(found) => found,
-            Err(refusal) => {
-                // `refusal_response` limits `retry-after` to a third of the time left. The
-                // deadline is unknown here, so this leaves the pause as it is.
-                return refusal_response(&refusal, NO_VERSION_RETRY_AFTER.duration() * 3);
-            }
+            Err(denied) => return refusal_response(&denied.refusal, denied.remaining),
         };
         let body = match self.read_body(incoming, &call).await {
             Ok(body) => body,
@@ -174,64 +134,6 @@
         self.finish(&call, version, &attempts, result)
     }
 
-    /// Returns the request with its route, and the version in force that the route is from.
-    fn find_route(&self, head: request::Parts, arrived: Instant) -> Result<(Call, u64), Refusal> {
-        let Some(table) = self.host.routes() else {
-            return Err(Refusal::not_run(
-                "no version is in force",
-                NO_VERSION_RETRY_AFTER,
-            ));
-        };
-        let host = host_of(&head);
-        let Some(route) = table.find(&host, head.uri.path()).cloned() else {
-            let path = head.uri.path();
-            let version = table.version;
-            let id = http::get(
-                &head.headers,
-                self.host.decoders.dialect.attempt_id.as_str(),
-            )
-            .unwrap_or("-");
-            note!(
-                self.host.journal,
-                Event::NoRoute,
-                id = id,
-                host = host,
-                path = path,
-                version = version
-            );
-            return Err(Refusal::rejected(404, "no route matches"));
-        };
-        let dialect = &self.host.decoders.dialect;
-        let remaining = http::parse(&head.headers, dialect.deadline.as_str());
-        let age = remaining.map_or(Duration::ZERO, |remaining| {
-            let remaining = Duration::from_millis(remaining);
-            self.host.request_ages.lock().note(&route.name, remaining)
-        });
-        let remaining = remaining.map_or(route.timeout, |remaining| {
-            Span::from_millis(remaining).min(route.timeout)
-        });
-        let due = (arrived + route.objective.duration()).checked_sub(age);
-        let service = self.host.split.lock().next(&route);
-        let mut call = Call {
-            head,
-            route,
-            service,
-            arrived,
-            repeat_chance: self.host.gate.repeat_share(),
-            // `None` means that the due time lies before the start of the clock. The
-            // request is late in that case, too.
-            due: due.unwrap_or(arrived),
-            deadline: arrived + remaining.duration(),
-        };
-        // Overwrites any service name that the caller sent; this node knows its own service.
-        let caller = HeaderValue::from_str(self.host.service().as_str());
-        let caller = caller.expect("names are valid in headers");
-        call.head
-            .headers
-            .insert(dialect.caller_service.clone(), caller);
-        Ok((call, table.version))
-    }
-
     /// Reads a small body whole, and the start of a larger one.
     async fn read_body(&self, incoming: Body, call: &Call) -> Result<ReadResult, Refusal> {
         let limits = self.host.limits();
@@ -567,7 +469,7 @@
         let took = call.arrived.elapsed().as_millis();
         let id = self.request_id(call);
         let (route, service) = (&call.route.name, &call.service);
-        let priority = call.route.priority;
+        let priority = call.priority;
         let nodes = NodeList(&attempts.nodes);
         self.count_result(call, &result);
         match result {
--- a/src/transport/relay/mod.rs
+++ b/src/transport/relay/mod.rs
@@ -12,6 +12,7 @@
 
 pub mod attempt;
 pub mod body;
+pub mod call;
 pub mod codec;
 pub mod control;
 pub mod egress;
--- a/src/transport/relay/peer_client.rs
+++ b/src/transport/relay/peer_client.rs
@@ -26,7 +26,7 @@
             MAX_BUFFERED_BODY,
             attempt::{AttemptGuard, AttemptOutcome},
             body::{self, Body, ReadResult},
-            egress::Call,
+            call::Call,
             forwarded_headers,
             ingress::{self, Delivery, Refused},
             offer,
--- a/src/unit.rs
+++ b/src/unit.rs
@@ -1,4 +1,4 @@
-//! Quantities with units: spans of time, sizes, percentages.
+//! Quantities with units: spans of time, sizes, percentages, rates.
 //!
 //! In settings and resources they are text with a unit (`"250ms"`, `"64KiB"`,
 //! `"10%"`). A bare number is rejected, so none is read in the wrong unit.
@@ -221,3 +221,72 @@
             })
     }
 }
+
+/// A rate, in events per second, with three decimals.
+///
+/// ```
+/// use rilltrack::unit::Rate;
+///
+/// let rate: Rate = "14.5/s".parse()?;
+/// assert_eq!(rate.per_second(), 14.5);
+/// assert_eq!(rate.to_string(), "14.5/s");
+/// # Ok::<(), rilltrack::unit::Error>(())
+/// ```
+#[derive(
+    Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize,
+)]
+#[serde(try_from = "String", into = "String")]
+pub struct Rate {
+    per_1000_seconds: u64,
+}
+
+impl Rate {
+    /// Returns the rate of `per_second` events per second; `None` if that is negative or not a
+    /// finite number.
+    pub fn from_per_second(per_second: f64) -> Option<Self> {
+        let is_valid = per_second.is_finite() && per_second >= 0.0;
+        is_valid.then(|| Self {
+            per_1000_seconds: (per_second * 1000.0).round() as u64,
+        })
+    }
+
+    /// Returns the number of events per second.
+    pub fn per_second(self) -> f64 {
+        self.per_1000_seconds as f64 / 1000.0
+    }
+}
+
+impl fmt::Display for Rate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/s", self.per_second())
+    }
+}
+
+impl FromStr for Rate {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self, Error> {
+        let number = text
+            .strip_suffix("/s")
+            .and_then(|number| number.parse().ok());
+        number.and_then(Self::from_per_second).ok_or_else(|| Error {
+            kind: "rate",
+            example: "14.5/s",
+            text: text.into(),
+        })
+    }
+}
+
+impl TryFrom<String> for Rate {
+    type Error = Error;
+
+    fn try_from(text: String) -> Result<Self, Error> {
+        text.parse()
+    }
+}
+
+impl From<Rate> for String {
+    fn from(rate: Rate) -> Self {
+        rate.to_string()
+    }
+}
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -83,11 +83,18 @@
         priority: 1,
         attempts: 2,
         parts: parts.collect(),
+        is_anonymous: false,
+        unsupported: vec![],
     }
 }
 
 fn table(routes: Vec<Route>) -> Result<routing::Table, routing::Error> {
-    routing::Table::new(3, routes, vec![name("a"), name("b")], Limits::default())
+    routing::Table::new(
+        3,
+        routes,
+        vec![name("a").into(), name("b").into()],
+        Limits::default(),
+    )
 }
 
 /// Returns the longest matching prefix by a linear search through all routes.
@@ -436,7 +443,7 @@
                 r.priority = rng.u8(0..3);
                 routes.push(r);
             }
-            let whole = routing::Table::new(version, routes, vec![name("a")], Limits::default()).unwrap();
+            let whole = routing::Table::new(version, routes, vec![name("a").into()], Limits::default()).unwrap();
             let delta = whole.delta_since(previous.as_ref());
             let bytes = rmp_serde::to_vec(&delta).unwrap();
             let decoded = rmp_serde::from_slice(&bytes).unwrap();
