--- a/src/coordination/interface.rs
+++ b/src/coordination/interface.rs
@@ -129,5 +129,5 @@
     /// [`Progress`](crate::protocol::update::Progress).
     Progress,
     /// Delivers records that another node read, to apply and to forward.
-    Deliver(Update),
+    Deliver(Box<Update>),
 }
--- a/src/coordination/spread.rs
+++ b/src/coordination/spread.rs
@@ -72,7 +72,10 @@
             relay: part.clone(),
             ..update.clone()
         };
-        if call_peer(child, PeerRequest::Deliver(update)).await.is_ok() {
+        if call_peer(child, PeerRequest::Deliver(Box::new(update)))
+            .await
+            .is_ok()
+        {
             return missed;
         }
         missed += 1;
