--- a/src/coordination/decision/mod.rs
+++ b/src/coordination/decision/mod.rs
@@ -5,6 +5,7 @@
 //! a test can replay a load on them with the same outcome each time.
 //!
 //! * [`access`]: whether a caller may send a request, and on whose behalf;
+//! * [`rate_limit`]: how many requests of a team all nodes together admit;
 //! * [`queue`]: slots of a target, and the requests that wait for one;
 //! * [`balance`]: which node a request goes to;
 //! * [`link_share`]: which large bodies a host's link may carry;
@@ -25,6 +26,7 @@
 pub mod link_share;
 pub mod quarantine;
 pub mod queue;
+pub mod rate_limit;
 pub mod reach;
 pub mod retry_budget;
 pub mod rollout;
--- a/src/coordination/host.rs
+++ b/src/coordination/host.rs
@@ -28,6 +28,7 @@
         interface::{Decoders, Stream},
         local::Local,
         quarantine::SharedQuarantine,
+        rate_limit::RateLimits,
         rollout::Rollouts,
         watch::Skipped,
     },
@@ -88,6 +89,10 @@
     pub response_flow: Flow,
     /// Weighted distribution of requests on split routes.
     pub split: Mutex<Split>,
+    /// The limits on teams' requests.
+    pub rate_limits: Arc<RateLimits>,
+    /// Is notified when a version comes into force.
+    pub version_changed: Arc<Notify>,
     /// Which release of a service receives its requests.
     pub rollouts: Rollouts,
     /// Wakes the task that writes this node's record to the store.
@@ -181,6 +186,8 @@
             quarantine: SharedQuarantine::default(),
             response_flow: Flow::new(settings.bandwidth()),
             split: Mutex::default(),
+            rate_limits: Arc::default(),
+            version_changed: Arc::default(),
             rollouts: Rollouts::new(settings.exposure.map(|exposure| exposure.share)),
             own_record_changed: Notify::new(),
             node_unreachable: Notify::new(),
@@ -278,6 +285,7 @@
         // one can have come into force since the check above.
         self.routes.store(Some(Arc::new(table)));
         *self.in_force_since.lock() = Some(Instant::now());
+        self.version_changed.notify_one();
         let mut past_versions = self.past_versions.lock();
         past_versions.extend(self.routes());
         if past_versions.len() > MAX_PAST_VERSIONS {
--- a/src/coordination/interface.rs
+++ b/src/coordination/interface.rs
@@ -8,7 +8,7 @@
 use futures_util::future::BoxFuture;
 
 use crate::{
-    coordination::Error,
+    coordination::{Error, decision::rate_limit::Report},
     id::Name,
     protocol::{
         self, announce,
@@ -128,6 +128,9 @@
     /// Asks for the version and the offsets that the node has reached. The answer is a
     /// [`Progress`](crate::protocol::update::Progress).
     Progress,
+    /// Reports a node's counts of teams' requests. The answer is the
+    /// [`Shares`](crate::coordination::decision::rate_limit::Shares) to admit.
+    Counts(Report),
     /// Delivers records that another node read, to apply and to forward.
     Deliver(Box<Update>),
 }
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -30,6 +30,7 @@
 //! * [`probe`]: probes unreachable nodes;
 //! * [`local`], [`presence`]: the target on this host, and what is published about it;
 //! * [`gate`], [`flow`]: admission to that target, and of large bodies to the host's link;
+//! * [`rate_limit`]: the exchange of counts behind the limits on teams' requests;
 //! * [`quarantine`]: which requests are quarantined because targets crash under them;
 //! * [`rollout`]: which release of a service receives its requests;
 //! * [`decision`]: queueing, load shedding, target selection and retries.
@@ -60,6 +61,7 @@
 pub mod publish;
 pub mod quarantine;
 pub mod rank;
+pub mod rate_limit;
 pub mod rollout;
 pub mod scatter;
 pub mod snapshot;
--- a/src/coordination/rank.rs
+++ b/src/coordination/rank.rs
@@ -4,7 +4,7 @@
 //! agreement is needed: while the tables of two nodes differ, both may do the same
 //! job, and every job assigned this way is harmless if done twice.
 
-use std::{cmp::Reverse, sync::Arc};
+use std::{cmp::Reverse, collections::BTreeMap, sync::Arc};
 
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
@@ -109,11 +109,31 @@
         .collect()
 }
 
+/// Returns the order of members in a ranking: more bandwidth first, because the first member
+/// sends the data that all others need; then by hash.
+fn position(seed: u64, bandwidth: u32, node: &Node) -> (Reverse<u32>, u64) {
+    (Reverse(bandwidth), weight(seed, node))
+}
+
+/// Returns the member that ranks first for `job` in each failure domain.
+pub fn first_of_domains<'a>(
+    members: impl Iterator<Item = &'a Arc<Member>>,
+    job: &str,
+) -> BTreeMap<&'a Name, &'a Arc<Member>> {
+    let seed = seed(job);
+    let position = |member: &Member| position(seed, member.bandwidth, &member.node);
+    let mut first: BTreeMap<&Name, &Arc<Member>> = BTreeMap::new();
+    for member in members {
+        let current = first.entry(&member.domain).or_insert(member);
+        if (position(member), &member.node) < (position(current), &current.node) {
+            *current = member;
+        }
+    }
+    first
+}
+
 /// Returns the members that rank before `node` for `job`, the nearest rank first; empty
 /// if `node` ranks first.
-///
-/// Members with more bandwidth rank first, because the first member sends the data that
-/// all others need.
 pub fn predecessors<'a>(
     members: impl Iterator<Item = &'a Arc<Member>>,
     job: &str,
@@ -121,9 +141,8 @@
     bandwidth: u32,
 ) -> Vec<Arc<Member>> {
     let seed = seed(job);
-    let key = |bandwidth, node| (Reverse(bandwidth), weight(seed, node));
-    let mine = key(bandwidth, node);
-    let keyed = members.map(|member| (key(member.bandwidth, &member.node), member));
+    let mine = position(seed, bandwidth, node);
+    let keyed = members.map(|member| (position(seed, member.bandwidth, &member.node), member));
     let mut predecessors: Vec<_> = keyed
         .filter(|(key, member)| (*key, &member.node) < (mine, node))
         .collect();
--- a/src/coordination/watch.rs
+++ b/src/coordination/watch.rs
@@ -21,7 +21,7 @@
     coordination::{
         host::Host,
         interface::{CallPeer, PeerRequest},
-        rank,
+        rank, rate_limit,
     },
     event::Event,
     id::Node,
@@ -101,13 +101,7 @@
             Some(progress)
         }
         None => {
-            host.note_unreachable(&member.node, Instant::now() + SKIP_TIME);
-            note!(
-                host.journal,
-                Event::MemberChanged,
-                member = member.node,
-                status = "silent"
-            );
+            note_silent(host, &member.node);
             None
         }
     }
@@ -128,6 +122,37 @@
     rank::predecessors(ranked, JOB, &settings.node, settings.bandwidth())
 }
 
+/// Returns what the exchange of rate limits needs to know of the fleet: the first-ranked node
+/// of each failure domain is its pool.
+pub fn rate_limit_view(host: &Host) -> rate_limit::View {
+    let settings = &host.settings;
+    let members = host.members.read();
+    let now = Instant::now();
+    let reachable = members
+        .iter()
+        .filter(|member| member.is_present() && !host.is_unreachable(&member.node, now));
+    let mut pools = rank::first_of_domains(reachable, JOB);
+    let address = |member: &Arc<Member>| (member.node.clone(), member.peers);
+    let own = pools.remove(&settings.domain).map(address);
+    rate_limit::View {
+        routes: host.routes(),
+        nodes: members.len().max(1),
+        pool: own.filter(|(node, _)| *node != settings.node),
+        others: pools.into_values().map(address).collect(),
+    }
+}
+
+/// Records that a node did not answer: it is left out of the ranking for a while.
+pub fn note_silent(host: &Host, node: &Node) {
+    host.note_unreachable(node, Instant::now() + SKIP_TIME);
+    note!(
+        host.journal,
+        Event::MemberChanged,
+        member = node,
+        status = "silent"
+    );
+}
+
 /// Returns a random node of the other failure domains, whatever its rank.
 fn other_domain_member(host: &Host) -> Option<Arc<Member>> {
     let settings = &host.settings;
--- a/src/event.rs
+++ b/src/event.rs
@@ -87,7 +87,7 @@
     406 Warn  Ejected: "A target is passed over for a while because its requests fail.";
     407 Info  Returned: "An ejected target gets requests again.";
     408 Info  SentAgain: "What was sent again for a service within the window, beside what may be.";
-    409 Info  Denied: "A request was refused for its key, or for a setting that is not supported here.";
+    409 Info  Denied: "A request was refused for its key, its team's limit, or a setting that is not supported here.";
     410 Info  Admitted: "A request was passed to the target on this host.";
     411 Info  Shed: "A request was refused before the target saw it.";
     412 Warn  Misplaced: "A request came that this node's view doesn't allow here; it was refused.";
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -21,7 +21,7 @@
         host,
         interface::{CallPeer, Decoders, Store, Stream},
         presence::{self, Recorded},
-        probe, quarantine, rollout, source, watch as reader,
+        probe, quarantine, rate_limit, rollout, source, watch as reader,
     },
     event::{Event, Journal},
     journal::note,
@@ -267,6 +267,7 @@
     }
     tokio::spawn(source::follow_hints(host.clone(), call_peer.clone()));
     tokio::spawn(reader::run(host.clone(), call_peer.clone()));
+    tokio::spawn(rate_limit::run(rate_limit_exchange(&host, &call_peer)));
     tokio::spawn(quarantine::run(host.clone()));
     tokio::spawn(rollout::controller::run(host.clone(), store.clone()));
     tokio::spawn(probe::run(host.clone(), call_peer));
@@ -274,6 +275,18 @@
     serve_all(listeners).await;
 }
 
+fn rate_limit_exchange(host: &Arc<host::Host>, call_peer: &CallPeer) -> rate_limit::Exchange {
+    let (viewing, noting) = (host.clone(), host.clone());
+    rate_limit::Exchange {
+        node: host.settings.node.clone(),
+        limits: host.rate_limits.clone(),
+        view: Arc::new(move || reader::rate_limit_view(&viewing)),
+        call_peer: call_peer.clone(),
+        on_silent: Arc::new(move |node| reader::note_silent(&noting, node)),
+        version_changed: host.version_changed.clone(),
+    }
+}
+
 async fn serve_all(listeners: Listeners) {
     let servers = listeners
         .into_iter()
--- a/src/transport/relay/call.rs
+++ b/src/transport/relay/call.rs
@@ -6,13 +6,14 @@
 };
 
 use hyper::{
+    StatusCode,
     header::{AUTHORIZATION, HeaderValue},
     http::request,
 };
 
 use crate::{
     coordination::{
-        decision::{access, attempts},
+        decision::{access, attempts, rate_limit::Exceeded},
         host::Host,
     },
     event::Event,
@@ -30,6 +31,9 @@
 /// The `Retry-After` of refusals while no version is in force.
 const NO_VERSION_RETRY_AFTER: Span = Span::from_millis(300);
 
+/// The reason of a refusal because the team's limit is used up.
+const RATE_LIMITED: &str = "the team has used up its limit";
+
 /// A caller's request with its route and its time limits.
 pub struct Call {
     /// The head of the request, as it is sent to the target.
@@ -38,6 +42,8 @@
     pub route: Arc<Route>,
     /// The service whose target is to run the request.
     pub service: Name,
+    /// The team on whose behalf the request is sent, if there is one.
+    pub team: Option<Arc<Team>>,
     /// The priority under overload: the team's, or else the route's; 0 is the highest.
     pub priority: u8,
     /// When the request arrived.
@@ -80,6 +86,10 @@
         };
         let route = find_route(host, &table, &head).map_err(denied)?;
         let team = identify(host, &table, &route, &head).map_err(denied)?;
+        if let Some(team) = &team {
+            let admitted = host.rate_limits.admit(team, host.nodes(), arrived);
+            admitted.map_err(|exceeded| denied(limit(host, &head, team, exceeded)))?;
+        }
         let age = deadline.map_or(Duration::ZERO, |remaining| {
             host.request_ages.lock().note(&route.name, remaining)
         });
@@ -90,6 +100,7 @@
         let priority = team.as_ref().and_then(|team| team.priority);
         let mut call = Self {
             head,
+            team,
             priority: priority.unwrap_or(route.priority),
             route,
             service,
@@ -100,20 +111,20 @@
             due: due.unwrap_or(arrived),
             deadline: arrived + remaining,
         };
-        call.set_origin(host, &table, team.as_deref());
+        call.set_origin(host, &table);
         Ok((call, table.version))
     }
 
     /// Sets the headers that tell a target where the request began, whatever the caller sent,
     /// and removes the key, which stays on this host.
-    fn set_origin(&mut self, host: &Host, table: &Table, team: Option<&Team>) {
+    fn set_origin(&mut self, host: &Host, table: &Table) {
         let dialect = &host.decoders.dialect;
         let headers = &mut self.head.headers;
         let value =
             |name: &Name| HeaderValue::from_str(name.as_str()).expect("names are valid in headers");
         headers.insert(dialect.caller_service.clone(), value(host.service()));
         headers.remove(&dialect.team);
-        if let Some(team) = team {
+        if let Some(team) = &self.team {
             headers.insert(dialect.team.clone(), value(&team.name));
         }
         if !table.teams.is_empty() {
@@ -173,6 +184,22 @@
     })
 }
 
+/// Returns the refusal of a request that exceeds its team's limit.
+fn limit(host: &Host, head: &request::Parts, team: &Team, exceeded: Exceeded) -> Refusal {
+    note!(
+        host.journal,
+        Event::Denied,
+        id = request_id(host, head),
+        team = team.name,
+        status = StatusCode::TOO_MANY_REQUESTS.as_u16(),
+        reason = RATE_LIMITED,
+    );
+    Refusal {
+        status: StatusCode::TOO_MANY_REQUESTS.as_u16(),
+        ..Refusal::not_run(RATE_LIMITED, Span::from_duration(exceeded.retry_after))
+    }
+}
+
 /// Returns the id that the caller gave the request, or `-`.
 fn request_id<'a>(host: &Host, head: &'a request::Parts) -> &'a str {
     http::get(&head.headers, host.decoders.dialect.attempt_id.as_str()).unwrap_or("-")
--- a/src/transport/relay/control.rs
+++ b/src/transport/relay/control.rs
@@ -72,6 +72,9 @@
 /// The path that returns the progress of this node to peers.
 const SEEN: &str = "/seen";
 
+/// The path where peers report their counts of teams' requests.
+const COUNTS: &str = "/counts";
+
 /// The path where peers deliver the records that they read from the store.
 const NEWS: &str = "/news";
 
@@ -102,6 +105,7 @@
         PeerRequest::Routes(base) => (ROUTES, encode(&base)),
         PeerRequest::Members(hashes) => (MEMBERS, encode(&hashes)),
         PeerRequest::Progress => (SEEN, Bytes::new()),
+        PeerRequest::Counts(report) => (COUNTS, encode(&report)),
         PeerRequest::Deliver(news) => (NEWS, encode(&news)),
     };
     let peer = || address.to_string();
@@ -150,6 +154,7 @@
                 ROUTES => routes(&host, request.into_body()).await,
                 MEMBERS => members(&host, request.into_body()).await,
                 SEEN => Response::new(Body::whole(encode(&host.progress()))),
+                COUNTS => counts(&host, request.into_body()).await,
                 NEWS => news(&host, &call_peer, request.into_body()).await,
                 ROLLOUTS => json(&controller::progress(&host)),
                 HELD => json(&host.quarantine.quarantined(Instant::now())),
@@ -199,6 +204,24 @@
     }
 }
 
+async fn counts(host: &Host, body: Body) -> Response<Body> {
+    let read = body::read(body, MAX_PEER_MESSAGE, PEER_TIMEOUT).await;
+    let Ok(ReadResult::Whole(bytes)) = read else {
+        return empty_response(StatusCode::BAD_REQUEST);
+    };
+    let Some(routes) = host.routes() else {
+        return empty_response(StatusCode::SERVICE_UNAVAILABLE);
+    };
+    match source::decode(host, &bytes, "counts", "peer") {
+        Some(report) => {
+            let limits = &host.rate_limits;
+            let shares = limits.receive(report, &routes, host.nodes(), Instant::now());
+            Response::new(Body::whole(encode(&shares)))
+        }
+        None => empty_response(StatusCode::BAD_REQUEST),
+    }
+}
+
 async fn let_go(host: &Host, body: Body) -> Response<Body> {
     let read = body::read(body, MAX_CALL, PEER_TIMEOUT).await;
     let Ok(ReadResult::Whole(bytes)) = read else {
--- a/src/transport/relay/egress.rs
+++ b/src/transport/relay/egress.rs
@@ -472,6 +472,11 @@
         let priority = call.priority;
         let nodes = NodeList(&attempts.nodes);
         self.count_result(call, &result);
+        if let (Some(team), Err(refusal)) = (&call.team, &result)
+            && refusal.outcome == Outcome::NotRun
+        {
+            self.host.rate_limits.refund(&team.name);
+        }
         match result {
             Ok(response) => {
                 let status = response.status().as_u16();
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod fleet;
 pub mod load;
 pub mod proxy;
+pub mod rate_limit;
 pub mod store;
 pub mod target;
 
