Targets that warm up are paced; an operator drains a failure domain

Change: decision::warmup, in the gate beside the target, which sees all of its requests; a node that doesn't know whether its target is cold asks its health once. state::drain: orders travel with the routes and on every check between nodes; senders and the node beside a target both keep them.

--- a/src/coordination/decision/balance.rs
+++ b/src/coordination/decision/balance.rs
@@ -166,6 +166,8 @@
     Refused,
     /// The node reported that its target is leaving or gone.
     Leaving,
+    /// The node reported that its target warms up and got all requests that it tolerates.
+    WarmingUp,
     /// Another node answered at its address.
     Replaced,
     /// The target failed: it closed the connection, or sent an invalid response or an error.
@@ -185,6 +187,7 @@
             Self::Answered(_) => "answered",
             Self::Refused => "refused",
             Self::Leaving => "leaving",
+            Self::WarmingUp => "warming-up",
             Self::Replaced => "replaced",
             Self::Failed => "failed",
             Self::Late => "late",
@@ -340,7 +343,13 @@
         let mut is_eligible =
             |member: &Arc<Member>| serves(member) && !self.is_excluded(member, criteria.node, now);
         let mut drawn = draw([near, &[]], NEAR_DRAWS, &mut is_eligible);
-        drawn.extend(draw([before, after], FAR_DRAWS, &mut is_eligible));
+        // Where the own failure domain has none, as many are drawn as otherwise of both.
+        let far = if drawn.is_empty() {
+            NEAR_DRAWS + FAR_DRAWS
+        } else {
+            FAR_DRAWS
+        };
+        drawn.extend(draw([before, after], far, &mut is_eligible));
         // The first of equal costs is chosen, and must not be the same at all nodes.
         fastrand::shuffle(&mut drawn);
         let estimates = drawn.into_iter().map(|member| {
@@ -505,6 +514,12 @@
                 peer.eject(now);
                 true
             }
+            // Hundreds of nodes may choose the target next. Each leaves it alone for a while,
+            // since most of their requests would be refused.
+            AttemptResult::WarmingUp => {
+                peer.eject(now);
+                false
+            }
             AttemptResult::Replaced => {
                 peer.ejected_until = Some(now + REPLACED_EJECTION);
                 true
--- a/src/coordination/decision/mod.rs
+++ b/src/coordination/decision/mod.rs
@@ -7,6 +7,7 @@
 //! * [`access`]: whether a caller may send a request, and on whose behalf;
 //! * [`rate_limit`]: how many requests of a team all nodes together admit;
 //! * [`queue`]: slots of a target, and the requests that wait for one;
+//! * [`warmup`]: the pace of requests to a target that warms up;
 //! * [`balance`]: which node a request goes to;
 //! * [`link_share`]: which large bodies a host's link may carry;
 //! * [`reach`]: which nodes are unreachable, and when they are probed;
@@ -32,3 +33,4 @@
 pub mod rollout;
 pub mod runs;
 pub mod split;
+pub mod warmup;
--- a/src/coordination/gate.rs
+++ b/src/coordination/gate.rs
@@ -19,12 +19,14 @@
     coordination::decision::{
         queue::{Admission, MIN_RETRY_AFTER, Place, Queue},
         runs::Runs,
+        warmup::{Pace, Warmup},
     },
     id::Instance,
     protocol::{
         answer::Refusal,
         dialect::{Load, Slowdown},
     },
+    unit::Span,
 };
 
 /// Admits requests to the target on this host. Cheap to clone; all clones share their state.
@@ -61,6 +63,7 @@
     /// The senders wake waiting tasks. A task whose sender is dropped is rejected.
     queue: Queue<oneshot::Sender<()>>,
     runs: Runs,
+    pace: Pace,
 }
 
 /// Why no request is admitted now.
@@ -89,6 +92,9 @@
 /// Reason of a rejection for lack of a free slot.
 pub const FULL: &str = "target is full";
 
+/// Reason of a rejection because a target that warms up got all requests that it tolerates.
+pub const WARMING_UP: &str = "target is warming up";
+
 /// Returns the [`Refusal`] of a request that is rejected because the gate has no target.
 pub fn no_target() -> Refusal {
     Unavailable::NoTarget.refusal()
@@ -114,6 +120,11 @@
         state.admit_next();
     }
 
+    /// Sets what is known of the target's warm-up; `None` if it needs none.
+    pub fn set_warmup(&self, warmup: Option<Warmup>) {
+        self.state.lock().pace.set(warmup);
+    }
+
     /// Closes the gate: rejects waiting requests and all later ones.
     pub fn close(&self) {
         let mut state = self.state.lock();
@@ -129,9 +140,17 @@
         state.queue.clear();
     }
 
-    /// Returns the target's load.
+    /// Returns the target's load. While it warms up, its slots count as used as far as the
+    /// requests of a second are, so that other nodes choose it less.
     pub fn load(&self) -> Load {
-        self.state.lock().queue.load()
+        let state = self.state.lock();
+        let load = state.queue.load();
+        let usage = state.pace.usage(Instant::now()).unwrap_or_default();
+        let paced = (usage * f64::from(load.slots)).ceil() as u32;
+        Load {
+            running: load.running.max(paced),
+            ..load
+        }
     }
 
     /// Returns the slot turnover time: how long it takes until a slot is free, while all are
@@ -170,8 +189,13 @@
             if let Some(unavailable) = state.unavailable() {
                 return Err(unavailable.refusal());
             }
-            match state.queue.admit(&arrival, sender, Instant::now()) {
-                Admission::Admitted => return Ok(self.permit(&state)),
+            let now = Instant::now();
+            state.check_pace(now)?;
+            match state.queue.admit(&arrival, sender, now) {
+                Admission::Admitted => {
+                    state.pace.record(now);
+                    return Ok(self.permit(&state));
+                }
                 Admission::Rejected => return Err(state.reject_full(&arrival)),
                 Admission::Queued {
                     place, max_wait, ..
@@ -220,7 +244,9 @@
         if let Some(unavailable) = state.unavailable() {
             return Err(unavailable.refusal());
         }
-        match state.queue.may_admit(arrival, Instant::now()) {
+        let now = Instant::now();
+        state.check_pace(now)?;
+        match state.queue.may_admit(arrival, now) {
             true => Ok(()),
             false => Err(state.reject_full(arrival)),
         }
@@ -276,6 +302,14 @@
         }
     }
 
+    /// Checks whether the target, if it warms up, tolerates one more request now.
+    fn check_pace(&self, now: Instant) -> Result<(), Refusal> {
+        match self.pace.wait(now) {
+            None => Ok(()),
+            Some(wait) => Err(Refusal::not_run(WARMING_UP, Span::from_duration(wait))),
+        }
+    }
+
     fn reject_full(&self, arrival: &Arrival) -> Refusal {
         let retry_after = self
             .queue
@@ -285,13 +319,15 @@
 
     /// Wakes the waiting tasks for which slots are free now.
     fn admit_next(&mut self) {
-        while !self.is_closed {
+        let now = Instant::now();
+        while !self.is_closed && self.pace.wait(now).is_none() {
             let Some(waiter) = self.queue.admit_next() else {
                 return;
             };
             // The task has just stopped waiting, so the slot goes to the next one.
-            if waiter.send(()).is_err() {
-                self.queue.release(None);
+            match waiter.send(()) {
+                Ok(()) => self.pace.record(now),
+                Err(()) => self.queue.release(None),
             }
         }
     }
--- a/src/coordination/host.rs
+++ b/src/coordination/host.rs
@@ -22,9 +22,11 @@
             balance::{self, Balancer},
             retry_budget::{RetryBudget, Rule},
             split::Split,
+            warmup::Warmup,
         },
+        drain::SharedDrains,
         flow::Flow,
-        gate::Gate,
+        gate::{self, Gate},
         interface::{Decoders, Stream},
         local::Local,
         quarantine::SharedQuarantine,
@@ -41,6 +43,7 @@
     journal::note,
     protocol::update::Progress,
     state::{
+        drain::Drain,
         member::{Member, Table},
         routing::{self, Delta},
     },
@@ -89,6 +92,8 @@
     pub response_flow: Flow,
     /// Weighted distribution of requests on split routes.
     pub split: Mutex<Split>,
+    /// Which failure domains are drained.
+    pub drains: SharedDrains,
     /// The limits on teams' requests.
     pub rate_limits: Arc<RateLimits>,
     /// Is notified when a version comes into force.
@@ -99,6 +104,8 @@
     pub own_record_changed: Notify,
     /// Wakes the task that probes unreachable nodes.
     pub node_unreachable: Notify,
+    /// Wakes the task that asks the target whether it warms up.
+    pub warmup_unknown: Notify,
     grace: Mutex<Span>,
     is_leaving: AtomicBool,
     routes: ArcSwapOption<routing::Table>,
@@ -186,11 +193,13 @@
             quarantine: SharedQuarantine::default(),
             response_flow: Flow::new(settings.bandwidth()),
             split: Mutex::default(),
+            drains: SharedDrains::default(),
             rate_limits: Arc::default(),
             version_changed: Arc::default(),
             rollouts: Rollouts::new(settings.exposure.map(|exposure| exposure.share)),
             own_record_changed: Notify::new(),
             node_unreachable: Notify::new(),
+            warmup_unknown: Notify::new(),
             is_leaving: AtomicBool::new(false),
             routes: ArcSwapOption::empty(),
             past_versions: Mutex::default(),
@@ -286,6 +295,7 @@
         self.routes.store(Some(Arc::new(table)));
         *self.in_force_since.lock() = Some(Instant::now());
         self.version_changed.notify_one();
+        self.set_gate();
         let mut past_versions = self.past_versions.lock();
         past_versions.extend(self.routes());
         if past_versions.len() > MAX_PAST_VERSIONS {
@@ -450,6 +460,30 @@
         self.read_failed.notified().await;
     }
 
+    /// Takes in orders about drains of failure domains; `from` names their source in the log.
+    pub fn receive_drains(&self, drains: Vec<Drain>, from: &str) {
+        let changed = self.drains.receive(drains, from, &self.journal);
+        let own = changed
+            .iter()
+            .find(|drain| drain.domain == self.settings.domain);
+        if own.is_some_and(|drain| !drain.is_active) {
+            // The targets here had no requests for a while and may be cold.
+            self.local.lock().forget_warmup();
+            self.set_gate();
+        }
+    }
+
+    /// Returns the target on this host and the path of its health checks, if it isn't known
+    /// whether it warms up.
+    pub fn unknown_warmup(&self) -> Option<(gate::Target, String)> {
+        let routes = self.routes()?;
+        let service = routes.service(self.service())?;
+        service.warmup_rate?;
+        let local = self.local.lock();
+        let target = local.open().filter(|_| local.warm_at().is_none())?;
+        Some((target, service.health_path.clone()))
+    }
+
     /// Returns the version and the offsets that this node has reached.
     pub fn progress(&self) -> Progress {
         Progress {
@@ -457,6 +491,7 @@
             members: self.offset(Stream::Members).unwrap_or(0),
             routes: self.offset(Stream::Routes).unwrap_or(0),
             blind: self.consecutive_failed_readers(),
+            drains: self.drains.latest(),
         }
     }
 
@@ -521,10 +556,28 @@
     }
 
     /// Opens or closes the gate, according to the state of the target on this host.
+    ///
+    /// The gate stays closed while it isn't known whether the target warms up and no version
+    /// tells how many requests it then tolerates.
     pub fn set_gate(&self) {
+        let routes = self.routes();
+        let service = routes
+            .as_ref()
+            .and_then(|routes| routes.service(self.service()));
+        let rate = service.and_then(|service| service.warmup_rate);
         let local = self.local.lock();
+        let until = local.warm_at();
+        let is_warm = until.is_some_and(|until| until <= Instant::now());
+        self.gate
+            .set_warmup(rate.map(|rate| Warmup { rate, until }));
         match local.open() {
-            Some(target) => self.gate.set_target(target),
+            Some(_) if routes.is_none() && !is_warm => self.gate.remove_target(),
+            Some(target) => {
+                self.gate.set_target(target);
+                if rate.is_some() && until.is_none() {
+                    self.warmup_unknown.notify_one();
+                }
+            }
             None if local.is_leaving() => self.gate.close(),
             None => self.gate.remove_target(),
         }
--- a/src/coordination/interface.rs
+++ b/src/coordination/interface.rs
@@ -18,7 +18,7 @@
         update::Update,
         wire::{Frame, Reply},
     },
-    state::routing,
+    state::{drain::Drain, routing},
     unit::Span,
 };
 
@@ -81,6 +81,8 @@
     pub records: Vec<Bytes>,
     /// Roll-out orders found among the versions of the routes, with their offsets.
     pub orders: Vec<(u64, Bytes)>,
+    /// Orders about drains of failure domains, found there, too.
+    pub drains: Vec<Drain>,
     /// The offset of the next record, to read on from.
     pub next: u64,
 }
--- a/src/coordination/local.rs
+++ b/src/coordination/local.rs
@@ -49,6 +49,8 @@
     sequence: u64,
     /// When its last heartbeat arrived. None if it is considered gone.
     last_heartbeat: Option<Instant>,
+    /// When it has warmed up; `None` if that isn't known.
+    warm_at: Option<Instant>,
 }
 
 impl Current {
@@ -57,6 +59,7 @@
             target,
             sequence: 0,
             last_heartbeat: Some(now),
+            warm_at: None,
         }
     }
 }
@@ -166,6 +169,7 @@
                     return Change::Nothing;
                 }
                 current.sequence = heartbeat.sequence;
+                current.warm_at = Some(now + heartbeat.warmup.duration());
                 let announced = Target {
                     // A drain is final; a late heartbeat does not revoke it.
                     draining: announced.draining || current.target.draining,
@@ -185,6 +189,7 @@
                     target: announced,
                     sequence: heartbeat.sequence,
                     last_heartbeat: Some(now),
+                    warm_at: Some(now + heartbeat.warmup.duration()),
                 }));
                 Change::Publish
             }
@@ -241,6 +246,26 @@
         matching.is_some_and(|current| current.last_heartbeat.take().is_some())
     }
 
+    /// Records how long an instance still warms up, as its health answer told it.
+    pub fn set_warmup(&mut self, instance: &Instance, left: Span, now: Instant) {
+        let current = self.current.as_mut();
+        if let Some(current) = current.filter(|current| current.target.instance == *instance) {
+            current.warm_at = Some(now + left.duration());
+        }
+    }
+
+    /// Forgets whether the target has warmed up: it may be cold again.
+    pub fn forget_warmup(&mut self) {
+        if let Some(current) = &mut self.current {
+            current.warm_at = None;
+        }
+    }
+
+    /// Returns when the target has warmed up; `None` if that isn't known.
+    pub fn warm_at(&self) -> Option<Instant> {
+        self.current.as_ref().and_then(|current| current.warm_at)
+    }
+
     /// Returns the target on this host, if one is known.
     pub fn target(&self) -> Option<&Target> {
         self.current.as_ref().map(|current| &current.target)
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -30,6 +30,7 @@
 //! * [`probe`]: probes unreachable nodes;
 //! * [`local`], [`presence`]: the target on this host, and what is published about it;
 //! * [`gate`], [`flow`]: admission to that target, and of large bodies to the host's link;
+//! * [`drain`]: which failure domains an operator has drained;
 //! * [`rate_limit`]: the exchange of counts behind the limits on teams' requests;
 //! * [`quarantine`]: which requests are quarantined because targets crash under them;
 //! * [`rollout`]: which release of a service receives its requests;
@@ -43,6 +44,7 @@
 pub mod budget;
 pub mod catchup;
 pub mod decision;
+pub mod drain;
 pub mod flow;
 pub mod gate;
 pub mod gossip;
--- a/src/coordination/probe.rs
+++ b/src/coordination/probe.rs
@@ -80,6 +80,7 @@
     if let Some(progress) =
         answer.and_then(|answer| rmp_serde::from_slice::<Progress>(&answer).ok())
     {
+        host.receive_drains(progress.drains, "peer");
         host.note_newer(progress.version, progress.members, member.peers);
     }
 }
--- a/src/coordination/source.rs
+++ b/src/coordination/source.rs
@@ -29,6 +29,7 @@
     journal::note,
     protocol::update::{Changes, Members, Progress, Update},
     state::{
+        drain::Drain,
         member::Member,
         rollout::{Rollout, Stage},
         routing::Delta,
@@ -168,6 +169,7 @@
             Ok(records) => {
                 note_store_up(host, stream, failures);
                 apply_orders(host, &records.orders);
+                apply_drains(host, &records, stream, true);
                 apply_records(host, stream, records.records);
                 host.advance_offset(stream, records.next);
                 return;
@@ -213,7 +215,7 @@
                 failures = 0;
                 is_behind = false;
                 host.set_store_unreadable(false);
-                apply_and_spread(host, call_peer, stream, from.unwrap_or(0), records);
+                apply_and_spread(host, call_peer, stream, from, records);
                 tokio::time::sleep(batch_pause(stream)).await;
             }
             Err(Error::Expired(_)) => is_behind = true,
@@ -256,21 +258,24 @@
     host: &Arc<Host>,
     call_peer: &CallPeer,
     stream: Stream,
-    from: u64,
+    from: Option<u64>,
     records: Records,
 ) {
     let rollouts = apply_orders(host, &records.orders);
+    let drains = apply_drains(host, &records, stream, from.is_none());
     let load = apply_records(host, stream, records.records);
     host.advance_offset(stream, records.next);
     // Orders without a new version are sent with an empty delta.
     let unchanged = || host.routes_since(host.version()).map(Changes::Routes);
-    let load = load.or_else(|| (!rollouts.is_empty()).then(unchanged)?);
+    let has_orders = !rollouts.is_empty() || !drains.is_empty();
+    let load = load.or_else(|| has_orders.then(unchanged)?);
     let Some(load) = load else { return };
     let update = Update {
-        from,
+        from: from.unwrap_or(0),
         next: records.next,
         load,
         rollouts,
+        drains,
         relay: Vec::new(),
         reader: host.settings.advertised().peers,
     };
@@ -287,6 +292,7 @@
         tokio::spawn(spread::relay(call_peer.clone(), relayed));
     }
     local::receive(host, update.rollouts, "reader");
+    host.receive_drains(update.drains, "reader");
     let stream = update.load.stream();
     let is_whole = match update.load {
         Changes::Routes(delta) => host.apply_routes(delta, "reader"),
@@ -408,7 +414,9 @@
     peer: SocketAddr,
 ) -> Option<(SocketAddr, Progress)> {
     let answer = call_peer(peer, PeerRequest::Progress).await.ok()?;
-    Some((peer, decode(host, &answer, "news", "peer")?))
+    let progress: Progress = decode(host, &answer, "news", "peer")?;
+    host.receive_drains(progress.drains.clone(), "peer");
+    Some((peer, progress))
 }
 
 async fn fetch_routes(host: &Host, call_peer: &CallPeer, peer: SocketAddr, progress: &Progress) {
@@ -519,6 +527,17 @@
     rollouts
 }
 
+/// Applies orders about drains of failure domains; returns those to send to other nodes. A
+/// read of the whole stream has no record of a drain that was taken back.
+fn apply_drains(host: &Host, records: &Records, stream: Stream, is_whole: bool) -> Vec<Drain> {
+    let mut drains = records.drains.clone();
+    if is_whole && stream == Stream::Routes {
+        drains.extend(host.drains.ended(&records.drains, records.next));
+    }
+    host.receive_drains(drains.clone(), "store");
+    drains
+}
+
 /// Returns the key of a roll-out in the stream of the members. It can't collide with a
 /// node's key, because no node name contains a slash.
 pub fn rollout_key(service: &Name) -> String {
--- a/src/coordination/watch.rs
+++ b/src/coordination/watch.rs
@@ -97,6 +97,7 @@
         .and_then(|answer| rmp_serde::from_slice::<Progress>(&answer).ok());
     match progress {
         Some(progress) => {
+            host.receive_drains(progress.drains.clone(), "peer");
             host.note_newer(progress.version, progress.members, member.peers);
             Some(progress)
         }
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -30,6 +30,7 @@
         relay::{
             control,
             egress::Egress,
+            health,
             ingress::Ingress,
             serve::{self, ClientKind, Handler, Phase, Server},
         },
@@ -241,6 +242,7 @@
 }
 
 async fn serve_requests(listeners: Listeners, egress: Arc<Egress>, ingress: Arc<Ingress>) {
+    tokio::spawn(health::run(ingress.host().clone()));
     tokio::spawn(async move {
         loop {
             tokio::time::sleep(PRUNE_INTERVAL).await;
--- a/src/protocol/dialect.rs
+++ b/src/protocol/dialect.rs
@@ -23,6 +23,10 @@
     pub team: HeaderName,
     /// A target's proof that it produced the response.
     pub proof: HeaderName,
+    /// On a target's health answer: the id of the instance that answers.
+    pub instance: HeaderName,
+    /// On a target's health answer: milliseconds for which it still warms up.
+    pub warmup: HeaderName,
     /// On a target's response: the request has not run.
     pub not_run: HeaderName,
     /// On a target's response: its running requests, waiting requests and slots,
@@ -40,6 +44,8 @@
             caller_service: HeaderName::from_static("rilltrack-caller"),
             team: HeaderName::from_static("rilltrack-team"),
             proof: HeaderName::from_static("rilltrack-proof"),
+            instance: HeaderName::from_static("rilltrack-instance"),
+            warmup: HeaderName::from_static("rilltrack-warmup-ms"),
             not_run: HeaderName::from_static("rilltrack-not-run"),
             load: HeaderName::from_static(super::answer::LOAD),
         }
--- a/src/protocol/update.rs
+++ b/src/protocol/update.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-use crate::state::{rollout::Rollout, routing::Delta};
+use crate::state::{drain::Drain, rollout::Rollout, routing::Delta};
 
 /// Records of a stream, forwarded by the node that read them from the store.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
@@ -19,6 +19,9 @@
     /// Roll-outs whose orders are among the records.
     #[serde(default)]
     pub rollouts: Vec<Rollout>,
+    /// Orders about drains of failure domains among the records.
+    #[serde(default)]
+    pub drains: Vec<Drain>,
     /// The nodes to which the receiver forwards the records.
     pub relay: Vec<SocketAddr>,
     /// The node that read the records. A receiver that lacks earlier records fetches them from
@@ -55,7 +58,7 @@
 }
 
 /// A node's progress in the streams of the store.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Progress {
     /// The version of the routes in force; 0 if there is none.
     pub version: u64,
@@ -67,6 +70,9 @@
     /// The number of consecutive failed readers: nodes in the ranking, up to and including this
     /// one, that can't read the store; 0 if this node can or is not a reader.
     pub blind: u8,
+    /// The latest order about each failure domain that was ever drained.
+    #[serde(default)]
+    pub drains: Vec<Drain>,
 }
 
 /// The members that a node knows, and its offset in their stream.
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -14,11 +14,13 @@
 //!   targets crashed;
 //! * [`routing`]: a complete version of routes from an external source;
 //! * [`team`]: the teams whose callers may send requests, and their keys;
+//! * [`drain`]: which failure domains an operator has drained;
 //! * [`rollout`]: the progress of moving a service to another release;
 //! * [`version`]: the position of a state in the log.
 
 pub mod change;
 pub mod check;
+pub mod drain;
 pub mod evidence;
 pub mod fingerprint;
 pub mod machine;
--- a/src/state/routing.rs
+++ b/src/state/routing.rs
@@ -122,6 +122,8 @@
 pub struct Service {
     /// The name.
     pub name: Name,
+    /// The path at which its targets tell their health.
+    pub health_path: String,
     /// The requests per second that a target of the service tolerates while it warms up; `None`
     /// if it tolerates as many as later.
     pub warmup_rate: Option<Rate>,
@@ -132,6 +134,7 @@
     fn from(name: Name) -> Self {
         Self {
             name,
+            health_path: "/".into(),
             warmup_rate: None,
         }
     }
--- a/src/tool/mod.rs
+++ b/src/tool/mod.rs
@@ -86,6 +86,7 @@
     Rollback(RollbackArgs),
     Recover(RecoverArgs),
     Rollout(RolloutArgs),
+    Drained(DrainedArgs),
     Held(HeldArgs),
     LetGo(LetGoArgs),
     Trace(TraceArgs),
@@ -238,6 +239,12 @@
 #[argh(subcommand, name = "rollout")]
 struct RolloutArgs {}
 
+/// Show which failure domains are drained, as a node on the users' platform knows it; --daemon
+/// is the node's address for peers.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "drained")]
+struct DrainedArgs {}
+
 /// Release a quarantined request on all nodes.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "let-go")]
@@ -311,6 +318,7 @@
             show::targets(&targets, json)
         }
         Command::Rollout(_) => show::rollouts(&client.get::<Vec<_>>("rollouts").await?, json),
+        Command::Drained(_) => show::drains(&client.get::<Vec<_>>("drains").await?, json),
         Command::Held(_) => show::quarantined(&client.get::<Vec<_>>("held").await?, json),
         Command::LetGo(args) => {
             let was_quarantined: bool = client.post("let-go", &args.content).await?;
--- a/src/tool/show.rs
+++ b/src/tool/show.rs
@@ -10,7 +10,8 @@
         Convergence, Explanation, History, Progress, Published, Quarantined, Report,
     },
     state::{
-        fingerprint::Fingerprint, machine::Verdict, member::Target, resource::Key, version::Version,
+        drain::Drain, fingerprint::Fingerprint, machine::Verdict, member::Target, resource::Key,
+        version::Version,
     },
     tool::{Code, CommandResult, Failure},
 };
@@ -70,6 +71,22 @@
     Ok(Code::Accepted)
 }
 
+/// Prints the drains of failure domains.
+pub fn drains(drains: &[Drain], json: bool) -> CommandResult {
+    if json {
+        print_json(&drains);
+        return Ok(Code::Accepted);
+    }
+    let active = drains.iter().filter(|drain| drain.is_active);
+    for Drain { domain, order, .. } in active.clone() {
+        println!("{domain}: drained by order {order}");
+    }
+    if active.count() == 0 {
+        println!("no failure domain is drained");
+    }
+    Ok(Code::Accepted)
+}
+
 /// Prints the quarantined requests.
 pub fn quarantined(requests: &[Quarantined], json: bool) -> CommandResult {
     if json {
--- a/src/transport/relay/attempt.rs
+++ b/src/transport/relay/attempt.rs
@@ -10,6 +10,7 @@
             attempts::AttemptEnd,
             balance::{AttemptResult, Report},
         },
+        gate,
         host::Host,
     },
     event::Event,
@@ -112,6 +113,9 @@
                 Outcome::NotRun if ingress::is_target_unavailable(&refused.refusal.reason) => {
                     AttemptResult::Leaving
                 }
+                Outcome::NotRun if refused.refusal.reason == gate::WARMING_UP => {
+                    AttemptResult::WarmingUp
+                }
                 Outcome::NotRun => AttemptResult::Refused,
                 _ => AttemptResult::Failed,
             },
--- a/src/transport/relay/control.rs
+++ b/src/transport/relay/control.rs
@@ -81,6 +81,9 @@
 /// The path that returns the states of roll-outs to operators.
 const ROLLOUTS: &str = "/rollouts";
 
+/// The path that returns the latest drains of failure domains to operators.
+const DRAINS: &str = "/drains";
+
 /// The path that returns the quarantined requests to operators.
 const HELD: &str = "/held";
 
@@ -157,6 +160,7 @@
                 COUNTS => counts(&host, request.into_body()).await,
                 NEWS => news(&host, &call_peer, request.into_body()).await,
                 ROLLOUTS => json(&controller::progress(&host)),
+                DRAINS => json(&host.drains.latest()),
                 HELD => json(&host.quarantine.quarantined(Instant::now())),
                 LET_GO => let_go(&host, request.into_body()).await,
                 _ => empty_response(StatusCode::NOT_FOUND),
--- a/src/transport/relay/egress.rs
+++ b/src/transport/relay/egress.rs
@@ -255,10 +255,13 @@
             .host
             .rollouts
             .subsets(service, &members, attempts.nodes.is_empty());
+        let drains = self.host.drains.current();
         let mut balancer = self.host.balancer.lock();
         for subset in subsets.into_iter().flatten() {
             let is_eligible = |member: &Member| {
-                !attempts.nodes.contains(&member.node) && subset.admits(member, service)
+                !drains.is_drained(&member.domain)
+                    && !attempts.nodes.contains(&member.node)
+                    && subset.admits(member, service)
             };
             let choice = balancer.choose(&members, criteria, is_eligible, Instant::now());
             if choice.is_some() {
--- a/src/transport/relay/ingress.rs
+++ b/src/transport/relay/ingress.rs
@@ -59,6 +59,13 @@
 /// The reason of a refusal by a node other than the one that the request is addressed to.
 pub const OTHER_NODE: &str = "another node has this address";
 
+/// The reason of a refusal because the failure domain of this node is drained.
+pub const DOMAIN_DRAINED: &str = "the failure domain is drained";
+
+/// The `Retry-After` of refusals with [`DOMAIN_DRAINED`]. The sender learns of the drain from
+/// this node's report or sooner, and a target elsewhere takes the request.
+const DRAINED_RETRY_AFTER: Span = Span::from_millis(100);
+
 /// The reason of a refusal because a running target closed the connection during a
 /// request.
 const TARGET_BROKE_OFF: &str = "target broke off";
@@ -168,6 +175,11 @@
         })
     }
 
+    /// Returns the state of the node.
+    pub fn host(&self) -> &Arc<Host> {
+        &self.host
+    }
+
     /// Returns the handler for requests from peers.
     pub fn handler(self: &Arc<Self>) -> Handler {
         let ingress = self.clone();
@@ -198,6 +210,15 @@
             let refusal = Refusal::not_run(OTHER_NODE, Span::from_millis(0));
             return Err(Refused::before_arrival(refusal));
         }
+        if self
+            .host
+            .drains
+            .current()
+            .is_drained(&self.host.settings.domain)
+        {
+            let refusal = Refusal::not_run(DOMAIN_DRAINED, DRAINED_RETRY_AFTER);
+            return Err(Refused::before_arrival(refusal));
+        }
         if local::role(&self.host) == Role::Excluded {
             // The target's release was not ordered, was rolled back, or is failing on trial.
             return Err(Refused::before_arrival(gate::no_target()));
@@ -728,10 +749,10 @@
     }
 }
 
-/// Returns whether the reason of a refusal is that the node has no target or that its target
-/// is leaving.
+/// Returns whether the reason of a refusal is that the node has no target, that its target is
+/// leaving or that its failure domain is drained.
 pub fn is_target_unavailable(reason: &str) -> bool {
-    [LEAVING, NO_TARGET].contains(&reason)
+    [LEAVING, NO_TARGET, DOMAIN_DRAINED].contains(&reason)
 }
 
 /// Returns whether a completed run is a fault of the target, or `None` if the request did not
--- a/src/transport/relay/mod.rs
+++ b/src/transport/relay/mod.rs
@@ -16,6 +16,7 @@
 pub mod codec;
 pub mod control;
 pub mod egress;
+pub mod health;
 pub mod http1_server;
 pub mod ingress;
 pub mod io;
--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -136,6 +136,12 @@
         Some(format!("{:?}", rollout.stage))
     }
 
+    /// Returns whether this node takes a failure domain for drained.
+    pub fn is_drained(&self, domain: &str) -> bool {
+        let drains = self.process.as_ref().unwrap().host.drains.current();
+        drains.is_drained(&domain.parse().unwrap())
+    }
+
     /// Returns whether the node is a reader of the store for its failure domain.
     pub fn reads(&self) -> bool {
         *self.process.as_ref().unwrap().host.reading().borrow()
--- a/standins/src/rate_limit.rs
+++ b/standins/src/rate_limit.rs
@@ -195,7 +195,7 @@
         let limit_of = |_: &Name| Some(limit);
         for node in 0..count {
             // Nodes report at different times.
-            if (step + node * 7) % REPORT_STEPS != 0 {
+            if !(step + node * 7).is_multiple_of(REPORT_STEPS) {
                 continue;
             }
             let pool = node / nodes * nodes;
--- a/standins/src/store.rs
+++ b/standins/src/store.rs
@@ -171,6 +171,16 @@
         self.write("keyed.op", key.as_bytes(), order.to_string().as_bytes());
     }
 
+    /// Orders a drain of a failure domain, as the operator does.
+    pub fn drain(&self, domain: &str) {
+        self.write("keyed.op", format!("evacuate/{domain}").as_bytes(), b"{}");
+    }
+
+    /// Takes a failure domain back, as the operator does.
+    pub fn take_back(&self, domain: &str) {
+        self.write("keyed.op", format!("evacuate/{domain}").as_bytes(), b"");
+    }
+
     /// Returns the states that the status records of a service's orders report, the oldest
     /// first.
     pub fn words(&self, service: &str) -> Vec<String> {
--- a/standins/src/target.rs
+++ b/standins/src/target.rs
@@ -65,6 +65,18 @@
     /// A part of a request line; requests that contain it crash the target.
     fatal: Arc<Mutex<Option<String>>>,
     process: Arc<Mutex<ProcessState>>,
+    /// What its health answers tell, while it is cold.
+    cold: Arc<Mutex<Option<Cold>>>,
+}
+
+/// A target that is cold: it crashes if it gets twice the requests that it tolerates within
+/// a second.
+#[derive(Clone, Copy, Debug)]
+pub struct Cold {
+    /// Requests per second that it tolerates.
+    pub tolerated: usize,
+    /// When it is warm.
+    pub until: std::time::Instant,
 }
 
 /// The state of a target's simulated process.
@@ -85,6 +97,7 @@
             seen: Arc::default(),
             fatal: Arc::default(),
             process: Arc::default(),
+            cold: Arc::default(),
         };
         target.run(socket);
         target
@@ -152,6 +165,54 @@
         });
     }
 
+    /// Makes it cold, or warm.
+    pub fn set_cold(&self, cold: Option<Cold>) {
+        *self.cold.lock() = cold;
+    }
+
+    /// Returns the most requests, health checks aside, that it got within any second before
+    /// `end`.
+    pub fn busiest_second(&self, end: std::time::Instant) -> usize {
+        let seen = self.seen.lock();
+        let mut times: Vec<_> = seen.iter().filter_map(|seen| seen.at).collect();
+        times.retain(|at| *at < end);
+        times.sort_unstable();
+        let within = |from: &std::time::Instant| {
+            let second = *from + std::time::Duration::from_secs(1);
+            times
+                .iter()
+                .filter(|at| (*from..second).contains(at))
+                .count()
+        };
+        times.iter().map(within).max().unwrap_or(0)
+    }
+
+    /// Returns the milliseconds for which it is still cold.
+    fn cold_left(&self) -> u128 {
+        let now = std::time::Instant::now();
+        let cold = *self.cold.lock();
+        cold.map_or(0, |cold| {
+            cold.until.saturating_duration_since(now).as_millis()
+        })
+    }
+
+    /// Crashes if it is cold and got far more requests than it tolerates.
+    fn crash_if_overrun(&self) {
+        let cold = *self.cold.lock();
+        let now = std::time::Instant::now();
+        if let Some(cold) = cold.filter(|cold| now < cold.until) {
+            let from = now - std::time::Duration::from_secs(1);
+            let seen = self.seen.lock();
+            let recent = seen
+                .iter()
+                .filter(|seen| seen.at.is_some_and(|at| at > from));
+            if recent.count() > cold.tolerated * 2 {
+                drop(seen);
+                self.end();
+            }
+        }
+    }
+
     /// Sets the mode for later requests.
     pub fn set(&self, mode: Mode) {
         *self.mode.lock() = mode;
@@ -184,8 +245,18 @@
         loop {
             let mut seen = read(&mut stream).await?;
             let mode = *self.mode.lock();
+            if seen.line.starts_with("GET /health ") {
+                let left = self.cold_left();
+                let health = format!(
+                    "HTTP/1.1 200 OK\r\nRilltrack-Instance-Id: i1\r\n\
+                     Rilltrack-Warmup-Ms: {left}\r\nContent-Length: 0\r\n\r\n"
+                );
+                stream.write_all(health.as_bytes()).await.ok()?;
+                continue;
+            }
             seen.ran = !matches!(mode, Mode::Sheds | Mode::Other);
             self.seen.lock().push(seen.clone());
+            self.crash_if_overrun();
             let fatal = self.fatal.lock().clone();
             if fatal.is_some_and(|part| seen.line.contains(&part)) {
                 self.end();
