Starting nodes ask contacts instead of reading all members from the store

Cause: at 985 hosts no node became ready. In a fleet that starts as a whole each node reads all members 2.8 s after its start: 985 answers of 200 KB (a page of 500 records) at the store's 80 MB/s take 2.5 s, the timeout was 0.9 s, the answers were thrown away and asked for again (log of the untouched code: first read at -23.99 s, records written, the second read failed at -19.95 s and for ever after). Without it no membership settled, so nobody read the routes.

What grows faster than the fleet: bytes that starting nodes read together, its square. Ruled out: the first read (its answer is empty), the writes (1 ms each).

Change: coordination::start. A few contacts for each failure domain stand in the store, wide links first; a starting node asks them, contacts alone read the store. A page of the store has 4 s (a page on its way isn't thrown away), the wait for the first heartbeat follows the heartbeat's interval, and a first version is read by the first-ranked alone.

--- a/src/coordination/host.rs
+++ b/src/coordination/host.rs
@@ -489,6 +489,8 @@
         Progress {
             version: self.version(),
             members: self.offset(Stream::Members).unwrap_or(0),
+            is_settled: self.is_membership_settled(),
+            knows_members: self.offset(Stream::Members).is_some(),
             routes: self.offset(Stream::Routes).unwrap_or(0),
             blind: self.consecutive_failed_readers(),
             drains: self.drains.latest(),
--- a/src/coordination/interface.rs
+++ b/src/coordination/interface.rs
@@ -58,6 +58,10 @@
     pub tail: Arc<dyn Fn(Stream, u64, Span) -> ResultFuture<Records> + Send + Sync>,
     /// Writes a key and its record to the stream of the members.
     pub put: Arc<dyn Fn(String, Bytes) -> ResultFuture<()> + Send + Sync>,
+    /// Returns the [`Contact`](crate::protocol::contact::Contact)s, encoded.
+    pub contacts: Arc<dyn Fn() -> ResultFuture<Vec<Bytes>> + Send + Sync>,
+    /// Writes a contact under its key.
+    pub put_contact: Arc<dyn Fn(String, Bytes) -> ResultFuture<()> + Send + Sync>,
     /// Returns the status, for operators, of the latest roll-out order for a service.
     pub read_status: Arc<dyn Fn(Name) -> ResultFuture<StatusRecord> + Send + Sync>,
     /// Writes the status of an order if the stream of statuses still ends at the given
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -23,6 +23,7 @@
 //! A host process uses other parts:
 //!
 //! * [`host`]: the state that its tasks share;
+//! * [`start`]: how a starting node learns of the fleet;
 //! * [`source`]: loads whole versions of the routes, and the members, from the store or
 //!   from peers;
 //! * [`watch`], [`spread`]: which node reads the store for its failure domain, and how the
@@ -69,6 +70,7 @@
 pub mod snapshot;
 pub mod source;
 pub mod spread;
+pub mod start;
 pub mod watch;
 
 use crate::{protocol, state};
--- a/src/coordination/presence.rs
+++ b/src/coordination/presence.rs
@@ -9,7 +9,7 @@
 use tokio::sync::watch;
 
 use crate::{
-    coordination::{host::Host, interface::Store, quarantine, source},
+    coordination::{host::Host, interface::Store, quarantine, source, start},
     event::Event,
     id::Incarnation,
     journal::note,
@@ -20,10 +20,6 @@
 /// 1.5 s.
 const CHECK_PERIOD: Duration = Duration::from_millis(500);
 
-/// How long a node without a record in the store waits for its target's first heartbeat,
-/// which comes within 1.5 s.
-const FIRST_HEARTBEAT_WAIT: Duration = Duration::from_millis(2000);
-
 /// The part of this node's record that is known to be in the store.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Recorded {
@@ -48,7 +44,8 @@
     let mut member = recorded.as_deref().cloned();
     if member.is_none() {
         // Avoids a second write: the first record then already has the target.
-        drop(tokio::time::timeout(FIRST_HEARTBEAT_WAIT, host.own_record_changed.notified()).await);
+        let wait = start::first_record_wait(&host);
+        drop(tokio::time::timeout(wait, host.own_record_changed.notified()).await);
     }
     let mut failures = 0;
     loop {
--- a/src/coordination/source.rs
+++ b/src/coordination/source.rs
@@ -1,6 +1,6 @@
 //! Loads the store's streams: whole versions of the routes, and the members.
 //!
-//! A starting node reads the members from the store, and loads a first version of the
+//! A starting node loads the members ([`start`]), and a first version of the
 //! routes from a peer. Where no peer has one, the first-ranked nodes of each failure domain
 //! read it from the store. After that, the first node in the ranking of each domain keeps
 //! reading by long polling and sends what it read to the others ([`watch`], [`spread`]).
@@ -22,7 +22,7 @@
         host::Host,
         interface::{CallPeer, PeerRequest, Records, Store, Stream},
         rollout::local,
-        spread, watch,
+        spread, start, watch,
     },
     event::Event,
     id::Name,
@@ -67,7 +67,7 @@
 /// its version 1.2 s after its start. For 15 nodes the store needs 0.1 s at 80 MB/s.
 const FIRST_RANKED: usize = 3;
 
-/// How long the other starting nodes wait for a peer's version before they read the store: as
+/// How long the other starting nodes ask peers for a version before they wait for the reader: as
 /// long as a fleet of hundreds needs to forward a version over links of 10 Mbit/s.
 const PEER_WAIT: Duration = Duration::from_millis(1200);
 
@@ -84,11 +84,6 @@
 /// while the store fails.
 const PEERS_PER_GROUP: usize = 2;
 
-/// How long a node that is not in the store yet waits before it reads the members again and
-/// counts the membership as settled. By then the nodes of a fleet that starts as a whole have
-/// written their records, each with its target's first heartbeat (1.5 s).
-const SETTLE_TIME: Duration = Duration::from_millis(2800);
-
 /// The pause after a read of members, so that changes in quick succession cost one call.
 /// Nothing waits for these changes: the gate beside a target acts at once.
 const MEMBERS_BATCH_PAUSE: Duration = Duration::from_millis(200);
@@ -101,10 +96,7 @@
 pub async fn follow(host: Arc<Host>, store: Store, call_peer: CallPeer, stream: Stream) {
     match stream {
         Stream::Routes => load_first_routes(&host, &store, &call_peer).await,
-        Stream::Members => {
-            read_newest(&host, &store, &call_peer, stream).await;
-            settle_membership(&host, &store, &call_peer).await;
-        }
+        Stream::Members => start::load(&host, &store, &call_peer).await,
     }
     host.until_membership_settled().await;
     let mut reading = host.reading();
@@ -123,16 +115,21 @@
 /// A peer sends a version in half the bytes and without a call to the store. In a fleet that
 /// starts as a whole no peer has one.
 async fn load_first_routes(host: &Arc<Host>, store: &Store, call_peer: &CallPeer) {
-    host.until_members_known().await;
+    // Before, each node would take itself for the first of its ranking and read the store.
+    host.until_membership_settled().await;
+    if host.version() > 0 {
+        return;
+    }
     let is_first_ranked = watch::predecessors(host).len() < FIRST_RANKED;
     let wait = if is_first_ranked {
         FIRST_RANKED_PEER_WAIT
     } else {
         PEER_WAIT
     };
-    // If no peer has sent a version in time, the store is read below.
+    // If no peer has sent a version in time, the first-ranked nodes read the store. The others
+    // receive what these read; if all of them are gone, the election of readers replaces them.
     let _ = tokio::time::timeout(wait, request_routes(host, call_peer, is_first_ranked)).await;
-    if host.version() == 0 {
+    if host.version() == 0 && is_first_ranked {
         read_newest(host, store, call_peer, Stream::Routes).await;
     }
 }
@@ -148,18 +145,8 @@
     }
 }
 
-/// Waits until the nodes of a fleet that starts as a whole had time to write their records.
-async fn settle_membership(host: &Arc<Host>, store: &Store, call_peer: &CallPeer) {
-    let is_known = host.members.read().get(&host.settings.node).is_some();
-    if !is_known {
-        tokio::time::sleep(SETTLE_TIME).await;
-        read_newest(host, store, call_peer, Stream::Members).await;
-    }
-    host.note_membership_settled();
-}
-
 /// Loads a stream as a whole from the store, or from peers while the store fails.
-async fn read_newest(host: &Arc<Host>, store: &Store, call_peer: &CallPeer, stream: Stream) {
+pub async fn read_newest(host: &Arc<Host>, store: &Store, call_peer: &CallPeer, stream: Stream) {
     let mut failures = 0;
     loop {
         let since = Instant::now();
@@ -347,7 +334,8 @@
     }
 }
 
-fn note_store_down(host: &Host, stream: Stream, failures: u32, error: &Error) {
+/// Logs the first of several consecutive failures to read a stream of the store.
+pub fn note_store_down(host: &Host, stream: Stream, failures: u32, error: &Error) {
     if failures == 0 {
         let why = crate::logging::chain(error);
         note!(
@@ -396,12 +384,19 @@
     }
 }
 
-/// Fetches from a peer what is newer than the state of this node.
-async fn sync_with_peer(host: &Arc<Host>, call_peer: &CallPeer, peer: SocketAddr) {
-    if let Some((_, progress)) = fetch_progress(host, call_peer, peer).await {
-        fetch_routes(host, call_peer, peer, &progress).await;
+/// Fetches from a peer what is newer than the state of this node. Returns the peer's progress, if
+/// it answered.
+pub async fn sync_with_peer(
+    host: &Host,
+    call_peer: &CallPeer,
+    peer: SocketAddr,
+) -> Option<Progress> {
+    let (_, progress) = fetch_progress(host, call_peer, peer).await?;
+    fetch_routes(host, call_peer, peer, &progress).await;
+    if progress.knows_members {
         fetch_members(host, call_peer, peer, &progress).await;
     }
+    Some(progress)
 }
 
 /// Asks a peer which version and offsets it has reached.
--- a/src/event.rs
+++ b/src/event.rs
@@ -75,6 +75,7 @@
     305 Warn  HeldBack: "A request is held back at this node: targets ended under it.";
     306 Info  LetGo: "A request is not held back any more at this node.";
     307 Info  TriedAgain: "A request that is held back is tried again, at the target here.";
+    308 Info  MembershipSettled: "A starting node has the members; from now on it takes part in reading the store.";
     320 Info  RolloutHeard: "An order for a roll-out, or its next stage, became known here.";
     321 Info  RolloutMoved: "This node brought a roll-out to its next stage, or found that it stands there.";
     322 Info  TargetJudged: "The verdict on the target here, whose release is on trial, changed.";
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -3,6 +3,7 @@
 //! * [`wire`]: requests and replies between nodes, as MessagePack;
 //! * [`log`]: records of the platform's log;
 //! * [`update`]: updates of the store's streams, between host processes;
+//! * [`contact`]: the nodes that a starting node asks first;
 //! * [`hop`]: the request and response header between two nodes;
 //! * [`answer`]: the headers and outcomes that callers see;
 //! * [`operator`]: messages of the command-line tool;
@@ -12,6 +13,7 @@
 
 pub mod announce;
 pub mod answer;
+pub mod contact;
 pub mod dialect;
 pub mod hop;
 pub mod log;
--- a/src/protocol/update.rs
+++ b/src/protocol/update.rs
@@ -64,6 +64,13 @@
     pub version: u64,
     /// The offset up to which the node knows the members.
     pub members: u64,
+    /// Whether the node has loaded the members since its start.
+    #[serde(default)]
+    pub knows_members: bool,
+    /// Whether its membership is settled: the nodes of a fleet that starts as a whole have had
+    /// the time to write their records.
+    #[serde(default)]
+    pub is_settled: bool,
     /// The offset up to which the node knows the routes; 0 if it does not know the offset
     /// of its version.
     pub routes: u64,
--- a/src/transport/relay/attempt.rs
+++ b/src/transport/relay/attempt.rs
@@ -21,7 +21,7 @@
     state::member::Member,
     transport::relay::{
         body::Body,
-        ingress::{self, Refused},
+        delivery::{self, Refused},
     },
 };
 
@@ -51,7 +51,7 @@
                 answer,
             },
             AttemptOutcome::Refused(Refused { refusal, .. })
-                if refusal.reason == ingress::TARGET_CRASHED =>
+                if refusal.reason == delivery::TARGET_CRASHED =>
             {
                 Self::TargetCrashed(refusal)
             }
@@ -107,10 +107,10 @@
                 _ if self.node_failure.is_some() => {
                     self.node_failure.unwrap_or(AttemptResult::Failed)
                 }
-                Outcome::NotRun if refused.refusal.reason == ingress::OTHER_NODE => {
+                Outcome::NotRun if refused.refusal.reason == delivery::OTHER_NODE => {
                     AttemptResult::Replaced
                 }
-                Outcome::NotRun if ingress::is_target_unavailable(&refused.refusal.reason) => {
+                Outcome::NotRun if delivery::is_target_unavailable(&refused.refusal.reason) => {
                     AttemptResult::Leaving
                 }
                 Outcome::NotRun if refused.refusal.reason == gate::WARMING_UP => {
--- a/src/transport/relay/ingress.rs
+++ b/src/transport/relay/ingress.rs
@@ -12,12 +12,11 @@
     coordination::{
         decision::{balance, link_share, quarantine::QUARANTINED},
         flow::Reservation,
-        gate::{self, Arrival, LEAVING, NO_TARGET, Permit},
+        gate::{self, LEAVING, NO_TARGET, Permit},
         host::Host,
         rollout::{Answer, local},
     },
     event::Event,
-    id::Name,
     journal::note,
     protocol::{
         answer::{Outcome, Refusal},
@@ -29,6 +28,7 @@
         relay::{
             MAX_BUFFERED_BODY,
             body::{self, Body, ReadResult},
+            delivery::{self as reasons, Delivery, Refused},
             empty_response, forwarded_headers, host_of,
             offer::UploadAdmission,
             pool::{Exchange, Failure, Pool, Settings},
@@ -49,68 +49,6 @@
     max_idle: 64,
 };
 
-/// The reason of a refusal because the host's link can't carry the large answer in time.
-pub const LINK_BUSY: &str = "the link has no room for the answer";
-
-/// The reason of a refusal because the host's link can't carry the request body in time, or
-/// because the deadline passed before the body arrived.
-pub const LINK_FULL: &str = "the link has no room for the body";
-
-/// The reason of a refusal by a node other than the one that the request is addressed to.
-pub const OTHER_NODE: &str = "another node has this address";
-
-/// The reason of a refusal because the failure domain of this node is drained.
-pub const DOMAIN_DRAINED: &str = "the failure domain is drained";
-
-/// The `Retry-After` of refusals with [`DOMAIN_DRAINED`]. The sender learns of the drain from
-/// this node's report or sooner, and a target elsewhere takes the request.
-const DRAINED_RETRY_AFTER: Span = Span::from_millis(100);
-
-/// The reason of a refusal because a running target closed the connection during a
-/// request.
-const TARGET_BROKE_OFF: &str = "target broke off";
-
-/// The reason of a refusal because the request body ended early, which is no fault of the
-/// target.
-const BODY_BROKE_OFF: &str = "request body broke off";
-
-/// The reason of a refusal because the target's process terminated during the request.
-pub const TARGET_CRASHED: &str = "target ended";
-
-/// The reason of a refusal because the retry budget does not cover the calls that one more
-/// repeat would make.
-pub const CALL_BUDGET_SPENT: &str = "no allowance is left for the calls of a repeat";
-
-/// The `Retry-After` of refusals with [`CALL_BUDGET_SPENT`]. The caller's next attempt counts
-/// as a first send, which needs no retry budget.
-const CALLS_RETRY_AFTER: Span = Span::from_millis(200);
-
-/// The parameters of a delivery to the target on this host.
-pub struct Delivery {
-    /// The service that the request is for.
-    pub service: Name,
-    /// The priority and time limits for the gate's queue.
-    pub arrival: Arrival,
-    /// The usual size of the answer in bytes, if the answer is usually large; otherwise 0.
-    pub answer_size: usize,
-    /// When the caller has no more use for an answer.
-    pub deadline: Instant,
-    /// Whether this is the trial of a quarantined request.
-    pub is_trial: bool,
-    /// How many of 1,000 answers on the request's route are bad, as observed by the sender.
-    pub fault_permille: u16,
-    /// Whether a target has seen the request before.
-    pub is_repeat: bool,
-}
-
-/// An attempt that was refused or failed, so that it has no answer of the target.
-pub struct Refused {
-    /// What is known about the request, and why it failed.
-    pub refusal: Refusal,
-    /// Whether the target may have seen the request.
-    pub has_arrived: bool,
-}
-
 /// How long the target ran a request, as an extension of its response. Excludes the round trip
 /// between nodes and the wait at the gate.
 #[derive(Clone, Copy, Debug)]
@@ -132,39 +70,6 @@
     pool: Pool,
 }
 
-impl Refused {
-    /// Returns a refusal of a request that the target has not seen.
-    fn before_arrival(refusal: Refusal) -> Self {
-        Self {
-            refusal,
-            has_arrived: false,
-        }
-    }
-
-    /// Returns a refusal of a request that the target may have seen.
-    fn after_arrival(refusal: Refusal) -> Self {
-        Self {
-            refusal,
-            has_arrived: true,
-        }
-    }
-
-    /// Returns whether a request that may have run failed because the target or the connection
-    /// to it broke off, or because the response was invalid for this request.
-    pub fn is_fault(&self) -> bool {
-        let Refusal {
-            outcome,
-            status,
-            reason,
-            ..
-        } = &self.refusal;
-        self.has_arrived
-            && *outcome == Outcome::Unknown
-            && *status == 502
-            && reason != BODY_BROKE_OFF
-    }
-}
-
 impl Ingress {
     /// Returns the ingress side of `host`, with no connections yet.
     pub fn new(host: Arc<Host>) -> Arc<Self> {
@@ -207,7 +112,7 @@
         body: Body,
     ) -> Result<Response<Body>, Refused> {
         if delivery.service != *self.host.service() {
-            let refusal = Refusal::not_run(OTHER_NODE, Span::from_millis(0));
+            let refusal = Refusal::not_run(reasons::OTHER_NODE, Span::from_millis(0));
             return Err(Refused::before_arrival(refusal));
         }
         if self
@@ -216,7 +121,7 @@
             .current()
             .is_drained(&self.host.settings.domain)
         {
-            let refusal = Refusal::not_run(DOMAIN_DRAINED, DRAINED_RETRY_AFTER);
+            let refusal = Refusal::not_run(reasons::DOMAIN_DRAINED, reasons::DRAINED_RETRY_AFTER);
             return Err(Refused::before_arrival(refusal));
         }
         if local::role(&self.host) == Role::Excluded {
@@ -298,7 +203,10 @@
         };
         match !delivery.is_repeat || has_budget() {
             true => Ok(()),
-            false => Err(Refusal::not_run(CALL_BUDGET_SPENT, CALLS_RETRY_AFTER)),
+            false => Err(Refusal::not_run(
+                reasons::CALL_BUDGET_SPENT,
+                reasons::CALLS_RETRY_AFTER,
+            )),
         }
     }
 
@@ -347,7 +255,7 @@
         let run_time = delivery.arrival.usual_run_time.unwrap_or_default();
         let outflow = &self.host.response_flow;
         let reservation = outflow.reserve(delivery.answer_size, slack.max(run_time));
-        let refusal = |wait| Refusal::not_run(LINK_BUSY, Span::from_duration(wait));
+        let refusal = |wait| Refusal::not_run(reasons::LINK_BUSY, Span::from_duration(wait));
         reservation
             .map(|reservation| Some(Arc::new(reservation)))
             .map_err(refusal)
@@ -437,7 +345,7 @@
             }
             // The caller failed to send the whole body.
             Failure::Broken(error) if error.is_user() => {
-                Refused::after_arrival(Refusal::unknown(502, BODY_BROKE_OFF))
+                Refused::after_arrival(Refusal::unknown(502, reasons::BODY_BROKE_OFF))
             }
             Failure::Broken(_) => Refused::after_arrival(Refusal::unknown(
                 502,
@@ -457,7 +365,7 @@
     async fn disconnect_reason(&self, permit: &Permit, run: &Run<'_>) -> &'static str {
         let target = &permit.target;
         if !self.pool.is_refused(target.address, run.deadline).await {
-            return TARGET_BROKE_OFF;
+            return reasons::TARGET_BROKE_OFF;
         }
         let dialect = &self.host.decoders.dialect;
         self.host
@@ -471,8 +379,8 @@
             content = run.content,
             ran = run.since.elapsed().as_millis(),
         );
-        self.mark_unreachable(permit, TARGET_CRASHED);
-        TARGET_CRASHED
+        self.mark_unreachable(permit, reasons::TARGET_CRASHED);
+        reasons::TARGET_CRASHED
     }
 
     /// Marks the target as unreachable and closes the gate until its next heartbeat.
@@ -657,8 +565,12 @@
             .map_err(Refused::before_arrival)?;
         let slack = link_share::body_slack(arrival, Instant::now());
         let reservation = self.upload_admission.reserve(length, slack);
-        let refused =
-            |wait| Refused::before_arrival(Refusal::not_run(LINK_FULL, Span::from_duration(wait)));
+        let refused = |wait| {
+            Refused::before_arrival(Refusal::not_run(
+                reasons::LINK_FULL,
+                Span::from_duration(wait),
+            ))
+        };
         let _reservation = reservation.map_err(refused)?;
         self.read_body(delivery, head, body).await
     }
@@ -716,45 +628,24 @@
                 Ok(Body::streamed(first, rest, delivery.deadline))
             }
             Ok(Err(error)) => Err(refuse(error.to_string())),
-            Err(_) => Err(refuse(LINK_FULL.into())),
+            Err(_) => Err(refuse(reasons::LINK_FULL.into())),
         }
     }
 
-    /// Returns the parameters of a delivery that a peer requests; refuses if this node can't
-    /// accept it.
+    /// Returns the delivery that a peer requests; refuses if this node can't accept it.
     fn parse_delivery(&self, head: &request::Parts) -> Result<Delivery, Refusal> {
         let ask: hop::Request = http::parse(&head.headers, hop::HEADER)
             .ok_or_else(|| Refusal::rejected(400, "a node says what it asks for"))?;
-        let now = Instant::now();
         if ask.to != self.host.settings.node {
-            return Err(Refusal::not_run(OTHER_NODE, Span::from_millis(0)));
+            return Err(Refusal::not_run(reasons::OTHER_NODE, Span::from_millis(0)));
         }
         if self.host.is_leaving() {
             return Err(Refusal::not_run(LEAVING, Span::from_millis(0)));
         }
-        Ok(Delivery {
-            service: ask.service,
-            arrival: Arrival {
-                priority: ask.priority,
-                max_wait: ask.max_wait.duration(),
-                due: now + ask.due_in.duration(),
-                usual_run_time: ask.usual_run_time.map(Span::duration),
-            },
-            answer_size: ask.usual_answer_size,
-            deadline: now + ask.deadline.duration(),
-            is_trial: false,
-            fault_permille: ask.fault_permille,
-            is_repeat: ask.is_repeat,
-        })
+        Ok(Delivery::from_peer(ask, Instant::now()))
     }
 }
 
-/// Returns whether the reason of a refusal is that the node has no target, that its target is
-/// leaving or that its failure domain is drained.
-pub fn is_target_unavailable(reason: &str) -> bool {
-    [LEAVING, NO_TARGET, DOMAIN_DRAINED].contains(&reason)
-}
-
 /// Returns whether a completed run is a fault of the target, or `None` if the request did not
 /// run.
 ///
@@ -771,22 +662,6 @@
     empty_response(StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY))
 }
 
-/// Returns the refusal that a peer reported, or `None` if the response is the target's answer.
-pub fn peer_refusal(status: StatusCode, report: hop::Reply) -> Option<Refused> {
-    if report.outcome == Outcome::Answered {
-        return None;
-    }
-    Some(Refused {
-        refusal: Refusal {
-            outcome: report.outcome,
-            status: status.as_u16(),
-            reason: report.reason,
-            retry_after: report.retry_after,
-        },
-        has_arrived: report.has_arrived,
-    })
-}
-
 /// Returns the path and query of a URI, the form of the request target that origin servers
 /// expect.
 pub fn origin_form(uri: &hyper::Uri) -> hyper::Uri {
--- a/src/transport/relay/peer_client.rs
+++ b/src/transport/relay/peer_client.rs
@@ -27,9 +27,8 @@
             attempt::{AttemptGuard, AttemptOutcome},
             body::{self, Body, ReadResult},
             call::Call,
-            forwarded_headers,
-            ingress::{self, Delivery, Refused},
-            offer,
+            delivery::{self, Delivery, Refused},
+            forwarded_headers, ingress, offer,
             pool::{Exchange, Failure, Pool, Settings},
         },
     },
@@ -120,7 +119,7 @@
             };
             self.host
                 .note_newer(report.version, report.members_offset, member.peers);
-            ingress::peer_refusal(response.status(), report)
+            delivery::peer_refusal(response.status(), report)
         });
         let (head, incoming) = response.into_parts();
         let remaining = call.deadline.saturating_duration_since(Instant::now());
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -206,6 +206,8 @@
             sender.send(member).unwrap();
             async { Ok(()) }.boxed()
         }),
+        contacts: Arc::new(|| async { Ok(Vec::new()) }.boxed()),
+        put_contact: Arc::new(|_, _| async { Ok(()) }.boxed()),
         read_status: Arc::new(|_| std::future::pending().boxed()),
         write_status: Arc::new(|_, _| std::future::pending().boxed()),
     };
@@ -230,6 +232,7 @@
     };
     host.merge_members((0..before).map(member_with_wide_link).collect(), "store");
     host.advance_offset(Stream::Members, 1);
+    host.note_membership_settled();
     let reads = Arc::new(AtomicUsize::new(0));
     let read_count = reads.clone();
     let store = Store {
@@ -1267,6 +1270,7 @@
         });
         let host = Arc::new(host);
         host.advance_offset(Stream::Members, 1);
+        host.note_membership_settled();
         let store = Store {
             newest: Arc::new(|_| {
                 let records = ["good", "torn", "bad"].map(|text| text.into()).to_vec();
