--- a/src/coordination/decision/balance.rs
+++ b/src/coordination/decision/balance/mod.rs
@@ -10,15 +10,18 @@
 //! elsewhere. A node that is unreachable, or has left requests unanswered for longer than
 //! `MAX_SILENCE`, gets no requests until it responds again.
 
+mod peer;
+
 use std::{
     collections::HashMap,
     sync::Arc,
     time::{Duration, Instant},
 };
 
+use self::peer::{Peer, Process};
 use crate::{
     coordination::decision::reach::{Failure, Reachability},
-    id::{Incarnation, Instance, Name, Node},
+    id::{Name, Node},
     protocol::dialect::{Load, Slowdown},
     state::member::{Member, Status, Table},
 };
@@ -64,29 +67,10 @@
 /// Weight of the newest request in the moving averages of times, sizes and slowdowns.
 const NEWEST_WEIGHT: f64 = 0.1;
 
-/// Time after which about two thirds of an observed slowdown have decayed. It is longer than
-/// some faults of targets last, but well below a minute, so that a target that was slow is
-/// tried again.
-const SLOWDOWN_DECAY: Duration = Duration::from_secs(10);
-
 /// Weight of a reported slowdown in the moving average for its target. The target's node has
 /// observed all its requests; this node has observed a few.
 const REPORT_WEIGHT: f64 = 0.7;
 
-/// Age up to which a reported load is used; the mean request lasts about as long.
-const MAX_LOAD_AGE: Duration = Duration::from_millis(500);
-
-/// How long a node may leave a request unanswered, without answering any other, before it is
-/// excluded: several times the mean run time of the slowest service.
-const MAX_SILENCE: Duration = Duration::from_millis(700);
-
-/// First ejection time of a node whose target leaves or fails. The time doubles with each
-/// ejection counted in [`Peer::ejections`], up to [`MAX_EJECTION`].
-const FIRST_EJECTION: Duration = Duration::from_millis(200);
-
-/// Longest ejection time, after which requests may try the node again.
-const MAX_EJECTION: Duration = Duration::from_secs(3);
-
 /// Ejection time of a node at whose address another node answers. Its host was replaced. If a
 /// node takes over its name, the ejection ends: that node has another incarnation, or its
 /// target is another instance, so its observations start anew.
@@ -110,53 +94,6 @@
     pub reachability: Reachability,
 }
 
-/// Observations of one node and its target.
-#[derive(Debug)]
-struct Peer {
-    process: Process,
-    /// Requests that were sent to it and have not ended.
-    outstanding: u32,
-    /// When it last responded, or a request was sent to it with no other outstanding.
-    heard_at: Instant,
-    /// The load in its last report, and when that came.
-    report: Option<(Load, Instant)>,
-    /// Requests sent since the report.
-    sent_since_report: u32,
-    /// The slowdown of its target, as reported or observed.
-    slowdown: Slowdown,
-    /// When `slowdown` was last updated.
-    slowdown_at: Instant,
-    /// The slowdown of requests with a large body or response, network path included, as this
-    /// node observed it.
-    transfer_slowdown: Slowdown,
-    /// Failures of its target less responses, from 0 to [`MAX_FAILURES`].
-    failures: u32,
-    /// Ejections since the node last responded; a failure of its target counts as a response.
-    ejections: u32,
-    ejected_until: Option<Instant>,
-}
-
-/// The processes of a node and its target that an observation is about.
-#[derive(Debug)]
-struct Process {
-    node: Incarnation,
-    target: Option<Instance>,
-}
-
-impl Process {
-    fn of(member: &Member) -> Self {
-        Self {
-            node: member.incarnation,
-            target: member.targets.first().map(|target| target.instance.clone()),
-        }
-    }
-
-    fn matches(&self, member: &Member) -> bool {
-        let target = member.targets.first().map(|target| &target.instance);
-        self.node == member.incarnation && self.target.as_ref() == target
-    }
-}
-
 /// How a request to a node ended.
 #[derive(Clone, Copy, Debug)]
 pub enum AttemptResult {
@@ -255,58 +192,6 @@
     pub candidates: usize,
 }
 
-impl Peer {
-    fn new(process: Process, now: Instant) -> Self {
-        Self {
-            process,
-            outstanding: 0,
-            heard_at: now,
-            report: None,
-            sent_since_report: 0,
-            slowdown: Slowdown::default(),
-            slowdown_at: now,
-            transfer_slowdown: Slowdown::default(),
-            failures: 0,
-            ejections: 0,
-            ejected_until: None,
-        }
-    }
-
-    fn is_excluded(&self, now: Instant) -> bool {
-        let is_ejected = self.ejected_until.is_some_and(|until| now < until);
-        let is_unresponsive = self.outstanding > 0 && self.is_overdue(now);
-        is_ejected || is_unresponsive
-    }
-
-    /// Returns the expected number of requests that the target runs or that wait for it.
-    fn expected_requests(&self, now: Instant) -> u32 {
-        match self.report {
-            Some((load, at)) if now - at < MAX_LOAD_AGE => {
-                (load.running + load.waiting + self.sent_since_report).max(self.outstanding)
-            }
-            _ => self.outstanding,
-        }
-    }
-
-    /// Returns the expected slowdown of the target. It decays towards 1, so that a target
-    /// that was slow is tried again.
-    fn slowdown(&self, now: Instant) -> f64 {
-        let age = now.saturating_duration_since(self.slowdown_at);
-        let weight = (-age.as_secs_f64() / SLOWDOWN_DECAY.as_secs_f64()).exp();
-        Slowdown::default().lerp(self.slowdown, weight).factor()
-    }
-
-    fn eject(&mut self, now: Instant) {
-        let span = FIRST_EJECTION * 2u32.saturating_pow(self.ejections.min(8));
-        self.ejections += 1;
-        self.ejected_until = Some(now + span.min(MAX_EJECTION));
-    }
-
-    fn is_overdue(&self, now: Instant) -> bool {
-        now - self.heard_at > MAX_SILENCE
-    }
-}
-
 impl Balancer {
     fn peer(&mut self, member: &Member, now: Instant) -> &mut Peer {
         let peer = self
--- a/src/coordination/decision/rate_limit.rs
+++ b/src/coordination/decision/rate_limit.rs
@@ -40,7 +40,7 @@
 
 /// Requests that a pool admits beyond a team's burst. Teams of few requests a second would be
 /// refused within their limit by the noise of the estimate without them.
-const GRACE: f64 = 5.0;
+const HEADROOM: f64 = 5.0;
 
 /// The factor by which a share may rise from one answer of a pool to the next.
 const MAX_RISE: f64 = 1.5;
@@ -251,7 +251,7 @@
             at: now,
         };
         Self {
-            level: GRACE,
+            level: HEADROOM,
             filled_at: now,
             quick: none,
             steady: none,
@@ -263,7 +263,7 @@
     fn fill(&mut self, limit: RateLimit, fraction: f64, now: Instant) {
         let elapsed = now.saturating_duration_since(self.filled_at).as_secs_f64();
         let rate = limit.rate.per_second() * fraction;
-        let most = limit.burst as f64 * fraction + GRACE;
+        let most = limit.burst as f64 * fraction + HEADROOM;
         self.level = (self.level + rate * elapsed).min(most);
         self.filled_at = now;
     }
--- a/src/coordination/host.rs
+++ b/src/coordination/host.rs
@@ -5,14 +5,14 @@
     net::SocketAddr,
     sync::{
         Arc,
-        atomic::{AtomicBool, AtomicU8, Ordering},
+        atomic::{AtomicBool, Ordering},
     },
     time::{Duration, Instant},
 };
 
 use arc_swap::ArcSwapOption;
 use parking_lot::{Mutex, RwLock};
-use tokio::sync::{Notify, watch};
+use tokio::sync::Notify;
 
 use crate::{
     coordination::{
@@ -32,6 +32,7 @@
         quarantine::SharedQuarantine,
         rate_limit::RateLimits,
         rollout::Rollouts,
+        streams::Streams,
         watch::Skipped,
     },
     event::{Event, Journal},
@@ -92,6 +93,8 @@
     pub response_flow: Flow,
     /// Weighted distribution of requests on split routes.
     pub split: Mutex<Split>,
+    /// How far it has come along the store's streams.
+    pub streams: Streams,
     /// Which failure domains are drained.
     pub drains: SharedDrains,
     /// The limits on teams' requests.
@@ -111,17 +114,6 @@
     routes: ArcSwapOption<routing::Table>,
     past_versions: Mutex<VecDeque<Arc<routing::Table>>>,
     in_force_since: Mutex<Option<Instant>>,
-    /// The offset up to which each stream is known, by [`Stream`].
-    offsets: [watch::Sender<Option<u64>>; 2],
-    is_membership_settled: watch::Sender<bool>,
-    is_reading: watch::Sender<bool>,
-    /// The number of consecutive failed readers directly before this node in the ranking: nodes
-    /// that can't read the store, so that this node reads it in their place.
-    failed_readers: AtomicU8,
-    /// Whether this node can't read the store either.
-    is_store_unreadable: AtomicBool,
-    is_store_up: watch::Sender<bool>,
-    read_failed: Notify,
     unreachable: Mutex<Skipped>,
     hint: Mutex<Hint>,
     hint_arrived: Notify,
@@ -193,6 +185,7 @@
             quarantine: SharedQuarantine::default(),
             response_flow: Flow::new(settings.bandwidth()),
             split: Mutex::default(),
+            streams: Streams::default(),
             drains: SharedDrains::default(),
             rate_limits: Arc::default(),
             version_changed: Arc::default(),
@@ -204,13 +197,6 @@
             routes: ArcSwapOption::empty(),
             past_versions: Mutex::default(),
             in_force_since: Mutex::default(),
-            offsets: [watch::Sender::new(None), watch::Sender::new(None)],
-            is_membership_settled: watch::Sender::new(false),
-            is_reading: watch::Sender::new(false),
-            failed_readers: AtomicU8::new(0),
-            is_store_unreadable: AtomicBool::new(false),
-            is_store_up: watch::Sender::new(true),
-            read_failed: Notify::new(),
             unreachable: Mutex::default(),
             hint: Mutex::default(),
             hint_arrived: Notify::new(),
@@ -381,85 +367,14 @@
         has_changed
     }
 
-    /// Records that a stream is known up to an offset.
-    pub fn advance_offset(&self, stream: Stream, offset: u64) {
-        self.offsets[stream as usize].send_if_modified(|known| {
-            let is_later = known.is_none_or(|known| known < offset);
-            if is_later {
-                *known = Some(offset);
-            }
-            is_later
-        });
-    }
-
-    /// Returns the offset up to which a stream is known, if it was ever read.
-    pub fn offset(&self, stream: Stream) -> Option<u64> {
-        *self.offsets[stream as usize].borrow()
-    }
-
-    /// Waits until the stream of the members has been read once.
-    pub async fn until_members_known(&self) {
-        let mut offset = self.offsets[Stream::Members as usize].subscribe();
-        // Can't fail: the sender lives as long as `self`.
-        let _ = offset.wait_for(Option::is_some).await;
-    }
-
-    /// Marks the membership as settled: the nodes of a fleet that starts as a whole have
-    /// had the time to write their records to the store.
-    pub fn note_membership_settled(&self) {
-        self.is_membership_settled.send_replace(true);
-    }
-
-    /// Returns whether the membership is settled.
-    pub fn is_membership_settled(&self) -> bool {
-        *self.is_membership_settled.borrow()
-    }
-
-    /// Waits until the membership is settled.
-    pub async fn until_membership_settled(&self) {
-        // Can't fail: the sender lives as long as `self`.
-        let _ = self
-            .is_membership_settled
-            .subscribe()
-            .wait_for(|settled| *settled)
-            .await;
-    }
-
-    /// Sets whether this node reads the store for its failure domain. `failed_readers` is
-    /// the number of nodes directly before it in the ranking that can't read the store.
+    /// Sets whether this node reads the store for its failure domain, after `failed_readers` that
+    /// can't.
     pub fn set_reading(&self, reads: bool, failed_readers: u8) {
-        self.failed_readers.store(failed_readers, Ordering::Relaxed);
-        let has_changed = self
-            .is_reading
-            .send_if_modified(|current| std::mem::replace(current, reads) != reads);
-        if has_changed {
-            self.set_store_unreadable(false);
+        if self.streams.set_reading(reads, failed_readers) {
             note!(self.journal, Event::ReaderChanged, reads = reads);
         }
     }
 
-    /// Returns a watch on whether this node reads the store for its failure domain.
-    pub fn reading(&self) -> watch::Receiver<bool> {
-        self.is_reading.subscribe()
-    }
-
-    /// Sets whether this node's reads of the store fail.
-    pub fn set_store_unreadable(&self, is_unreadable: bool) {
-        self.is_store_unreadable
-            .store(is_unreadable, Ordering::Relaxed);
-    }
-
-    /// Signals that a read of the store failed. Other reads that wait at the store may
-    /// never be answered.
-    pub fn signal_read_failure(&self) {
-        self.read_failed.notify_waiters();
-    }
-
-    /// Waits until a read of the store fails.
-    pub async fn until_read_fails(&self) {
-        self.read_failed.notified().await;
-    }
-
     /// Takes in orders about drains of failure domains; `from` names their source in the log.
     pub fn receive_drains(&self, drains: Vec<Drain>, from: &str) {
         let changed = self.drains.receive(drains, from, &self.journal);
@@ -488,28 +403,15 @@
     pub fn progress(&self) -> Progress {
         Progress {
             version: self.version(),
-            members: self.offset(Stream::Members).unwrap_or(0),
-            is_settled: self.is_membership_settled(),
-            knows_members: self.offset(Stream::Members).is_some(),
-            routes: self.offset(Stream::Routes).unwrap_or(0),
-            blind: self.consecutive_failed_readers(),
+            members: self.streams.offset(Stream::Members).unwrap_or(0),
+            is_settled: self.streams.is_membership_settled(),
+            knows_members: self.streams.offset(Stream::Members).is_some(),
+            routes: self.streams.offset(Stream::Routes).unwrap_or(0),
+            blind: self.streams.consecutive_failed_readers(),
             drains: self.drains.latest(),
         }
     }
 
-    /// Returns the number of consecutive failed readers: nodes of the ranking, up to and
-    /// including this one, that can't read the store; 0 if this node can, or is not a reader.
-    fn consecutive_failed_readers(&self) -> u8 {
-        let has_failed =
-            *self.is_reading.borrow() && self.is_store_unreadable.load(Ordering::Relaxed);
-        let failed_before = self.failed_readers.load(Ordering::Relaxed);
-        if has_failed {
-            failed_before.saturating_add(1)
-        } else {
-            0
-        }
-    }
-
     /// Records that a node did not answer. It counts as unreachable until the given time.
     pub fn note_unreachable(&self, node: &Node, until: Instant) {
         self.unreachable.lock().insert(node.clone(), until);
@@ -527,14 +429,15 @@
     /// the evidence about quarantined requests was reviewed once.
     pub fn is_ready(&self) -> bool {
         self.routes.load().is_some()
-            && self.offset(Stream::Members).is_some()
+            && self.streams.offset(Stream::Members).is_some()
             && self.quarantine.is_reviewed()
     }
 
     /// Records a hint if a peer's version or its offset of the members is newer than this
     /// node's.
     pub fn note_newer(&self, version: u64, members: u64, peer: SocketAddr) {
-        let is_behind = version > self.version() || Some(members) > self.offset(Stream::Members);
+        let is_behind =
+            version > self.version() || Some(members) > self.streams.offset(Stream::Members);
         if !is_behind {
             return;
         }
@@ -594,8 +497,7 @@
         took: Option<Duration>,
     ) {
         let is_up = matches!(result, Ok(_) | Err(Error::Expired(_)));
-        self.is_store_up
-            .send_if_modified(|current| std::mem::replace(current, is_up) != is_up);
+        self.streams.set_store_up(is_up);
         let result = if result.is_ok() { "ok" } else { "failed" };
         let call = metrics::Call { call, result };
         self.metrics.store_calls.get_or_create(&call).inc();
@@ -604,18 +506,6 @@
         }
     }
 
-    /// Waits until a call to the store succeeds, at most for `max_wait`.
-    pub async fn until_store_answers(&self, max_wait: Duration) {
-        let mut is_up = self.is_store_up.subscribe();
-        // On a timeout, too, the caller retries.
-        let _ = tokio::time::timeout(max_wait, is_up.wait_for(|is_up| *is_up)).await;
-    }
-
-    /// Returns whether a task that follows the store retries its reads while they fail.
-    pub fn is_polling_store(&self) -> bool {
-        *self.is_reading.borrow() || self.offset(Stream::Members).is_none()
-    }
-
     /// Returns the metrics as text.
     pub fn metrics(&self) -> String {
         let now = Instant::now();
@@ -630,7 +520,7 @@
                 .in_force_since()
                 .map_or(Duration::ZERO, |since| now - since),
             load: self.gate.load(),
-            is_reader: *self.is_reading.borrow(),
+            is_reader: self.streams.is_reading(),
             dropped_lines: self.journal.dropped(),
             members: (members.len() - unreachable, unreachable),
             quarantined: self.quarantine.quarantined(now).len(),
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -23,6 +23,7 @@
 //! A host process uses other parts:
 //!
 //! * [`host`]: the state that its tasks share;
+//! * [`streams`]: how far this node has come along the store's streams;
 //! * [`start`]: how a starting node learns of the fleet;
 //! * [`source`]: loads whole versions of the routes, and the members, from the store or
 //!   from peers;
@@ -71,6 +72,7 @@
 pub mod source;
 pub mod spread;
 pub mod start;
+pub mod streams;
 pub mod watch;
 
 use crate::{protocol, state};
--- a/src/coordination/presence.rs
+++ b/src/coordination/presence.rs
@@ -34,7 +34,7 @@
     store: Store,
     recorded_sender: watch::Sender<Recorded>,
 ) {
-    host.until_members_known().await;
+    host.streams.until_members_known().await;
     let recorded = host.members.read().get(&host.settings.node).cloned();
     host.local
         .lock()
@@ -94,7 +94,8 @@
                         why = why
                     );
                 }
-                host.until_store_answers(source::pause_while_others_retry(&host, failures))
+                host.streams
+                    .until_store_answers(source::pause_while_others_retry(&host, failures))
                     .await;
                 failures += 1;
             }
--- a/src/coordination/quarantine.rs
+++ b/src/coordination/quarantine.rs
@@ -145,7 +145,7 @@
 /// The first review runs as soon as the members are known. Their records hold the evidence of
 /// earlier incarnations of this and other nodes, and this node accepts no request before.
 pub async fn run(host: Arc<Host>) {
-    host.until_members_known().await;
+    host.streams.until_members_known().await;
     restore(&host);
     review(&host);
     loop {
--- a/src/coordination/rollout/controller.rs
+++ b/src/coordination/rollout/controller.rs
@@ -53,8 +53,8 @@
 
 /// Advances roll-outs while this node reads the store; never returns.
 pub async fn run(host: Arc<Host>, store: Store) {
-    host.until_membership_settled().await;
-    let mut reading = host.reading();
+    host.streams.until_membership_settled().await;
+    let mut reading = host.streams.reading();
     let mut due = DueStages::default();
     loop {
         // This can't fail: `host` owns the sender.
@@ -62,7 +62,7 @@
         for rollout in host.rollouts.due_for_republish() {
             if let Err(error) = publish(&host, &store, &rollout).await {
                 log_store_error(&host, &error);
-                host.until_store_answers(STORE_WAIT).await;
+                host.streams.until_store_answers(STORE_WAIT).await;
                 host.rollouts.republish(&rollout.service);
             }
         }
@@ -120,7 +120,7 @@
         ),
         Err(error) => {
             log_store_error(host, &error);
-            host.until_store_answers(STORE_WAIT).await;
+            host.streams.until_store_answers(STORE_WAIT).await;
         }
     }
 }
@@ -239,7 +239,7 @@
     let progress = |tracked: Tracked| Progress {
         age_ms: Span::from_duration(tracked.age).as_millis(),
         waits_for: judge::waits_for(&input(&members, &tracked)).into(),
-        decides: *host.reading().borrow(),
+        decides: *host.streams.reading().borrow(),
         targets: new_targets(&members, &tracked.rollout),
         rollout: tracked.rollout,
     };
--- a/src/coordination/rollout/local.rs
+++ b/src/coordination/rollout/local.rs
@@ -16,7 +16,7 @@
     for rollout in rollouts {
         // A node that has been running learns of an order when it is given. A node that has
         // just started computes the age from the wall clock, which may be wrong by seconds.
-        let age = match host.is_membership_settled() {
+        let age = match host.streams.is_membership_settled() {
             true => Duration::ZERO,
             false => elapsed_since(rollout.began).min(rollout.duration.duration()),
         };
--- a/src/coordination/source.rs
+++ b/src/coordination/source.rs
@@ -98,8 +98,8 @@
         Stream::Routes => load_first_routes(&host, &store, &call_peer).await,
         Stream::Members => start::load(&host, &store, &call_peer).await,
     }
-    host.until_membership_settled().await;
-    let mut reading = host.reading();
+    host.streams.until_membership_settled().await;
+    let mut reading = host.streams.reading();
     loop {
         // Can't fail: `host` owns the sender.
         let _ = reading.wait_for(|reads| *reads).await;
@@ -116,7 +116,7 @@
 /// starts as a whole no peer has one.
 async fn load_first_routes(host: &Arc<Host>, store: &Store, call_peer: &CallPeer) {
     // Before, each node would take itself for the first of its ranking and read the store.
-    host.until_membership_settled().await;
+    host.streams.until_membership_settled().await;
     if host.version() > 0 {
         return;
     }
@@ -158,14 +158,14 @@
                 apply_orders(host, &records.orders);
                 apply_drains(host, &records, stream, true);
                 apply_records(host, stream, records.records);
-                host.advance_offset(stream, records.next);
+                host.streams.advance_offset(stream, records.next);
                 return;
             }
             Err(error) => {
                 note_store_down(host, stream, failures, &error);
-                let before = host.offset(stream);
+                let before = host.streams.offset(stream);
                 sync_with_peers(host, call_peer).await;
-                if host.offset(stream) > before {
+                if host.streams.offset(stream) > before {
                     return;
                 }
                 tokio::time::sleep(pause(failures)).await;
@@ -182,15 +182,15 @@
     loop {
         // Without an offset, or when this node is behind, the stream is read as a whole, which
         // includes the content of the earlier records.
-        let from = host.offset(stream).filter(|_| !is_behind);
+        let from = host.streams.offset(stream).filter(|_| !is_behind);
         let read = match from {
             Some(from) => (store.tail)(stream, from, max_wait(stream)),
             None => (store.newest)(stream),
         };
         let read = tokio::select! {
             read = read => read,
-            () = host.until_read_fails(), if stream == Stream::Members => {
-                host.until_store_answers(STORE_RETURN_WAIT).await;
+            () = host.streams.until_read_fails(), if stream == Stream::Members => {
+                host.streams.until_store_answers(STORE_RETURN_WAIT).await;
                 continue;
             }
         };
@@ -201,22 +201,24 @@
                 note_store_up(host, stream, failures);
                 failures = 0;
                 is_behind = false;
-                host.set_store_unreadable(false);
+                host.streams.set_store_unreadable(false);
                 apply_and_spread(host, call_peer, stream, from, records);
                 tokio::time::sleep(batch_pause(stream)).await;
             }
             Err(Error::Expired(_)) => is_behind = true,
             Err(error) => {
                 note_store_down(host, stream, failures, &error);
-                host.set_store_unreadable(true);
-                host.signal_read_failure();
+                host.streams.set_store_unreadable(true);
+                host.streams.signal_read_failure();
                 // The versions published during the outage are large: a slow link takes
                 // seconds for all of them, and only the newest one counts.
                 is_behind = stream == Stream::Routes;
                 let delay = async {
                     match stream {
                         Stream::Routes => tokio::time::sleep(pause(failures)).await,
-                        Stream::Members => host.until_store_answers(STORE_RETURN_WAIT).await,
+                        Stream::Members => {
+                            host.streams.until_store_answers(STORE_RETURN_WAIT).await
+                        }
                     }
                 };
                 tokio::join!(sync_with_peers(host, call_peer), delay);
@@ -251,7 +253,7 @@
     let rollouts = apply_orders(host, &records.orders);
     let drains = apply_drains(host, &records, stream, from.is_none());
     let load = apply_records(host, stream, records.records);
-    host.advance_offset(stream, records.next);
+    host.streams.advance_offset(stream, records.next);
     // Orders without a new version are sent with an empty delta.
     let unchanged = || host.routes_since(host.version()).map(Changes::Routes);
     let has_orders = !rollouts.is_empty() || !drains.is_empty();
@@ -286,11 +288,11 @@
         Changes::Members(records) => {
             apply_members(host, &records, "reader");
             // Each record is about one member, so the records before `from` must be known.
-            host.offset(stream) >= Some(update.from)
+            host.streams.offset(stream) >= Some(update.from)
         }
     };
     if is_whole {
-        host.advance_offset(stream, update.next);
+        host.streams.advance_offset(stream, update.next);
     } else {
         // Earlier records are missing here, so a sync is needed whatever the version: the highest
         // number counts as newer in any case.
@@ -316,7 +318,7 @@
 /// Returns the pause of a task after `failures` consecutive failed calls. It is longer while
 /// another task of this process retries, because that one notices the store's return.
 pub fn pause_while_others_retry(host: &Host, failures: u32) -> Duration {
-    if host.is_polling_store() {
+    if host.streams.is_polling_store() {
         STORE_RETURN_WAIT
     } else {
         pause(failures)
@@ -422,13 +424,13 @@
         // The peer reported this offset before it sent its version, so the version includes
         // every record up to the offset.
         if host.version() >= progress.version && progress.routes > 0 {
-            host.advance_offset(Stream::Routes, progress.routes);
+            host.streams.advance_offset(Stream::Routes, progress.routes);
         }
     }
 }
 
 async fn fetch_members(host: &Host, call_peer: &CallPeer, peer: SocketAddr, progress: &Progress) {
-    if Some(progress.members) <= host.offset(Stream::Members) {
+    if Some(progress.members) <= host.streams.offset(Stream::Members) {
         return;
     }
     let marks = host.members.read().bucket_hashes().to_vec();
@@ -449,7 +451,7 @@
     };
     local::receive(host, answer.rollouts, "peer");
     host.merge_members(answer.members, "peer");
-    host.advance_offset(Stream::Members, answer.at);
+    host.streams.advance_offset(Stream::Members, answer.at);
 }
 
 /// Decodes a record or a message of another node, which is MessagePack. Counts and logs
@@ -580,7 +582,7 @@
 /// some other node. With all members in every answer, 295 nodes sent 0.399 GB between
 /// failure domains during a recovery; with only the differing ones, 0.226 GB.
 pub fn members(host: &Host, marks: &[u32]) -> Bytes {
-    let at = host.offset(Stream::Members).unwrap_or(0);
+    let at = host.streams.offset(Stream::Members).unwrap_or(0);
     let members = host.members.read();
     let differing = members.in_differing_buckets(marks);
     let answer = Members {
--- a/src/coordination/start.rs
+++ b/src/coordination/start.rs
@@ -75,7 +75,7 @@
     let from_contact = load_members(host, store, call_peer, &contacts).await;
     let is_known = host.members.read().get(&host.settings.node).is_some();
     if is_known {
-        host.note_membership_settled();
+        host.streams.note_membership_settled();
     }
     let is_contact = claim_contact(host, store, &contacts, from_contact).await;
     if !is_known {
@@ -93,7 +93,7 @@
         members = host.members.read().len(),
         version = host.version()
     );
-    host.note_membership_settled();
+    host.streams.note_membership_settled();
 }
 
 /// Makes this node a contact if its domain has too few, or if none of them had the members.
--- a/src/coordination/watch.rs
+++ b/src/coordination/watch.rs
@@ -53,7 +53,7 @@
 /// Checks the predecessors of this node in the ranking periodically, and makes this node read
 /// the store when they can't; never returns.
 pub async fn run(host: Arc<Host>, call_peer: CallPeer) {
-    host.until_membership_settled().await;
+    host.streams.until_membership_settled().await;
     loop {
         check(&host, &call_peer).await;
         tokio::time::sleep(CHECK_PAUSE.mul_f64(0.9 + 0.2 * fastrand::f64())).await;
--- a/src/transport/relay/egress.rs
+++ b/src/transport/relay/egress.rs
@@ -329,7 +329,7 @@
             draining = count.draining,
             passed_over = count.excluded,
             tried = attempts.nodes.len(),
-            members_at = self.host.offset(Stream::Members).unwrap_or(0),
+            members_at = self.host.streams.offset(Stream::Members).unwrap_or(0),
         );
     }
 
--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -144,7 +144,14 @@
 
     /// Returns whether the node is a reader of the store for its failure domain.
     pub fn reads(&self) -> bool {
-        *self.process.as_ref().unwrap().host.reading().borrow()
+        *self
+            .process
+            .as_ref()
+            .unwrap()
+            .host
+            .streams
+            .reading()
+            .borrow()
     }
 
     /// Returns whether the node is a reader of the store and its reads fail.
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -231,8 +231,8 @@
         ..member(&format!("n{i}"), "here", 10)
     };
     host.merge_members((0..before).map(member_with_wide_link).collect(), "store");
-    host.advance_offset(Stream::Members, 1);
-    host.note_membership_settled();
+    host.streams.advance_offset(Stream::Members, 1);
+    host.streams.note_membership_settled();
     let reads = Arc::new(AtomicUsize::new(0));
     let read_count = reads.clone();
     let store = Store {
@@ -1269,8 +1269,8 @@
             _ => Err(rilltrack::protocol::Error::new("version", "torn")),
         });
         let host = Arc::new(host);
-        host.advance_offset(Stream::Members, 1);
-        host.note_membership_settled();
+        host.streams.advance_offset(Stream::Members, 1);
+        host.streams.note_membership_settled();
         let store = Store {
             newest: Arc::new(|_| {
                 let records = ["good", "torn", "bad"].map(|text| text.into()).to_vec();
@@ -1607,7 +1607,7 @@
         let host = Arc::new(host("here"));
         let elsewhere = Member { inbound: "127.0.0.1:2".parse().unwrap(), ..member("n2", "here", 10) };
         host.merge_members(vec![member("n1", "here", 10), elsewhere], "store");
-        host.advance_offset(Stream::Members, 1);
+        host.streams.advance_offset(Stream::Members, 1);
         let (store, mut written_members) = recording_store();
         // Writes the own record without waiting for a target.
         host.own_record_changed.notify_one();
@@ -1663,8 +1663,8 @@
             }
             .boxed()
         });
-        host.note_membership_settled();
-        let mut reading = host.reading();
+        host.streams.note_membership_settled();
+        let mut reading = host.streams.reading();
         let watch_task = tokio::spawn(coordination::watch::run(host.clone(), ask));
         reading.wait_for(|reads| *reads).await.unwrap();
         watch_task.abort();
