A starting node settles with a contact that reads the store; contacts are asked at the same time

A node that the store turns away while it starts never settled, and the node after it in the ranking took it for the reader, so its domain had none and heard of no change. The stand-in of the store didn't decode its query, so a key with a slash made its pages repeat for ever; mended there.

Besides: a contact that can't read the store settles nobody (new test over processes). failing_store_has_few_readers waits until its nodes are settled: a first start of a fleet is ready only then, and the case is about settled nodes; its bound is as before.

--- a/src/coordination/source.rs
+++ b/src/coordination/source.rs
@@ -145,20 +145,30 @@
     }
 }
 
+/// Loads a stream as a whole from the store.
+///
+/// # Errors
+///
+/// If the store doesn't answer, or turns this node away.
+pub async fn read_once(host: &Host, store: &Store, stream: Stream) -> Result<(), Error> {
+    let since = Instant::now();
+    let read = (store.newest)(stream).await;
+    host.note_store("newest", &read, Some(since.elapsed()));
+    let records = read?;
+    apply_orders(host, &records.orders);
+    apply_drains(host, &records, stream, true);
+    apply_records(host, stream, records.records);
+    host.streams.advance_offset(stream, records.next);
+    Ok(())
+}
+
 /// Loads a stream as a whole from the store, or from peers while the store fails.
 pub async fn read_newest(host: &Arc<Host>, store: &Store, call_peer: &CallPeer, stream: Stream) {
     let mut failures = 0;
     loop {
-        let since = Instant::now();
-        let read = (store.newest)(stream).await;
-        host.note_store("newest", &read, Some(since.elapsed()));
-        match read {
-            Ok(records) => {
+        match read_once(host, store, stream).await {
+            Ok(()) => {
                 note_store_up(host, stream, failures);
-                apply_orders(host, &records.orders);
-                apply_drains(host, &records, stream, true);
-                apply_records(host, stream, records.records);
-                host.streams.advance_offset(stream, records.next);
                 return;
             }
             Err(error) => {
@@ -386,26 +396,26 @@
     }
 }
 
-/// Fetches from a peer what is newer than the state of this node. Returns the peer's progress, if
-/// it answered.
-pub async fn sync_with_peer(
-    host: &Host,
-    call_peer: &CallPeer,
-    peer: SocketAddr,
-) -> Option<Progress> {
-    let (_, progress) = fetch_progress(host, call_peer, peer).await?;
-    fetch_routes(host, call_peer, peer, &progress).await;
+/// Fetches from a peer what is newer than the state of this node.
+async fn sync_with_peer(host: &Host, call_peer: &CallPeer, peer: SocketAddr) {
+    if let Some((_, progress)) = fetch_progress(host, call_peer, peer).await {
+        fetch(host, call_peer, peer, &progress).await;
+    }
+}
+
+/// Fetches from a peer what is newer than the state of this node, given the peer's progress.
+pub async fn fetch(host: &Host, call_peer: &CallPeer, peer: SocketAddr, progress: &Progress) {
+    fetch_routes(host, call_peer, peer, progress).await;
     if progress.knows_members {
-        fetch_members(host, call_peer, peer, &progress).await;
+        fetch_members(host, call_peer, peer, progress).await;
     }
-    Some(progress)
 }
 
 /// Asks a peer which version and offsets it has reached.
 ///
 /// A peer that does not answer does no harm: another peer that reports something newer is
 /// asked, or the next round asks others.
-async fn fetch_progress(
+pub async fn fetch_progress(
     host: &Host,
     call_peer: &CallPeer,
     peer: SocketAddr,
--- a/src/coordination/start.rs
+++ b/src/coordination/start.rs
@@ -20,6 +20,8 @@
     time::{Duration, Instant},
 };
 
+use futures_util::{StreamExt, stream::FuturesUnordered};
+
 use crate::{
     coordination::{
         host::Host,
@@ -80,10 +82,7 @@
     let is_contact = claim_contact(host, store, &contacts, from_contact).await;
     if !is_known {
         tokio::time::sleep(first_record_wait(host) + RECORD_TIME).await;
-        let is_settled = |progress: &Progress| progress.is_settled;
-        if is_contact || !ask_until(host, call_peer, &contacts, SETTLE_WAIT, is_settled).await {
-            source::read_newest(host, store, call_peer, Stream::Members).await;
-        }
+        reload_members(host, store, call_peer, &contacts, is_contact).await;
     }
     note!(
         host.journal,
@@ -172,6 +171,30 @@
     false
 }
 
+/// Loads the members that were recorded since the start: as a contact from the store, otherwise, or
+/// if the store turns this node away, from a contact that is settled.
+async fn reload_members(
+    host: &Arc<Host>,
+    store: &Store,
+    call_peer: &CallPeer,
+    contacts: &[Contact],
+    is_contact: bool,
+) {
+    // A contact that can't read the store doesn't know the latest records either. Nodes that
+    // settled with what it has would take themselves for readers and ask a failing store.
+    let is_settled = |progress: &Progress| progress.is_settled && progress.blind == 0;
+    if is_contact
+        && source::read_once(host, store, Stream::Members)
+            .await
+            .is_ok()
+    {
+        return;
+    }
+    if !ask_until(host, call_peer, contacts, SETTLE_WAIT, is_settled).await {
+        source::read_newest(host, store, call_peer, Stream::Members).await;
+    }
+}
+
 /// Asks contacts for what they have until one is `far_enough`, for `wait` at most. Returns
 /// whether one was.
 async fn ask_until(
@@ -181,16 +204,35 @@
     wait: Duration,
     far_enough: impl Fn(&Progress) -> bool,
 ) -> bool {
-    let since = Instant::now();
-    while !contacts.is_empty() && since.elapsed() < wait {
-        // Those of the own failure domain come first.
-        for contact in contact::nearest(contacts, &host.settings.domain, ASKED_CONTACTS) {
-            let progress = source::sync_with_peer(host, call_peer, contact.peers).await;
-            if progress.is_some_and(|progress| far_enough(&progress)) {
-                return true;
-            }
+    let rounds = async {
+        while !ask(host, call_peer, contacts, &far_enough).await {
+            tokio::time::sleep(ROUND_PAUSE.mul_f64(0.8 + 0.4 * fastrand::f64())).await;
+        }
+    };
+    !contacts.is_empty() && tokio::time::timeout(wait, rounds).await.is_ok()
+}
+
+/// Asks a few contacts how far they are, and fetches what the first one has that is `far_enough`.
+/// Returns whether there was one.
+async fn ask(
+    host: &Host,
+    call_peer: &CallPeer,
+    contacts: &[Contact],
+    far_enough: impl Fn(&Progress) -> bool,
+) -> bool {
+    // All are asked at the same time: one that is dead answers nothing for a quarter of a second.
+    let nearest = contact::nearest(contacts, &host.settings.domain, ASKED_CONTACTS);
+    let asked = nearest
+        .into_iter()
+        .map(|contact| source::fetch_progress(host, call_peer, contact.peers));
+    let mut answers: FuturesUnordered<_> = asked.collect();
+    while let Some(answer) = answers.next().await {
+        if let Some((peer, progress)) = answer
+            && far_enough(&progress)
+        {
+            source::fetch(host, call_peer, peer, &progress).await;
+            return host.streams.offset(Stream::Members).is_some();
         }
-        tokio::time::sleep(ROUND_PAUSE.mul_f64(0.8 + 0.4 * fastrand::f64())).await;
     }
     false
 }
--- a/src/coordination/watch.rs
+++ b/src/coordination/watch.rs
@@ -63,8 +63,12 @@
 /// Finds the nearest predecessor that answers, and sets whether this node reads the store.
 async fn check(host: &Host, call_peer: &CallPeer) {
     let mut batch_size = 1;
+    // Nodes that have not settled yet don't read the store. A node that the store turns away
+    // while it starts would otherwise leave its domain without a reader.
+    let mut unsettled: Vec<Node> = Vec::new();
     loop {
         let mut predecessors = predecessors(host);
+        predecessors.retain(|member| !unsettled.contains(&member.node));
         if predecessors.is_empty() {
             host.set_reading(true, 0);
             if let Some(other) = other_domain_member(host) {
@@ -76,10 +80,19 @@
         let answers = predecessors
             .iter()
             .map(|member| compare(host, call_peer, member));
-        let nearest = join_all(answers).await.into_iter().flatten().next();
-        if let Some(progress) = nearest {
-            // If the predecessor is a reader that can't read the store, this node reads, too.
-            host.set_reading((1..MAX_READERS).contains(&progress.blind), progress.blind);
+        let answers = join_all(answers).await;
+        let answers = predecessors.iter().zip(answers);
+        let (settled, starting): (Vec<_>, Vec<_>) = answers
+            .filter_map(|(member, progress)| Some((member, progress?)))
+            .partition(|(_, progress)| progress.is_settled);
+        unsettled.extend(starting.iter().map(|(member, _)| member.node.clone()));
+        if let Some((_, progress)) = settled.first() {
+            // If the predecessor is a reader that can't read the store, this node reads, too,
+            // unless nodes between them are about to: all behind these would, in a fleet that
+            // starts while the store fails.
+            let is_next = unsettled.is_empty();
+            let reads = is_next && (1..MAX_READERS).contains(&progress.blind);
+            host.set_reading(reads, progress.blind);
             return;
         }
         // Many nodes are dead, or this node is partitioned. Asked one by one, the nodes of its
--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -154,6 +154,12 @@
             .borrow()
     }
 
+    /// Returns whether the node takes part in the election of readers.
+    pub fn is_settled(&self) -> bool {
+        let host = &self.process.as_ref().unwrap().host;
+        host.streams.is_membership_settled()
+    }
+
     /// Returns whether the node is a reader of the store and its reads fail.
     pub fn is_blind(&self) -> bool {
         self.process.as_ref().unwrap().host.progress().blind > 0
--- a/standins/src/store.rs
+++ b/standins/src/store.rs
@@ -13,6 +13,7 @@
 use futures_util::FutureExt;
 use hyper::{Request, Response, StatusCode};
 use parking_lot::Mutex;
+use percent_encoding::percent_decode_str;
 use rilltrack::{
     state::routing::Limits,
     transport::relay::{
@@ -398,5 +399,6 @@
 
 fn query(text: &str) -> HashMap<String, String> {
     let pairs = text.split('&').filter_map(|pair| pair.split_once('='));
-    pairs.map(|(k, v)| (k.into(), v.into())).collect()
+    let decode = |text| percent_decode_str(text).decode_utf8_lossy().into_owned();
+    pairs.map(|(k, v)| (k.into(), decode(v))).collect()
 }
--- a/standins/tests/whole_path.rs
+++ b/standins/tests/whole_path.rs
@@ -428,6 +428,7 @@
         for i in 0..9 {
             hosts.push(Host::start(&store, &format!("n{i}"), "here", "a").await);
         }
+        until("all nodes are settled", async || hosts.iter().all(Host::is_settled)).await;
         until("one node reads the store", async || hosts.iter().filter(|host| host.reads()).count() == 1).await;
         store.set(StoreMode::Refusing);
         let readers = || hosts.iter().filter(|host| host.reads()).count();
@@ -441,6 +442,23 @@
         until("version 9 is in force", async || hosts.iter().all(|host| host.version() == 9)).await;
     }
 
+    store_that_fails_while_nodes_start_is_asked_by_the_settled_one => {
+        let store = Store::start().await;
+        store.publish(&version(5, &["a"]));
+        let first = Host::start(&store, "n0", "here", "a").await;
+        let mut others = Vec::new();
+        for i in 1..6 {
+            others.push(Host::start(&store, &format!("n{i}"), "here", "a").await);
+        }
+        store.set(StoreMode::Refusing);
+        until("the reader has failed", async || first.is_blind()).await;
+        // Nodes settle within three seconds of their start if the store answers.
+        tokio::time::sleep(std::time::Duration::from_secs(5)).await;
+        assert!(!others.iter().any(|host| host.is_settled() || host.reads()));
+        store.set(StoreMode::Up);
+        until("all nodes are settled", async || others.iter().all(Host::is_settled)).await;
+    }
+
     restarted_node_gets_its_first_version_from_a_peer => {
         let (store, one, mut two) = pair("b").await;
         let before = store.calls_on("/api/log-newest", "keyed.op");
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -1641,6 +1641,34 @@
         assert_eq!((reads, version), (1, 3));
     }
 
+    predecessor_that_is_still_starting_is_passed_over => {
+        for (is_settled, reads) in [(true, false), (false, true)] {
+            let host = Arc::new(host("here"));
+            for i in 0..40 {
+                let other = Member { bandwidth: 100, ..member(&format!("n{i}"), "here", 4) };
+                host.merge_member(other, "test");
+            }
+            let progress = Progress { is_settled, ..Progress::default() };
+            let answer = rmp_serde::to_vec_named(&progress).unwrap();
+            let (asked, mut all_asked) = watch::channel(0);
+            let ask: CallPeer = Arc::new(move |_, _| {
+                asked.send_modify(|count| *count += 1);
+                let answer = answer.clone().into();
+                async { Ok(answer) }.boxed()
+            });
+            host.streams.note_membership_settled();
+            let task = tokio::spawn(coordination::watch::run(host.clone(), ask));
+            // Two checks of a settled predecessor, or one of all forty.
+            let enough = if is_settled { 2 } else { 40 };
+            all_asked.wait_for(|count| *count >= enough).await.unwrap();
+            if reads {
+                host.streams.reading().wait_for(|reads| *reads).await.unwrap();
+            }
+            assert_eq!(host.streams.is_reading(), reads);
+            task.abort();
+        }
+    }
+
     unreachable_nodes_in_the_ranking_are_skipped_in_a_few_rounds => {
         let host = Arc::new(host("here"));
         for i in 0..40 {
