Stand-in targets repeat their heartbeats

request_that_an_unresponsive_node_did_not_accept_runs_elsewhere failed once on a busy machine: its target had sent a single heartbeat, the test took longer than the four that may be missing, and the node took the target for gone. A target that runs sends them for as long as it runs; so does the stand-in now.

--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -6,6 +6,7 @@
         Arc,
         atomic::{AtomicU8, Ordering},
     },
+    time::Duration,
 };
 
 use rilltrack::{
@@ -17,6 +18,11 @@
 };
 use rilltrack_platform::{config, heartbeat, request, rollout, store};
 use serde_json::{Value, json};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    task::JoinSet,
+};
 
 use crate::{raw, store::Store, target::Target, until};
 
@@ -27,6 +33,9 @@
 const READY: u16 = 7005;
 const METRICS: u16 = 7006;
 
+/// The time between two heartbeats of a target.
+const HEARTBEAT: Duration = Duration::from_millis(1500);
+
 /// A simulated host: its address, its target, and its node while that runs.
 pub struct Host {
     pub name: String,
@@ -37,6 +46,9 @@
     /// The release of its target.
     pub release: String,
     process: Option<Process>,
+    /// Repeats the target's first heartbeat until the host is dropped, as a target does that
+    /// runs on while a test takes its time.
+    heartbeats: JoinSet<()>,
     /// The store, at an address for this host alone.
     pub store: Store,
     domain: String,
@@ -58,6 +70,7 @@
         host.run();
         host.until_ready().await;
         host.heartbeat("i1", 1, "ready").await;
+        host.repeat_heartbeat();
         host
     }
 
@@ -70,6 +83,7 @@
             target: Target::start().await,
             release: "v1".into(),
             process: None,
+            heartbeats: JoinSet::new(),
             store: store.door(),
             domain: domain.into(),
         }
@@ -84,7 +98,7 @@
                 "callers": at(CALLERS), "inbound": at(INBOUND), "peers": at(PEERS),
                 "targets": at(TARGETS), "ready": at(READY), "metrics": at(METRICS),
             },
-            "store": self.store.address, "heartbeat": "1500ms", "grace": "6s",
+            "store": self.store.address, "heartbeat": format!("{}ms", HEARTBEAT.as_millis()), "grace": "6s",
             "resend": {"ratio": 0.2, "slack": 62, "window": "10s"}, "descriptors": 1024,
             "exposure": {"share": 0.4},
         });
@@ -107,7 +121,7 @@
                 Err(host::Error::Transport(transport::Error::Listen { source, .. }))
                     if source.kind() == std::io::ErrorKind::AddrInUse =>
                 {
-                    std::thread::sleep(std::time::Duration::from_millis(5));
+                    std::thread::sleep(Duration::from_millis(5));
                 }
                 Err(error) => panic!("{error}"),
             }
@@ -218,6 +232,22 @@
         .await
     }
 
+    fn repeat_heartbeat(&mut self) {
+        let targets = SocketAddr::new(self.ip, TARGETS);
+        let body = self.heartbeat_body("i1", 1, "ready").to_string();
+        let call = post("/api/instances/i1/heartbeat", &body);
+        self.heartbeats.spawn(async move {
+            loop {
+                tokio::time::sleep(HEARTBEAT).await;
+                // Refused while the node is stopped.
+                if let Ok(mut stream) = TcpStream::connect(targets).await {
+                    let _ = stream.write_all(call.as_bytes()).await;
+                    let _ = stream.read_to_end(&mut Vec::new()).await;
+                }
+            }
+        });
+    }
+
     /// Returns the body of a heartbeat.
     pub fn heartbeat_body(&self, instance: &str, sequence: u64, state: &str) -> Value {
         let mut body = json!({
@@ -239,12 +269,7 @@
 
     /// Sends a POST to the node's listener for targets; returns the answer.
     pub async fn tell(&self, path: &str, body: &str) -> String {
-        let length = body.len();
-        let call = format!(
-            "POST {path} HTTP/1.1\r\nhost: x\r\ncontent-type: application/json\r\n\
-             content-length: {length}\r\nconnection: close\r\n\r\n{body}"
-        );
-        raw::exchange_until_closed((self.ip, TARGETS).into(), call.as_bytes()).await
+        raw::exchange_until_closed((self.ip, TARGETS).into(), post(path, body).as_bytes()).await
     }
 
     /// Returns the quarantined contents, as the node reports them to an operator.
@@ -259,12 +284,7 @@
 
     /// Releases a content from quarantine, as an operator does; returns the status.
     pub async fn let_go(&self, content: &str) -> String {
-        let body = format!("\"{content}\"");
-        let length = body.len();
-        let call = format!(
-            "POST /let-go HTTP/1.1\r\nhost: x\r\ncontent-length: {length}\r\n\
-             connection: close\r\n\r\n{body}"
-        );
+        let call = post("/let-go", &format!("\"{content}\""));
         let answer = raw::exchange_until_closed(self.peers(), call.as_bytes()).await;
         answer.get(9..12).unwrap_or_default().to_owned()
     }
@@ -308,9 +328,18 @@
     }
 }
 
+/// Returns a POST whose answer closes the connection.
+fn post(path: &str, body: &str) -> String {
+    let length = body.len();
+    format!(
+        "POST {path} HTTP/1.1\r\nhost: x\r\ncontent-type: application/json\r\n\
+         content-length: {length}\r\nconnection: close\r\n\r\n{body}"
+    )
+}
+
 /// Returns the answer to a readiness check at `address`, or `no listener`.
 pub async fn ready(address: SocketAddr) -> String {
-    let Ok(stream) = tokio::net::TcpStream::connect(address).await else {
+    let Ok(stream) = TcpStream::connect(address).await else {
         return "no listener".into();
     };
     drop(stream);
--- a/standins/tests/whole_path.rs
+++ b/standins/tests/whole_path.rs
@@ -167,6 +167,14 @@
         held.abort();
     }
 
+    target_of_a_slow_test_stays_available => {
+        let (_store, _one, two) = pair("b").await;
+        // Beyond four missed heartbeats.
+        tokio::time::sleep(std::time::Duration::from_secs(8)).await;
+        let answer = two.ask("POST", "/post/b/", "id1", "x").await;
+        assert_eq!(status(&answer), "200", "{answer}");
+    }
+
     shed_request_runs_elsewhere => {
         let (_store, one, two) = pair("a").await;
         one.target.set(Mode::Sheds);
