A starting node reads what the store recorded after its contact's last read

Cause: a node that loaded the members from a contact took the contact's copy of its own record for the newest one. A drain acknowledged to its target just before a crash was forgotten if the contact hadn't read it yet.

Change: former contacts read the store at once; the others read from it what followed the contact's offset; a round doesn't wait for the one before it.

--- a/src/coordination/source.rs
+++ b/src/coordination/source.rs
@@ -405,10 +405,10 @@
 
 /// Fetches from a peer what is newer than the state of this node, given the peer's progress.
 pub async fn fetch(host: &Host, call_peer: &CallPeer, peer: SocketAddr, progress: &Progress) {
-    fetch_routes(host, call_peer, peer, progress).await;
     if progress.knows_members {
         fetch_members(host, call_peer, peer, progress).await;
     }
+    fetch_routes(host, call_peer, peer, progress).await;
 }
 
 /// Asks a peer which version and offsets it has reached.
@@ -426,7 +426,13 @@
     Some((peer, progress))
 }
 
-async fn fetch_routes(host: &Host, call_peer: &CallPeer, peer: SocketAddr, progress: &Progress) {
+/// Fetches the routes from a peer if its version is newer.
+pub async fn fetch_routes(
+    host: &Host,
+    call_peer: &CallPeer,
+    peer: SocketAddr,
+    progress: &Progress,
+) {
     if progress.version > host.version()
         && let Ok(answer) = call_peer(peer, PeerRequest::Routes(host.version())).await
     {
@@ -443,22 +449,30 @@
     if Some(progress.members) <= host.streams.offset(Stream::Members) {
         return;
     }
-    let marks = host.members.read().bucket_hashes().to_vec();
-    if let Ok(answer) = call_peer(peer, PeerRequest::Members(marks)).await {
-        apply_members_answer(host, &answer);
+    if let Some(answer) = request_members(host, call_peer, peer).await {
+        apply_members_answer(host, answer);
     }
 }
 
+/// Returns the members that a peer knows and this node doesn't; nothing if it doesn't answer.
+pub async fn request_members(
+    host: &Host,
+    call_peer: &CallPeer,
+    peer: SocketAddr,
+) -> Option<Members<Member>> {
+    let marks = host.members.read().bucket_hashes().to_vec();
+    let answer = call_peer(peer, PeerRequest::Members(marks)).await.ok()?;
+    decode(host, &answer, "news", "peer")
+}
+
 fn apply_routes_answer(host: &Host, answer: &[u8]) {
     if let Some(delta) = decode::<Delta>(host, answer, "news", "peer") {
         host.apply_routes(delta, "peer");
     }
 }
 
-fn apply_members_answer(host: &Host, answer: &[u8]) {
-    let Some(answer) = decode::<Members<Member>>(host, answer, "news", "peer") else {
-        return;
-    };
+/// Applies a peer's answer with members.
+pub fn apply_members_answer(host: &Host, answer: Members<Member>) {
     local::receive(host, answer.rollouts, "peer");
     host.merge_members(answer.members, "peer");
     host.streams.advance_offset(Stream::Members, answer.at);
@@ -565,7 +579,8 @@
     }
 }
 
-fn apply_members(host: &Host, records: &[Bytes], from: &str) {
+/// Applies records of the stream of the members.
+pub fn apply_members(host: &Host, records: &[Bytes], from: &str) {
     let (mut members, mut rollouts) = (Vec::new(), Vec::new());
     for record in records {
         match decode_record(host, record, from) {
--- a/src/coordination/start.rs
+++ b/src/coordination/start.rs
@@ -2,8 +2,9 @@
 //!
 //! 1. It reads the contacts from the store: a few nodes of each failure domain, whatever the
 //!    size of the fleet ([`Contact`]).
-//! 2. It asks those of its domain for the members and the routes, until one has them.
-//! 3. Contacts, and nodes whose contacts don't answer, read the members from the store.
+//! 2. It asks those of its domain for the members and the routes, until one has them, and reads
+//!    from the store what was recorded since that one read it.
+//! 3. Contacts, and nodes whose contacts don't answer, read all members from the store.
 //! 4. A domain with too few contacts, or whose contacts didn't answer, gets one more: this node
 //!    writes a contact of its own. Nodes with wide links come first.
 //! 5. A node that the members don't include yet waits until the nodes of a fleet that starts as
@@ -16,6 +17,7 @@
 //! the timeout, and no node ever started.
 
 use std::{
+    net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -24,6 +26,7 @@
 
 use crate::{
     coordination::{
+        Error,
         host::Host,
         interface::{CallPeer, Store, Stream},
         source,
@@ -34,6 +37,7 @@
         contact::{self, Contact},
         update::Progress,
     },
+    unit::Span,
 };
 
 /// Contacts asked in one round.
@@ -47,12 +51,13 @@
 /// them would get no answer in time.
 const SETTLE_WAIT: Duration = Duration::from_secs(10);
 
-/// How long a contact asks other contacts before it reads the store. A running one answers
-/// within milliseconds.
+/// How long a node that becomes a contact asks the others before it reads the store. A running
+/// one answers within milliseconds.
 const OWN_CONTACT_WAIT: Duration = Duration::from_millis(150);
 
-/// The pause between two rounds of asking contacts.
-const ROUND_PAUSE: Duration = Duration::from_millis(100);
+/// The pause between two rounds of asking contacts. Each contact is asked by a fixed share of its
+/// domain, and an answer has a few bytes.
+const ROUND_PAUSE: Duration = Duration::from_millis(50);
 
 /// A link of this bandwidth, in Mbit/s, delays a node's contact by [`LINK_DELAY`]; a link of ten
 /// times as much by a tenth of it. So in a fleet that starts as a whole, nodes with wide links
@@ -74,52 +79,37 @@
         tokio::time::sleep(link_delay(host)).await;
         contacts = read_contacts(host, store).await;
     }
-    let from_contact = load_members(host, store, call_peer, &contacts).await;
-    let is_known = host.members.read().get(&host.settings.node).is_some();
-    if is_known {
+    let own = own_contact(host);
+    let start = Start {
+        host,
+        store,
+        call_peer,
+        was_contact: contacts.contains(&own),
+        others: contacts
+            .into_iter()
+            .filter(|c| c.node != own.node)
+            .collect(),
+        own,
+    };
+    let from_contact = start.load_members().await;
+    let is_contact = if host.members.read().get(&host.settings.node).is_some() {
         host.streams.note_membership_settled();
-    }
-    let is_contact = claim_contact(host, store, &contacts, from_contact).await;
-    if !is_known {
+        start.claim_contact(from_contact).await
+    } else {
+        let is_contact = start.claim_contact(from_contact).await;
         tokio::time::sleep(first_record_wait(host) + RECORD_TIME).await;
-        reload_members(host, store, call_peer, &contacts, is_contact).await;
-    }
+        start.reload_members(is_contact).await;
+        host.streams.note_membership_settled();
+        is_contact
+    };
     note!(
         host.journal,
         Event::MembershipSettled,
-        contacts = contacts.len(),
+        contacts = start.others.len(),
         is_contact = is_contact,
         members = host.members.read().len(),
         version = host.version()
     );
-    host.streams.note_membership_settled();
-}
-
-/// Makes this node a contact if its domain has too few, or if none of them had the members.
-/// Returns whether it did.
-async fn claim_contact(
-    host: &Host,
-    store: &Store,
-    contacts: &[Contact],
-    from_contact: bool,
-) -> bool {
-    let own = own_contact(host);
-    if from_contact {
-        if !contact::is_wanted(contacts, &own) {
-            return false;
-        }
-        // A node with a wider link may have taken the place meanwhile.
-        tokio::time::sleep(link_delay(host)).await;
-        if !contact::is_wanted(&read_contacts(host, store).await, &own) {
-            return false;
-        }
-    }
-    let since = Instant::now();
-    let record = rmp_serde::to_vec_named(&own).expect("a contact always encodes");
-    let put = (store.put_contact)(own.key(), record.into()).await;
-    // If it fails, the domain has a contact less until a later start adds one.
-    host.note_store("contact", &put, Some(since.elapsed()));
-    put.is_ok()
 }
 
 /// Returns how long a node without a record in the store waits for its target's first
@@ -138,9 +128,7 @@
         match read {
             Ok(records) => {
                 let decode = |record| source::decode::<Contact>(host, record, "contact", "store");
-                let contacts = records.iter().filter_map(|record| decode(record));
-                let is_other = |contact: &Contact| contact.node != host.settings.node;
-                return contacts.filter(is_other).collect();
+                return records.iter().filter_map(|record| decode(record)).collect();
             }
             Err(error) => {
                 source::note_store_down(host, Stream::Members, failures, &error);
@@ -151,90 +139,161 @@
     }
 }
 
-/// Loads the members from a contact, or from the store if none has them in time. Returns whether
-/// a contact had them.
-async fn load_members(
-    host: &Arc<Host>,
-    store: &Store,
-    call_peer: &CallPeer,
-    contacts: &[Contact],
-) -> bool {
-    let wait = match contact::is_wanted(contacts, &own_contact(host)) {
-        true => OWN_CONTACT_WAIT,
-        false => CONTACT_WAIT,
-    };
-    let knows_members = |progress: &Progress| progress.knows_members;
-    if ask_until(host, call_peer, contacts, wait, knows_members).await {
-        return true;
-    }
-    source::read_newest(host, store, call_peer, Stream::Members).await;
-    false
+/// What a starting node knows and calls.
+struct Start<'a> {
+    host: &'a Arc<Host>,
+    store: &'a Store,
+    call_peer: &'a CallPeer,
+    /// The contact that this node is, or would be.
+    own: Contact,
+    /// Whether the store has it: this node was a contact before its start.
+    was_contact: bool,
+    /// The other contacts.
+    others: Vec<Contact>,
 }
 
-/// Loads the members that were recorded since the start: as a contact from the store, otherwise, or
-/// if the store turns this node away, from a contact that is settled.
-async fn reload_members(
-    host: &Arc<Host>,
-    store: &Store,
-    call_peer: &CallPeer,
-    contacts: &[Contact],
-    is_contact: bool,
-) {
-    // A contact that can't read the store doesn't know the latest records either. Nodes that
-    // settled with what it has would take themselves for readers and ask a failing store.
-    let is_settled = |progress: &Progress| progress.is_settled && progress.blind == 0;
-    if is_contact
-        && source::read_once(host, store, Stream::Members)
-            .await
-            .is_ok()
-    {
-        return;
+impl Start<'_> {
+    /// Loads the members from a contact, or from the store if none has them in time. Returns
+    /// whether a contact had them.
+    ///
+    /// A contact reads the store at once: when all nodes start, no other node can answer it, and
+    /// the others wait for it.
+    async fn load_members(&self) -> bool {
+        if self.was_contact && self.read_store().await {
+            return false;
+        }
+        let wait = match contact::is_wanted(&self.others, &self.own) {
+            true => OWN_CONTACT_WAIT,
+            false => CONTACT_WAIT,
+        };
+        let found = tokio::time::timeout(wait, self.until_fetched()).await;
+        if found.is_ok() {
+            return true;
+        }
+        source::read_newest(self.host, self.store, self.call_peer, Stream::Members).await;
+        false
+    }
+
+    /// Loads the members that were recorded since the start: as a contact from the store,
+    /// otherwise, or if the store turns this node away, from a contact that is settled.
+    async fn reload_members(&self, is_contact: bool) {
+        if is_contact && self.read_store().await {
+            return;
+        }
+        // A contact that can't read the store doesn't know the latest records either. Nodes that
+        // settled with what it has would take themselves for readers and ask a failing store.
+        let found = async {
+            let is_settled = |progress: &Progress| progress.is_settled && progress.blind == 0;
+            let (peer, progress) = self.until_contact(is_settled).await;
+            source::fetch(self.host, self.call_peer, peer, &progress).await;
+        };
+        if tokio::time::timeout(SETTLE_WAIT, found).await.is_err() {
+            source::read_newest(self.host, self.store, self.call_peer, Stream::Members).await;
+        }
+    }
+
+    /// Makes this node a contact if its domain has too few, or if none of them had the members.
+    /// Returns whether it is one.
+    async fn claim_contact(&self, from_contact: bool) -> bool {
+        if self.was_contact {
+            return true;
+        }
+        if from_contact {
+            if !contact::is_wanted(&self.others, &self.own) {
+                return false;
+            }
+            // A node with a wider link may have taken the place meanwhile.
+            tokio::time::sleep(link_delay(self.host)).await;
+            let others = read_contacts(self.host, self.store).await;
+            if !contact::is_wanted(&others, &self.own) {
+                return false;
+            }
+        }
+        let since = Instant::now();
+        let record = rmp_serde::to_vec_named(&self.own).expect("a contact always encodes");
+        let put = (self.store.put_contact)(self.own.key(), record.into()).await;
+        // If it fails, the domain has a contact less until a later start adds one.
+        self.host.note_store("contact", &put, Some(since.elapsed()));
+        put.is_ok()
     }
-    if !ask_until(host, call_peer, contacts, SETTLE_WAIT, is_settled).await {
-        source::read_newest(host, store, call_peer, Stream::Members).await;
+
+    /// Reads the members from the store once. Returns whether it answered.
+    async fn read_store(&self) -> bool {
+        let read = source::read_once(self.host, self.store, Stream::Members).await;
+        if let Err(error) = &read {
+            source::note_store_down(self.host, Stream::Members, 0, error);
+        }
+        read.is_ok()
+    }
+
+    /// Asks contacts until one has the members, and fetches them and the routes.
+    async fn until_fetched(&self) {
+        loop {
+            let knows_members = |progress: &Progress| progress.knows_members;
+            let (peer, progress) = self.until_contact(knows_members).await;
+            if self.fetch_members(peer).await {
+                source::fetch_routes(self.host, self.call_peer, peer, &progress).await;
+                return;
+            }
+        }
     }
-}
 
-/// Asks contacts for what they have until one is `far_enough`, for `wait` at most. Returns
-/// whether one was.
-async fn ask_until(
-    host: &Host,
-    call_peer: &CallPeer,
-    contacts: &[Contact],
-    wait: Duration,
-    far_enough: impl Fn(&Progress) -> bool,
-) -> bool {
-    let rounds = async {
-        while !ask(host, call_peer, contacts, &far_enough).await {
-            tokio::time::sleep(ROUND_PAUSE.mul_f64(0.8 + 0.4 * fastrand::f64())).await;
+    /// Asks a few contacts a round how far they are. Returns the first one that is `far_enough`,
+    /// and its progress.
+    async fn until_contact(
+        &self,
+        far_enough: impl Fn(&Progress) -> bool,
+    ) -> (SocketAddr, Progress) {
+        let mut asked = FuturesUnordered::new();
+        loop {
+            let nearest = contact::nearest(&self.others, &self.own.domain, ASKED_CONTACTS);
+            let ask = |contact: &Contact| {
+                source::fetch_progress(self.host, self.call_peer, contact.peers)
+            };
+            asked.extend(nearest.into_iter().map(ask));
+            // A round doesn't wait for the one before it: a dead contact answers nothing for a
+            // quarter of a second.
+            let pause = tokio::time::sleep(ROUND_PAUSE.mul_f64(0.8 + 0.4 * fastrand::f64()));
+            tokio::pin!(pause);
+            loop {
+                tokio::select! {
+                    () = &mut pause => break,
+                    Some(answer) = asked.next() => {
+                        if let Some((peer, progress)) = answer
+                            && far_enough(&progress)
+                        {
+                            return (peer, progress);
+                        }
+                    }
+                }
+            }
         }
-    };
-    !contacts.is_empty() && tokio::time::timeout(wait, rounds).await.is_ok()
-}
+    }
 
-/// Asks a few contacts how far they are, and fetches what the first one has that is `far_enough`.
-/// Returns whether there was one.
-async fn ask(
-    host: &Host,
-    call_peer: &CallPeer,
-    contacts: &[Contact],
-    far_enough: impl Fn(&Progress) -> bool,
-) -> bool {
-    // All are asked at the same time: one that is dead answers nothing for a quarter of a second.
-    let nearest = contact::nearest(contacts, &host.settings.domain, ASKED_CONTACTS);
-    let asked = nearest
-        .into_iter()
-        .map(|contact| source::fetch_progress(host, call_peer, contact.peers));
-    let mut answers: FuturesUnordered<_> = asked.collect();
-    while let Some(answer) = answers.next().await {
-        if let Some((peer, progress)) = answer
-            && far_enough(&progress)
-        {
-            source::fetch(host, call_peer, peer, &progress).await;
-            return host.streams.offset(Stream::Members).is_some();
+    /// Fetches the members from a contact, and from the store what was recorded since the contact
+    /// read it. Returns whether the contact answered.
+    ///
+    /// The contact may lack the newest record of this node, and with it a drain that was
+    /// acknowledged to the target here just before this node's start.
+    async fn fetch_members(&self, peer: SocketAddr) -> bool {
+        let members = source::request_members(self.host, self.call_peer, peer).await;
+        let Some(mut members) = members else {
+            return false;
+        };
+        let since = Instant::now();
+        let read = (self.store.tail)(Stream::Members, members.at, Span::from_millis(0)).await;
+        self.host.note_store("tail", &read, Some(since.elapsed()));
+        match read {
+            Ok(records) => {
+                source::apply_members(self.host, &records.records, "store");
+                members.at = records.next;
+            }
+            Err(Error::Expired(_)) => return self.read_store().await,
+            Err(error) => source::note_store_down(self.host, Stream::Members, 0, &error),
         }
+        source::apply_members_answer(self.host, members);
+        true
     }
-    false
 }
 
 fn own_contact(host: &Host) -> Contact {
--- a/tests/start.rs
+++ b/tests/start.rs
@@ -20,7 +20,7 @@
     event::Journal,
     host::Settings,
     id::{Incarnation, Instance},
-    protocol::{contact::Contact, dialect::Dialect},
+    protocol::{contact::Contact, dialect::Dialect, update::Progress},
     state::member::{Member, Status, Target},
 };
 
@@ -34,30 +34,60 @@
 #[derive(Default)]
 struct FakeStore {
     contacts: Mutex<BTreeMap<String, Bytes>>,
-    members: Mutex<BTreeMap<String, Bytes>>,
+    /// All records of members, by their offset.
+    members: Mutex<Vec<(String, Bytes)>>,
     whole_reads: Mutex<usize>,
 }
 
+impl FakeStore {
+    fn append(&self, member: &Member) {
+        let record = rmp_serde::to_vec_named(member).unwrap();
+        let key = member.node.to_string();
+        self.members.lock().push((key, record.into()));
+    }
+
+    /// Returns the newest record of each key.
+    fn newest(&self) -> Records {
+        let members = self.members.lock();
+        let newest: BTreeMap<_, _> = members.iter().cloned().collect();
+        Records {
+            next: members.len() as u64,
+            records: newest.into_values().collect(),
+            ..Records::default()
+        }
+    }
+
+    /// Returns the records from an offset on.
+    fn tail(&self, from: u64) -> Records {
+        let members = self.members.lock();
+        let tail = members.iter().skip(from as usize);
+        Records {
+            next: members.len() as u64,
+            records: tail.map(|(_, record)| record.clone()).collect(),
+            ..Records::default()
+        }
+    }
+}
+
 /// The running nodes, by their addresses for peers.
 type Nodes = Arc<Mutex<HashMap<SocketAddr, Arc<Host>>>>;
 
 fn store(fake: &Arc<FakeStore>) -> Store {
-    let [newest, put, contacts, put_contact] = std::array::from_fn(|_| fake.clone());
+    let [newest, tail, put, contacts, put_contact] = std::array::from_fn(|_| fake.clone());
     Store {
         newest: Arc::new(move |stream| {
             assert_eq!(stream, Stream::Members);
             *newest.whole_reads.lock() += 1;
-            let members = newest.members.lock();
-            let records = Records {
-                next: members.len() as u64,
-                records: members.values().cloned().collect(),
-                ..Records::default()
-            };
+            let records = newest.newest();
+            async { Ok(records) }.boxed()
+        }),
+        tail: Arc::new(move |stream, from, _| {
+            assert_eq!(stream, Stream::Members);
+            let records = tail.tail(from);
             async { Ok(records) }.boxed()
         }),
-        tail: Arc::new(|_, _, _| std::future::pending().boxed()),
         put: Arc::new(move |key, record| {
-            put.members.lock().insert(key, record);
+            put.members.lock().push((key, record));
             async { Ok(()) }.boxed()
         }),
         contacts: Arc::new(move || {
@@ -163,7 +193,7 @@
     for started in join_all(starts).await {
         started.unwrap();
     }
-    let known = fake.members.lock().len();
+    let known = fake.newest().records.len();
     assert!(hosts.iter().all(|host| host.members.read().len() == known));
     *fake.whole_reads.lock()
 }
@@ -175,10 +205,7 @@
         start_fleet(&fake, count).await;
         assert!(fake.contacts.lock().len() <= DOMAINS.len() * MAX_CONTACTS);
         for number in 0..count {
-            let record = rmp_serde::to_vec_named(&member(number)).unwrap();
-            fake.members
-                .lock()
-                .insert(format!("n{number}"), record.into());
+            fake.append(&member(number));
         }
         // After a loss of power, all start again.
         let reads = start_fleet(&fake, count).await;
@@ -203,3 +230,103 @@
         assert_ne!(contact.peers, gone, "{}", contact.node);
     }
 }
+
+/// Starts a fleet of 30 nodes over a store that has a member record of each.
+async fn recorded_fleet() -> Arc<FakeStore> {
+    let fake = Arc::new(FakeStore::default());
+    start_fleet(&fake, 30).await;
+    for number in 0..30 {
+        fake.append(&member(number));
+    }
+    fake
+}
+
+/// Returns the contacts that the store has.
+fn contacts(fake: &FakeStore) -> Vec<Contact> {
+    let contacts = fake.contacts.lock();
+    let decode = |record: &Bytes| rmp_serde::from_slice(record).unwrap();
+    contacts.values().map(decode).collect()
+}
+
+/// Returns the number of a node that isn't a contact.
+fn other(contacts: &[Contact]) -> usize {
+    let is_other = |number: &usize| contacts.iter().all(|c| c.peers != address(*number));
+    (0..30).find(is_other).unwrap()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn drain_that_a_contact_does_not_know_yet_is_known_after_a_start() {
+    let fake = recorded_fleet().await;
+    let nodes = Nodes::default();
+    for contact in contacts(&fake) {
+        let number = (0..30).find(|i| address(*i) == contact.peers).unwrap();
+        let running = host(number);
+        source::read_once(&running, &store(&fake), Stream::Members)
+            .await
+            .unwrap();
+        nodes.lock().insert(contact.peers, running);
+    }
+    let number = other(&contacts(&fake));
+    let mut drained = member(number);
+    drained.sequence += 1;
+    drained.targets[0].draining = true;
+    fake.append(&drained);
+    *fake.whole_reads.lock() = 0;
+    let started = host(number);
+    start::load(&started, &store(&fake), &call_peer(&nodes)).await;
+    assert_eq!(*fake.whole_reads.lock(), 0, "a contact had the members");
+    let members = started.members.read();
+    let own = members.get(&drained.node).unwrap();
+    assert!(own.targets[0].draining);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn former_contact_reads_the_store_before_it_asks_anyone() {
+    let fake = recorded_fleet().await;
+    let contact = &contacts(&fake)[0];
+    let number = (0..30).find(|i| address(*i) == contact.peers).unwrap();
+    let nobody: CallPeer = Arc::new(|address, _| panic!("{address} was asked"));
+    start::load(&host(number), &store(&fake), &nobody).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn contact_that_does_not_answer_holds_up_no_other() {
+    let fake = recorded_fleet().await;
+    let number = other(&contacts(&fake));
+    let domain = DOMAINS[number % DOMAINS.len()];
+    let mut near = contacts(&fake);
+    near.retain(|contact| contact.domain.as_str() == domain);
+    // The node's own place is held, so it waits for its contacts: one is dead, the other one is
+    // still starting when it is asked first.
+    let place = Contact {
+        node: member(number).node,
+        ..near[0].clone()
+    };
+    let (held, others): (Vec<_>, Vec<_>) = near.iter().partition(|c| c.key() == place.key());
+    let (living, dead) = (held[0].peers, others[0].peers);
+    let is_asked = |contact: &Contact| [living, dead].contains(&contact.peers);
+    fake.contacts
+        .lock()
+        .retain(|_, record| is_asked(&rmp_serde::from_slice(record).unwrap()));
+    let running = host(number);
+    source::read_once(&running, &store(&fake), Stream::Members)
+        .await
+        .unwrap();
+    let nodes = Nodes::default();
+    nodes.lock().insert(living, running);
+    let (answers, is_first) = (call_peer(&nodes), Mutex::new(true));
+    let calls: CallPeer = Arc::new(move |address, request| {
+        if address == dead {
+            return std::future::pending().boxed();
+        }
+        if std::mem::take(&mut *is_first.lock()) {
+            let starting = Progress::default();
+            let answer = rmp_serde::to_vec_named(&starting).unwrap().into();
+            return async { Ok(answer) }.boxed();
+        }
+        answers(address, request)
+    });
+    *fake.whole_reads.lock() = 0;
+    start::load(&host(number), &store(&fake), &calls).await;
+    assert_eq!(*fake.whole_reads.lock(), 0, "a contact had the members");
+}
