Routes and teams are confined to regions

Cause: a route or team with allowedRegions was closed, since nothing here knew where a failure domain lies. Now the settings name each one's region, and a request goes only to targets in regions that its route and its team both allow. A failure domain of an unknown region is in none, and an empty list allows none.

--- a/examples/capacity.rs
+++ b/examples/capacity.rs
@@ -28,9 +28,10 @@
         change::{Change, Entry, Op},
         machine::Machine,
         member::{Member, Status, Table, Target},
+        region::Distance,
         resource::{Boundary, Class, Domain, Policy, Repeat, Resource, Route, Service},
         selector::{Labels, Selector},
-        view::{Distance, Proxy, View},
+        view::{Proxy, View},
     },
     unit::{Percent, Size, Span},
 };
--- a/src/coordination/decision/access.rs
+++ b/src/coordination/decision/access.rs
@@ -12,6 +12,7 @@
 use std::sync::Arc;
 
 use crate::{
+    id::Name,
     protocol::answer::Refusal,
     state::{
         routing::{Route, Table},
@@ -68,6 +69,14 @@
     }
 }
 
+/// Returns whether a request may run in a region, and its body may be sent there. `None` is a
+/// region that isn't known, which no restriction allows.
+pub fn may_run_in(route: &Route, team: Option<&Team>, region: Option<&Name>) -> bool {
+    let team = team.and_then(|team| team.regions.as_ref());
+    let mut restrictions = route.regions.iter().chain(team);
+    restrictions.all(|allowed| region.is_some_and(|region| allowed.contains(region)))
+}
+
 /// Returns the key in the value of an `Authorization` header.
 fn key(authorization: &[u8]) -> Option<&[u8]> {
     let (scheme, key) = authorization.split_at_checked(SCHEME.len())?;
--- a/src/coordination/pick.rs
+++ b/src/coordination/pick.rs
@@ -2,7 +2,7 @@
 
 use fastrand::Rng;
 
-use crate::state::view::Distance;
+use crate::state::region::Distance;
 
 /// The cost, as a percentage of a target's slots, from which requests go to targets
 /// in farther failure domains although the round trip is longer.
--- a/src/host/settings.rs
+++ b/src/host/settings.rs
@@ -7,7 +7,7 @@
 use crate::{
     document::{Document, Fault},
     id::{Name, Node},
-    state::selector::Labels,
+    state::{region::Regions, selector::Labels},
     unit::Span,
 };
 
@@ -19,6 +19,10 @@
     pub node: Node,
     /// The failure domain of the host.
     pub domain: Name,
+    /// The region of each failure domain of the mesh. A route or team that is confined to some
+    /// regions isn't served in a failure domain that is missing here.
+    #[serde(default)]
+    pub regions: Regions,
     /// The service of the target on this host.
     pub service: Name,
     /// Labels of the proxy.
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -10,6 +10,7 @@
 //! * [`check`]: the validation of a change;
 //! * [`view`]: the part of the configuration that one proxy needs;
 //! * [`member`]: the nodes and targets of the mesh;
+//! * [`region`]: the regions of failure domains, and how far they are apart;
 //! * [`evidence`], [`fingerprint`]: what nodes report about requests under which
 //!   targets crashed;
 //! * [`routing`]: a complete version of routes from an external source;
@@ -25,6 +26,7 @@
 pub mod fingerprint;
 pub mod machine;
 pub mod member;
+pub mod region;
 pub mod resource;
 pub mod rollout;
 pub mod routing;
--- a/src/state/routing.rs
+++ b/src/state/routing.rs
@@ -5,7 +5,7 @@
 //! invalid, no table is built.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     sync::Arc,
 };
 
@@ -39,6 +39,7 @@
 ///     attempts: 2,
 ///     parts: vec![Part { service: "ledger".parse()?, weight: 1 }],
 ///     is_anonymous: false,
+///     regions: None,
 ///     unsupported: vec![],
 /// };
 /// let ledger = Service::from("ledger".parse::<Name>()?);
@@ -112,6 +113,9 @@
     pub parts: Vec<Part>,
     /// Whether it also serves callers without a key.
     pub is_anonymous: bool,
+    /// The regions in which its requests may run, and to which their bodies may be sent;
+    /// anywhere if `None`.
+    pub regions: Option<BTreeSet<Name>>,
     /// Settings of the route that this release doesn't know. They may restrict who may send
     /// requests or where they may go, so its requests are refused.
     pub unsupported: Vec<String>,
--- a/src/state/team.rs
+++ b/src/state/team.rs
@@ -11,6 +11,7 @@
 //!     keys: vec![Digest::of(b"s3cret")],
 //!     priority: None,
 //!     limit: None,
+//!     regions: None,
 //!     unsupported: vec![],
 //! };
 //! let teams = Teams::new(vec![fares])?;
@@ -21,7 +22,7 @@
 //! ```
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     fmt,
     sync::Arc,
 };
@@ -62,6 +63,9 @@
     pub priority: Option<u8>,
     /// The limit on its requests at all nodes together.
     pub limit: Option<RateLimit>,
+    /// The regions in which its requests may run, in addition to what their routes allow;
+    /// anywhere if `None`.
+    pub regions: Option<BTreeSet<Name>>,
     /// Settings of the team that this release doesn't know. They may restrict the team, so its
     /// requests are refused.
     pub unsupported: Vec<String>,
--- a/src/state/view.rs
+++ b/src/state/view.rs
@@ -13,6 +13,7 @@
     id::Name,
     state::{
         check::{ResourceSet, Touched},
+        region::Distance,
         resource::{Boundary, Key, Kind, Policy, Resource, Route},
         selector::Labels,
         version::Version,
@@ -58,17 +59,6 @@
     pub allowed: BTreeMap<Name, Distance>,
 }
 
-/// The distance of a failure domain from the proxy.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub enum Distance {
-    /// The proxy's own failure domain.
-    Domain,
-    /// Another failure domain with the same `region` label.
-    Region,
-    /// A failure domain of another region, or one of the two has no region.
-    OtherRegion,
-}
-
 /// The label key of the region of a failure domain. Failure domains of the same
 /// region are close to each other.
 pub const REGION: &str = "region";
@@ -171,12 +161,8 @@
 
     fn distance(&self, to: &Name) -> Distance {
         let region = |name: &Name| self.resources.domain(name)?.labels.get(REGION);
-        let own_region = region(&self.proxy.domain);
-        match *to == self.proxy.domain {
-            true => Distance::Domain,
-            false if own_region.is_some() && own_region == region(to) => Distance::Region,
-            false => Distance::OtherRegion,
-        }
+        let own = &self.proxy.domain;
+        Distance::between((own, region(own)), (to, region(to)))
     }
 
     /// Sorts the routes so that the first match for a request is the most specific.
--- a/src/transport/operators.rs
+++ b/src/transport/operators.rs
@@ -22,8 +22,9 @@
     state::{
         change::Change,
         member::{Member, Status},
+        region::Distance,
         version::Version,
-        view::{Distance, View},
+        view::View,
     },
     transport::{
         http, identity,
--- a/src/transport/plan.rs
+++ b/src/transport/plan.rs
@@ -11,11 +11,7 @@
     event::Event,
     id::Name,
     protocol::answer::{self, Refusal},
-    state::{
-        resource::Class,
-        version::Version,
-        view::{self, Distance},
-    },
+    state::{region::Distance, resource::Class, version::Version, view},
     transport::{
         http::{self, Pieces},
         inbound::Onward,
--- a/src/transport/relay/call.rs
+++ b/src/transport/relay/call.rs
@@ -132,6 +132,11 @@
         }
     }
 
+    /// Returns whether the request may run in a region; `None` is one that isn't known.
+    pub fn may_run_in(&self, region: Option<&Name>) -> bool {
+        access::may_run_in(&self.route, self.team.as_deref(), region)
+    }
+
     /// Returns what the decisions on attempts need to know of the request.
     pub fn request(&self) -> attempts::Request<'_> {
         attempts::Request {
--- a/src/transport/relay/egress.rs
+++ b/src/transport/relay/egress.rs
@@ -257,10 +257,12 @@
             .rollouts
             .subsets(service, &members, attempts.nodes.is_empty());
         let drains = self.host.drains.current();
+        let regions = &self.host.settings.regions;
         let mut balancer = self.host.balancer.lock();
         for subset in subsets.into_iter().flatten() {
             let is_eligible = |member: &Member| {
                 !drains.is_drained(&member.domain)
+                    && call.may_run_in(regions.of(&member.domain))
                     && !attempts.nodes.contains(&member.node)
                     && subset.admits(member, service)
             };
--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -36,7 +36,8 @@
 /// The time between two heartbeats of a target.
 const HEARTBEAT: Duration = Duration::from_millis(1500);
 
-/// A simulated host: its address, its target, and its node while that runs.
+/// A simulated host in one of the failure domains `here` and `near` of region `south`, `there` of
+/// region `north`, and others of unknown regions: its address, its target, and its node while that runs.
 pub struct Host {
     pub name: String,
     /// The service of its target.
@@ -94,6 +95,7 @@
         let at = |port| SocketAddr::new(self.ip, port);
         let settings = json!({
             "node": self.name, "domain": self.domain, "service": self.service,
+            "regions": {"here": "south", "near": "south", "there": "north"},
             "listen": {
                 "callers": at(CALLERS), "inbound": at(INBOUND), "peers": at(PEERS),
                 "targets": at(TARGETS), "ready": at(READY), "metrics": at(METRICS),
--- a/tests/coordination.rs
+++ b/tests/coordination.rs
@@ -39,9 +39,9 @@
         change::{Change, Entry, Op},
         machine::Machine,
         member::{Member, Status, Table},
+        region::Distance,
         resource::{Class, Domain, Resource},
         version::Version,
-        view::Distance,
     },
     unit::{Percent, Size, Span},
 };
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -84,6 +84,7 @@
         attempts: 2,
         parts: parts.collect(),
         is_anonymous: false,
+        regions: None,
         unsupported: vec![],
     }
 }
--- a/tests/state.rs
+++ b/tests/state.rs
@@ -24,10 +24,11 @@
     state::{
         change::{Change, Entry, Op, Restore},
         machine::{Machine, Verdict, WINDOW},
+        region::Distance,
         resource::{Boundary, Class, Domain, Key, Kind, Policy, Repeat, Resource, Route, Service},
         selector::{Expression, Labels, Operator, Selector},
         version::Version,
-        view::{self, Distance, Proxy, View},
+        view::{self, Proxy, View},
     },
     unit::{Percent, Size, Span},
 };
