Another region is the last resort for a request

Cause: a target in another region counted as near as one in another failure domain of the same region, and two of three targets that were drawn elsewhere lay there.

Change: targets of the own region's other failure domains and of other regions are drawn apart, and the path to another region costs ten times as much.

Deployments of one region: nothing changes.

--- a/examples/choice.rs
+++ b/examples/choice.rs
@@ -10,6 +10,7 @@
     protocol::dialect::Load,
     state::{
         member::{Member, Status, Table, Target},
+        region::Regions,
         selector::Labels,
     },
 };
@@ -41,6 +42,7 @@
         route: &route,
         service: &service,
         domain: &domain,
+        regions: &Regions::default(),
         bytes: 0,
         own_load: Load::default(),
     };
--- a/src/coordination/decision/balance/mod.rs
+++ b/src/coordination/decision/balance/mod.rs
@@ -7,7 +7,8 @@
 //! A target in another failure domain has the cost of the network path added: its round trip
 //! and, since traffic between failure domains is paid for by the byte, a time for each
 //! kilobyte. So an upload stays in its failure domain where a lookup goes to a faster target
-//! elsewhere. A node that is unreachable, or has left requests unanswered for longer than
+//! elsewhere. The path to another region costs a multiple of that: it is tens of milliseconds
+//! long, and all traffic between two regions shares it. A node that is unreachable, or has left requests unanswered for longer than
 //! `MAX_SILENCE`, gets no requests until it responds again.
 
 mod peer;
@@ -23,7 +24,10 @@
     coordination::decision::reach::{Failure, Reachability},
     id::{Name, Node},
     protocol::dialect::{Load, Slowdown},
-    state::member::{Member, Status, Table},
+    state::{
+        member::{Member, Status, Table},
+        region::{Distance, Regions},
+    },
 };
 
 /// Targets of the request's failure domain that are drawn. Two spread load well; a third
@@ -48,6 +52,9 @@
 /// domain of the request.
 const FAR_KILOBYTE_COST: f64 = 0.007;
 
+/// Cost of the path to another region, as a multiple of the one to another failure domain.
+const REGION_COST: f64 = 10.0;
+
 /// Slowdown of a target with all slots in use, as a share of the run time. It grows in
 /// proportion to usage.
 const USAGE_COST: f64 = 0.3;
@@ -158,12 +165,20 @@
     pub service: &'a Name,
     /// The failure domain that it comes from.
     pub domain: &'a Name,
+    /// The regions of the failure domains.
+    pub regions: &'a Regions,
     /// The size of its body, in bytes.
     pub bytes: usize,
     /// The load of the target beside the node.
     pub own_load: Load,
 }
 
+impl Criteria<'_> {
+    fn distance(&self, member: &Member) -> Distance {
+        self.regions.distance(self.domain, &member.domain)
+    }
+}
+
 /// What a node reports of its target with a response.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Report {
@@ -234,7 +249,11 @@
         } else {
             FAR_DRAWS
         };
-        drawn.extend(draw([before, after], far, &mut is_eligible));
+        for distance in [Distance::Region, Distance::OtherRegion] {
+            drawn.extend(draw([before, after], far, |member| {
+                criteria.distance(member) == distance && is_eligible(member)
+            }));
+        }
         // The first of equal costs is chosen, and must not be the same at all nodes.
         fastrand::shuffle(&mut drawn);
         let estimates = drawn.into_iter().map(|member| {
@@ -306,12 +325,13 @@
         let run_time = mean * slowdown * f64::from(1 + peer.failures);
         let crowding = CROWDING_COST * (usage - CROWDED_USAGE).max(0.0);
         let time = run_time * (1.0 + USAGE_COST * usage + crowding);
-        let path_cost = if member.domain == *criteria.domain {
-            0.0
-        } else {
-            // `FAR_TRIP_COST` includes the bytes of an ordinary response.
-            let bytes = criteria.bytes + answer.saturating_sub(MIN_LARGE);
-            FAR_TRIP_COST + FAR_KILOBYTE_COST * bytes as f64 / 1024.0
+        // `FAR_TRIP_COST` includes the bytes of an ordinary response.
+        let bytes = criteria.bytes + answer.saturating_sub(MIN_LARGE);
+        let far_cost = FAR_TRIP_COST + FAR_KILOBYTE_COST * bytes as f64 / 1024.0;
+        let path_cost = match criteria.distance(member) {
+            Distance::Domain => 0.0,
+            Distance::Region => far_cost,
+            Distance::OtherRegion => REGION_COST * far_cost,
         };
         (usage, time + path_cost)
     }
--- a/src/transport/relay/egress.rs
+++ b/src/transport/relay/egress.rs
@@ -247,6 +247,7 @@
             route: &call.route.name,
             service: &call.service,
             domain: &self.host.settings.domain,
+            regions: &self.host.settings.regions,
             bytes,
             own_load: self.host.gate.load(),
         };
--- a/standins/src/load/model.rs
+++ b/standins/src/load/model.rs
@@ -15,7 +15,7 @@
     },
     id::Name,
     protocol::answer::{Outcome, Refusal},
-    state::member::Member,
+    state::{member::Member, region::Regions},
     unit::Span,
 };
 
@@ -246,6 +246,7 @@
             route: &self.routes[kind],
             service,
             domain: &home.member.domain,
+            regions: &Regions::default(),
             bytes: of.body,
             own_load: home.queue.load(),
         };
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -45,6 +45,7 @@
     },
     state::{
         member::{Member, Status, Table, Target},
+        region::Regions,
         routing::{self, Kind, Limits, Part, Route},
         selector::Labels,
     },
@@ -149,6 +150,7 @@
         route: &route,
         service: &service,
         domain: &domain,
+        regions: &Regions::default(),
         bytes,
         own_load: Load::default(),
     };
@@ -831,7 +833,7 @@
         let (me, route, service, domain) = ("me".parse().unwrap(), name("r"), name("a"), name("here"));
         for (running, expected) in [(0, "me"), (9, "n1")] {
             let own = Load { running, waiting: 0, slots: 10 };
-            let criteria = Criteria { node: &me, route: &route, service: &service, domain: &domain, bytes: 0, own_load: own };
+            let criteria = Criteria { node: &me, route: &route, service: &service, domain: &domain, regions: &Regions::default(), bytes: 0, own_load: own };
             let other = table.get(&"n1".parse().unwrap()).unwrap().clone();
             for _ in 0..running / 3 {
                 balancer.start(&other, now);
@@ -844,6 +846,32 @@
         }
     }
 
+    other_region_is_the_last_resort => {
+        let regions: Regions = serde_json::from_str(r#"{"here": "south", "near": "south", "far": "north"}"#).unwrap();
+        let far: Vec<String> = (0..40).map(|i| format!("far{i}")).collect();
+        let mut list = vec![("n1", "near")];
+        list.extend(far.iter().map(|node| (node.as_str(), "far")));
+        let table = members(&list);
+        let mut balancer = Balancer::default();
+        let now = Instant::now();
+        let (me, route, service, domain) = ("me".parse().unwrap(), name("r"), name("a"), name("here"));
+        let near = table.get(&"n1".parse().unwrap()).unwrap().clone();
+        for (waiting, expected) in [(0, "near"), (12, "far")] {
+            let load = Some(Load { running: 10 * u32::from(waiting > 0), waiting, slots: 10 });
+            balancer.start(&near, now);
+            let answered = AttemptResult::Answered(Duration::from_millis(100));
+            balancer.finish(&near, &route, answered, Report { load, ..Report::default() }, now);
+            for _ in 0..60 {
+                let criteria = Criteria {
+                    node: &me, route: &route, service: &service, domain: &domain, regions: &regions,
+                    bytes: 0, own_load: Load::default(),
+                };
+                let choice = balancer.choose(&table, criteria, |_| true, now).unwrap();
+                assert_eq!(choice.member.domain.as_str(), expected);
+            }
+        }
+    }
+
     reported_load_is_used => {
         let table = members(&[("n1", "here"), ("n2", "here")]);
         let mut balancer = Balancer::default();
