A mesh's first start costs most nodes one read of the store

Cause: at a first start each node found no contacts, waited and read them again, then read the tail after its contact's answer, which has nothing of a node that was never recorded. And of nodes with equal links, all waited equally long and all became contacts.

Change: the platform tells a node whether the mesh starts for the first time (first_start); then it waits for its turn before its only read of the contacts, and reads no tail. The wait is spread by half of itself up and down.

--- a/src/coordination/start.rs
+++ b/src/coordination/start.rs
@@ -59,9 +59,9 @@
 /// domain, and an answer has a few bytes.
 const ROUND_PAUSE: Duration = Duration::from_millis(50);
 
-/// A link of this bandwidth, in Mbit/s, delays a node's contact by [`LINK_DELAY`]; a link of ten
-/// times as much by a tenth of it. So in a fleet that starts as a whole, nodes with wide links
-/// become contacts, and the others find them.
+/// A link of this bandwidth, in Mbit/s, delays a node's contact by [`LINK_DELAY`] on average; a
+/// link of ten times as much by a tenth of it. So in a fleet that starts as a whole, nodes with
+/// wide links become contacts, and the others find them.
 const LINK: f64 = 20.0;
 
 /// See [`LINK`].
@@ -74,8 +74,12 @@
 /// Loads the members, and the routes if a contact has them. Returns once the membership is
 /// settled.
 pub async fn load(host: &Arc<Host>, store: &Store, call_peer: &CallPeer) {
+    let is_first = host.settings.first_start;
+    if is_first {
+        tokio::time::sleep(link_delay(host)).await;
+    }
     let mut contacts = read_contacts(host, store).await;
-    if contacts.is_empty() {
+    if contacts.is_empty() && !is_first {
         tokio::time::sleep(link_delay(host)).await;
         contacts = read_contacts(host, store).await;
     }
@@ -280,6 +284,11 @@
         let Some(mut members) = members else {
             return false;
         };
+        let is_recorded = || members.members.iter().any(|member| member.node == self.own.node);
+        if self.host.settings.first_start && !is_recorded() {
+            source::apply_members_answer(self.host, members);
+            return true;
+        }
         let since = Instant::now();
         let read = (self.store.tail)(Stream::Members, members.at, Span::from_millis(0)).await;
         self.host.note_store("tail", &read, Some(since.elapsed()));
@@ -313,5 +322,6 @@
     } else {
         LINK / bandwidth
     };
-    LINK_DELAY.mul_f64(share.min(1.0))
+    // Of nodes with equal links, a few come first and the others find them, too.
+    LINK_DELAY.mul_f64(share.min(1.0) * (0.5 + fastrand::f64()))
 }
--- a/src/host/settings.rs
+++ b/src/host/settings.rs
@@ -36,6 +36,9 @@
     pub advertise: Option<Advertise>,
     /// The address of the platform's store.
     pub store: SocketAddr,
+    /// Whether the mesh starts for the first time, so that the store has nothing of its nodes.
+    #[serde(default)]
+    pub first_start: bool,
     /// The interval of a target's heartbeats.
     pub heartbeat: Span,
     /// The grace period: the most time that a shutdown may take, from the signal to the exit.
--- a/tests/start.rs
+++ b/tests/start.rs
@@ -30,13 +30,20 @@
 /// The most contacts of each failure domain.
 const MAX_CONTACTS: usize = 4;
 
-/// A store without a size limit that counts what it sends.
+/// The bandwidth of a wide link, and of the others, in Mbit/s.
+const WIDE: u32 = 1000;
+const NARROW: u32 = 20;
+
+/// A store without a size limit that counts what it is asked for.
 #[derive(Default)]
 struct FakeStore {
     contacts: Mutex<BTreeMap<String, Bytes>>,
     /// All records of members, by their offset.
     members: Mutex<Vec<(String, Bytes)>>,
     whole_reads: Mutex<usize>,
+    /// Calls other than whole reads.
+    small_calls: Mutex<usize>,
+    contact_puts: Mutex<usize>,
 }
 
 impl FakeStore {
@@ -83,6 +90,7 @@
         }),
         tail: Arc::new(move |stream, from, _| {
             assert_eq!(stream, Stream::Members);
+            *tail.small_calls.lock() += 1;
             let records = tail.tail(from);
             async { Ok(records) }.boxed()
         }),
@@ -91,10 +99,12 @@
             async { Ok(()) }.boxed()
         }),
         contacts: Arc::new(move || {
+            *contacts.small_calls.lock() += 1;
             let all = contacts.contacts.lock().values().cloned().collect();
             async { Ok(all) }.boxed()
         }),
         put_contact: Arc::new(move |key, record| {
+            *put_contact.contact_puts.lock() += 1;
             put_contact.contacts.lock().insert(key, record);
             async { Ok(()) }.boxed()
         }),
@@ -128,13 +138,23 @@
 
 /// Returns the state of a node that starts. One in ten has a wide link.
 fn host(number: usize) -> Arc<Host> {
+    let bandwidth = if number.is_multiple_of(10) {
+        WIDE
+    } else {
+        NARROW
+    };
+    host_with(number, bandwidth, false)
+}
+
+/// Returns the state of a node that starts, maybe as one of a mesh that starts for the first time.
+fn host_with(number: usize, bandwidth: u32, first_start: bool) -> Arc<Host> {
     let (own, domain) = (address(number), DOMAINS[number % DOMAINS.len()]);
-    let bandwidth = if number.is_multiple_of(10) { 1000 } else { 20 };
     let settings = format!(
         r#"{{"node": "n{number}", "domain": "{domain}", "service": "a", "listen": {{
             "callers": "{own}", "inbound": "{own}", "peers": "{own}", "targets": "{own}",
             "ready": "{own}", "metrics": "{own}"}}, "store": "127.0.0.1:1",
             "heartbeat": "30ms", "grace": "6s", "bandwidth": {bandwidth},
+            "first_start": {first_start},
             "resend": {{"ratio": 0.2, "slack": 62, "window": "10s"}}, "descriptors": 1024}}"#
     );
     let document = Document::parse("host", &settings).unwrap();
@@ -177,9 +197,13 @@
 
 /// Starts `count` nodes at once over a store. Returns how often it was read as a whole.
 async fn start_fleet(fake: &Arc<FakeStore>, count: usize) -> usize {
+    start_hosts(fake, (0..count).map(host).collect()).await
+}
+
+/// Starts nodes at once over a store. Returns how often it was read as a whole.
+async fn start_hosts(fake: &Arc<FakeStore>, hosts: Vec<Arc<Host>>) -> usize {
     *fake.whole_reads.lock() = 0;
     let nodes = Nodes::default();
-    let hosts: Vec<_> = (0..count).map(host).collect();
     nodes.lock().extend(
         hosts
             .iter()
@@ -231,6 +255,27 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn first_start_costs_most_nodes_one_call() {
+    let fake = Arc::new(FakeStore::default());
+    let bandwidth = |i: usize| if i.is_multiple_of(10) { WIDE } else { NARROW };
+    let hosts = (0..240).map(|i| host_with(i, bandwidth(i), true));
+    start_hosts(&fake, hosts.collect()).await;
+    // Nodes that become contacts look a second time whether they are wanted.
+    let most = 240 + 2 * DOMAINS.len() * MAX_CONTACTS;
+    let calls = *fake.small_calls.lock();
+    assert!(calls <= most, "{calls} calls of 240 nodes");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn few_nodes_with_equal_links_become_contacts() {
+    let fake = Arc::new(FakeStore::default());
+    let hosts = (0..240).map(|i| host_with(i, NARROW, true)).collect();
+    start_hosts(&fake, hosts).await;
+    let puts = *fake.contact_puts.lock();
+    assert!(puts < 120, "{puts} of 240 nodes wrote a contact");
+}
+
 /// Starts a fleet of 30 nodes over a store that has a member record of each.
 async fn recorded_fleet() -> Arc<FakeStore> {
     let fake = Arc::new(FakeStore::default());
