--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -25,8 +25,9 @@
 //! * [`host`]: the state that its tasks share;
 //! * [`streams`]: how far this node has come along the store's streams;
 //! * [`start`]: how a starting node learns of the fleet;
-//! * [`source`]: loads whole versions of the routes, and the members, from the store or
-//!   from peers;
+//! * [`source`]: loads whole versions of the routes, and the members, from the store;
+//! * [`sync`]: what nodes ask of each other while they can't have it from the store;
+//! * [`records`]: applies what was read;
 //! * [`watch`], [`spread`]: which node reads the store for its failure domain, and how the
 //!   other nodes receive what it read;
 //! * [`probe`]: probes unreachable nodes;
@@ -66,6 +67,7 @@
 pub mod quarantine;
 pub mod rank;
 pub mod rate_limit;
+pub mod records;
 pub mod rollout;
 pub mod scatter;
 pub mod snapshot;
@@ -73,6 +75,7 @@
 pub mod spread;
 pub mod start;
 pub mod streams;
+pub mod sync;
 pub mod watch;
 
 use crate::{protocol, state};
--- /dev/null
+++ b/src/coordination/records.rs
@@ -0,0 +1,167 @@
+//! Applies records of the store's streams, whether this node read them or another one.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+
+use crate::{
+    coordination::{
+        host::Host,
+        interface::{CallPeer, Records, Stream},
+        rollout::local,
+        spread,
+    },
+    event::Event,
+    id::Name,
+    journal::note,
+    protocol::update::{Changes, Update},
+    state::{
+        drain::Drain,
+        member::Member,
+        rollout::{Rollout, Stage},
+    },
+};
+
+/// Applies records from the store; returns what to send to other nodes.
+pub fn apply_records(host: &Host, stream: Stream, records: Vec<Bytes>) -> Option<Changes> {
+    match stream {
+        // Only the newest version counts; the ones in between were never in force here. If
+        // the newest can't be decoded, the one before it is used.
+        Stream::Routes => {
+            let mut newest = records.iter().rev();
+            let usable = newest.find_map(|record| host.apply_record(record, "store").ok());
+            usable.flatten().map(Changes::Routes)
+        }
+        Stream::Members => {
+            apply_members(host, &records, "store");
+            (!records.is_empty()).then_some(Changes::Members(records))
+        }
+    }
+}
+
+/// Applies roll-out orders; returns the roll-outs of those that could be decoded.
+pub fn apply_orders(host: &Host, orders: &[(u64, Bytes)]) -> Vec<Rollout> {
+    let decoded = orders.iter().filter_map(|(offset, record)| {
+        let order = (host.decoders.order)(record);
+        if let Err(error) = &order {
+            host.count_unusable("order");
+            let why = crate::logging::chain(error);
+            note!(
+                host.journal,
+                Event::ChangeRejected,
+                what = "order",
+                offset = offset,
+                why = why
+            );
+        }
+        let order = order.ok()?;
+        Some(Rollout {
+            service: order.service,
+            order: *offset,
+            from: None,
+            to: order.to,
+            duration: order.duration,
+            stage: Stage::Ordered,
+            began: local::unix_millis(),
+        })
+    });
+    let rollouts: Vec<Rollout> = decoded.collect();
+    local::receive(host, rollouts.clone(), "store");
+    rollouts
+}
+
+/// Applies orders about drains of failure domains; returns those to send to other nodes. A
+/// read of the whole stream has no record of a drain that was taken back.
+pub fn apply_drains(host: &Host, records: &Records, stream: Stream, is_whole: bool) -> Vec<Drain> {
+    let mut drains = records.drains.clone();
+    if is_whole && stream == Stream::Routes {
+        drains.extend(host.drains.ended(&records.drains, records.next));
+    }
+    host.receive_drains(drains.clone(), "store");
+    drains
+}
+
+/// Returns the key of a roll-out in the stream of the members. It can't collide with a
+/// node's key, because no node name contains a slash.
+pub fn rollout_key(service: &Name) -> String {
+    format!("rollout/{service}")
+}
+
+/// A record of the stream of the members. It is about a node, or about a roll-out: every
+/// node that knows the targets must know the roll-outs, too.
+enum Record {
+    Member(Member),
+    Rollout(Rollout),
+}
+
+fn decode_record(host: &Host, record: &[u8], from: &str) -> Option<Record> {
+    match rmp_serde::from_slice(record) {
+        Ok(rollout) => Some(Record::Rollout(rollout)),
+        Err(_) => decode(host, record, "member", from).map(Record::Member),
+    }
+}
+
+/// Applies records of the stream of the members.
+pub fn apply_members(host: &Host, records: &[Bytes], from: &str) {
+    let (mut members, mut rollouts) = (Vec::new(), Vec::new());
+    for record in records {
+        match decode_record(host, record, from) {
+            Some(Record::Member(member)) => members.push(member),
+            Some(Record::Rollout(rollout)) => rollouts.push(rollout),
+            None => {}
+        }
+    }
+    local::receive(host, rollouts, from);
+    host.merge_members(members, from);
+}
+
+/// Applies records that another node read, and forwards them.
+pub fn apply_update(host: &Arc<Host>, call_peer: &CallPeer, mut update: Update) {
+    if !update.relay.is_empty() {
+        let relayed = Update {
+            relay: std::mem::take(&mut update.relay),
+            ..update.clone()
+        };
+        tokio::spawn(spread::relay(call_peer.clone(), relayed));
+    }
+    local::receive(host, update.rollouts, "reader");
+    host.receive_drains(update.drains, "reader");
+    let stream = update.load.stream();
+    let is_whole = match update.load {
+        Changes::Routes(delta) => host.apply_routes(delta, "reader"),
+        Changes::Members(records) => {
+            apply_members(host, &records, "reader");
+            // Each record is about one member, so the records before `from` must be known.
+            host.streams.offset(stream) >= Some(update.from)
+        }
+    };
+    if is_whole {
+        host.streams.advance_offset(stream, update.next);
+    } else {
+        // Earlier records are missing here, so a sync is needed whatever the version: the highest
+        // number counts as newer in any case.
+        host.note_newer(u64::MAX, update.next, update.reader);
+    }
+}
+
+/// Decodes a record or a message of another node, which is MessagePack. Counts and logs
+/// input that can't be decoded.
+pub fn decode<T: serde::de::DeserializeOwned>(
+    host: &Host,
+    bytes: &[u8],
+    what: &'static str,
+    from: &str,
+) -> Option<T> {
+    let decoded = rmp_serde::from_slice(bytes);
+    if let Err(error) = &decoded {
+        host.count_unusable(what);
+        note!(
+            host.journal,
+            Event::ChangeRejected,
+            what = what,
+            from = from,
+            why = error
+        );
+    }
+    decoded.ok()
+}
--- a/src/coordination/rollout/controller.rs
+++ b/src/coordination/rollout/controller.rs
@@ -19,8 +19,8 @@
         decision::rollout::judge::{self, Input, TargetCounts},
         host::Host,
         interface::Store,
+        records,
         rollout::Tracked,
-        source,
     },
     event::Event,
     id::Name,
@@ -181,7 +181,7 @@
 async fn publish(host: &Host, store: &Store, rollout: &Rollout) -> Result<(), Error> {
     let record = rmp_serde::to_vec_named(rollout).expect("a roll-out always encodes");
     let started = Instant::now();
-    let put = (store.put)(source::rollout_key(&rollout.service), record.into()).await;
+    let put = (store.put)(records::rollout_key(&rollout.service), record.into()).await;
     host.note_store("put", &put, Some(started.elapsed()));
     put
 }
--- a/src/coordination/source.rs
+++ b/src/coordination/source.rs
@@ -5,35 +5,23 @@
 //! read it from the store. After that, the first node in the ranking of each domain keeps
 //! reading by long polling and sends what it read to the others ([`watch`], [`spread`]).
 //! While the store is unreachable, and whenever another node reports something newer,
-//! nodes ask peers instead.
+//! nodes ask peers instead ([`sync`]).
 
 use std::{
-    net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
 };
 
-use bytes::Bytes;
-use futures_util::future::join_all;
-
 use crate::{
     coordination::{
         Error,
         host::Host,
-        interface::{CallPeer, PeerRequest, Records, Store, Stream},
-        rollout::local,
-        spread, start, watch,
+        interface::{CallPeer, Records, Store, Stream},
+        records, spread, start, sync, watch,
     },
     event::Event,
-    id::Name,
     journal::note,
-    protocol::update::{Changes, Members, Progress, Update},
-    state::{
-        drain::Drain,
-        member::Member,
-        rollout::{Rollout, Stage},
-        routing::Delta,
-    },
+    protocol::update::{Changes, Update},
     unit::Span,
 };
 
@@ -65,7 +53,7 @@
 /// the store when no peer has one; the others wait for them. The store's bandwidth is
 /// limited: after a loss of power, with 295 nodes that all read 450 KB, the median node had
 /// its version 1.2 s after its start. For 15 nodes the store needs 0.1 s at 80 MB/s.
-const FIRST_RANKED: usize = 3;
+pub const FIRST_RANKED: usize = 3;
 
 /// How long the other starting nodes ask peers for a version before they wait for the reader: as
 /// long as a fleet of hundreds needs to forward a version over links of 10 Mbit/s.
@@ -80,10 +68,6 @@
 /// plus the duration of a call.
 const STORE_RETURN_WAIT: Duration = Duration::from_secs(2);
 
-/// Peers of the own failure domain, and as many of the others, that are asked in one round
-/// while the store fails.
-const PEERS_PER_GROUP: usize = 2;
-
 /// The pause after a read of members, so that changes in quick succession cost one call.
 /// Nothing waits for these changes: the gate beside a target acts at once.
 const MEMBERS_BATCH_PAUSE: Duration = Duration::from_millis(200);
@@ -137,7 +121,7 @@
 /// Asks peers until one has sent a version. A first-ranked node asks one round only.
 async fn request_routes(host: &Arc<Host>, call_peer: &CallPeer, is_first_ranked: bool) {
     loop {
-        sync_with_peers(host, call_peer).await;
+        sync::with_peers(host, call_peer).await;
         if is_first_ranked || host.version() > 0 {
             return;
         }
@@ -155,9 +139,9 @@
     let read = (store.newest)(stream).await;
     host.note_store("newest", &read, Some(since.elapsed()));
     let records = read?;
-    apply_orders(host, &records.orders);
-    apply_drains(host, &records, stream, true);
-    apply_records(host, stream, records.records);
+    records::apply_orders(host, &records.orders);
+    records::apply_drains(host, &records, stream, true);
+    records::apply_records(host, stream, records.records);
     host.streams.advance_offset(stream, records.next);
     Ok(())
 }
@@ -174,7 +158,7 @@
             Err(error) => {
                 note_store_down(host, stream, failures, &error);
                 let before = host.streams.offset(stream);
-                sync_with_peers(host, call_peer).await;
+                sync::with_peers(host, call_peer).await;
                 if host.streams.offset(stream) > before {
                     return;
                 }
@@ -231,7 +215,7 @@
                         }
                     }
                 };
-                tokio::join!(sync_with_peers(host, call_peer), delay);
+                tokio::join!(sync::with_peers(host, call_peer), delay);
                 failures += 1;
             }
         }
@@ -260,9 +244,9 @@
     from: Option<u64>,
     records: Records,
 ) {
-    let rollouts = apply_orders(host, &records.orders);
-    let drains = apply_drains(host, &records, stream, from.is_none());
-    let load = apply_records(host, stream, records.records);
+    let rollouts = records::apply_orders(host, &records.orders);
+    let drains = records::apply_drains(host, &records, stream, from.is_none());
+    let load = records::apply_records(host, stream, records.records);
     host.streams.advance_offset(stream, records.next);
     // Orders without a new version are sent with an empty delta.
     let unchanged = || host.routes_since(host.version()).map(Changes::Routes);
@@ -281,43 +265,6 @@
     tokio::spawn(spread::to_domain(host.clone(), call_peer.clone(), update));
 }
 
-/// Applies records that another node read, and forwards them.
-pub fn apply_update(host: &Arc<Host>, call_peer: &CallPeer, mut update: Update) {
-    if !update.relay.is_empty() {
-        let relayed = Update {
-            relay: std::mem::take(&mut update.relay),
-            ..update.clone()
-        };
-        tokio::spawn(spread::relay(call_peer.clone(), relayed));
-    }
-    local::receive(host, update.rollouts, "reader");
-    host.receive_drains(update.drains, "reader");
-    let stream = update.load.stream();
-    let is_whole = match update.load {
-        Changes::Routes(delta) => host.apply_routes(delta, "reader"),
-        Changes::Members(records) => {
-            apply_members(host, &records, "reader");
-            // Each record is about one member, so the records before `from` must be known.
-            host.streams.offset(stream) >= Some(update.from)
-        }
-    };
-    if is_whole {
-        host.streams.advance_offset(stream, update.next);
-    } else {
-        // Earlier records are missing here, so a sync is needed whatever the version: the highest
-        // number counts as newer in any case.
-        host.note_newer(u64::MAX, update.next, update.reader);
-    }
-}
-
-/// Asks each peer that reports something newer for it; never returns.
-pub async fn follow_hints(host: Arc<Host>, call_peer: CallPeer) {
-    loop {
-        let peer = host.next_hint().await;
-        sync_with_peer(&host, &call_peer, peer).await;
-    }
-}
-
 /// Returns the pause after `failures` consecutive failed calls, with a jitter of one fifth
 /// up or down, so that the nodes of a fleet don't retry at the same time.
 pub fn pause(failures: u32) -> Duration {
@@ -358,267 +305,3 @@
         );
     }
 }
-
-/// Asks a few peers for their progress, and the most advanced ones for what they have.
-async fn sync_with_peers(host: &Arc<Host>, call_peer: &CallPeer) {
-    let first_ranked = watch::predecessors(host);
-    let first_ranked = first_ranked.iter().rev().take(FIRST_RANKED);
-    let peers = {
-        let members = host.members.read();
-        let others = members
-            .iter()
-            .filter(|member| member.node != host.settings.node && member.is_present());
-        let (near, far): (Vec<_>, Vec<_>) =
-            others.partition(|member| member.domain == host.settings.domain);
-        // Of equally advanced peers the first in this list is chosen. First-ranked nodes come
-        // first: they have the fastest links and are the first to receive updates. Nodes of
-        // other failure domains come last, so that they send data only if they are ahead.
-        let mut drawn = fastrand::choose_multiple(first_ranked, 1);
-        drawn.extend(fastrand::choose_multiple(near, PEERS_PER_GROUP));
-        drawn.extend(fastrand::choose_multiple(far, PEERS_PER_GROUP));
-        drawn.iter().map(|member| member.peers).collect::<Vec<_>>()
-    };
-    let asked = peers
-        .into_iter()
-        .map(|peer| fetch_progress(host, call_peer, peer));
-    let progress: Vec<_> = join_all(asked).await.into_iter().flatten().collect();
-    let newest = |of: fn(&Progress) -> u64| {
-        progress
-            .iter()
-            .rev()
-            .max_by_key(|(_, progress)| of(progress))
-    };
-    if let Some((peer, progress)) = newest(|progress| progress.version) {
-        fetch_routes(host, call_peer, *peer, progress).await;
-    }
-    if let Some((peer, progress)) = newest(|progress| progress.members) {
-        fetch_members(host, call_peer, *peer, progress).await;
-    }
-}
-
-/// Fetches from a peer what is newer than the state of this node.
-async fn sync_with_peer(host: &Host, call_peer: &CallPeer, peer: SocketAddr) {
-    if let Some((_, progress)) = fetch_progress(host, call_peer, peer).await {
-        fetch(host, call_peer, peer, &progress).await;
-    }
-}
-
-/// Fetches from a peer what is newer than the state of this node, given the peer's progress.
-pub async fn fetch(host: &Host, call_peer: &CallPeer, peer: SocketAddr, progress: &Progress) {
-    if progress.knows_members {
-        fetch_members(host, call_peer, peer, progress).await;
-    }
-    fetch_routes(host, call_peer, peer, progress).await;
-}
-
-/// Asks a peer which version and offsets it has reached.
-///
-/// A peer that does not answer does no harm: another peer that reports something newer is
-/// asked, or the next round asks others.
-pub async fn fetch_progress(
-    host: &Host,
-    call_peer: &CallPeer,
-    peer: SocketAddr,
-) -> Option<(SocketAddr, Progress)> {
-    let answer = call_peer(peer, PeerRequest::Progress).await.ok()?;
-    let progress: Progress = decode(host, &answer, "news", "peer")?;
-    host.receive_drains(progress.drains.clone(), "peer");
-    Some((peer, progress))
-}
-
-/// Fetches the routes from a peer if its version is newer.
-pub async fn fetch_routes(
-    host: &Host,
-    call_peer: &CallPeer,
-    peer: SocketAddr,
-    progress: &Progress,
-) {
-    if progress.version > host.version()
-        && let Ok(answer) = call_peer(peer, PeerRequest::Routes(host.version())).await
-    {
-        apply_routes_answer(host, &answer);
-        // The peer reported this offset before it sent its version, so the version includes
-        // every record up to the offset.
-        if host.version() >= progress.version && progress.routes > 0 {
-            host.streams.advance_offset(Stream::Routes, progress.routes);
-        }
-    }
-}
-
-async fn fetch_members(host: &Host, call_peer: &CallPeer, peer: SocketAddr, progress: &Progress) {
-    if Some(progress.members) <= host.streams.offset(Stream::Members) {
-        return;
-    }
-    if let Some(answer) = request_members(host, call_peer, peer).await {
-        apply_members_answer(host, answer);
-    }
-}
-
-/// Returns the members that a peer knows and this node doesn't; nothing if it doesn't answer.
-pub async fn request_members(
-    host: &Host,
-    call_peer: &CallPeer,
-    peer: SocketAddr,
-) -> Option<Members<Member>> {
-    let marks = host.members.read().bucket_hashes().to_vec();
-    let answer = call_peer(peer, PeerRequest::Members(marks)).await.ok()?;
-    decode(host, &answer, "news", "peer")
-}
-
-fn apply_routes_answer(host: &Host, answer: &[u8]) {
-    if let Some(delta) = decode::<Delta>(host, answer, "news", "peer") {
-        host.apply_routes(delta, "peer");
-    }
-}
-
-/// Applies a peer's answer with members.
-pub fn apply_members_answer(host: &Host, answer: Members<Member>) {
-    local::receive(host, answer.rollouts, "peer");
-    host.merge_members(answer.members, "peer");
-    host.streams.advance_offset(Stream::Members, answer.at);
-}
-
-/// Decodes a record or a message of another node, which is MessagePack. Counts and logs
-/// input that can't be decoded.
-pub fn decode<T: serde::de::DeserializeOwned>(
-    host: &Host,
-    bytes: &[u8],
-    what: &'static str,
-    from: &str,
-) -> Option<T> {
-    let decoded = rmp_serde::from_slice(bytes);
-    if let Err(error) = &decoded {
-        host.count_unusable(what);
-        note!(
-            host.journal,
-            Event::ChangeRejected,
-            what = what,
-            from = from,
-            why = error
-        );
-    }
-    decoded.ok()
-}
-
-/// Applies records from the store; returns what to send to other nodes.
-fn apply_records(host: &Host, stream: Stream, records: Vec<Bytes>) -> Option<Changes> {
-    match stream {
-        // Only the newest version counts; the ones in between were never in force here. If
-        // the newest can't be decoded, the one before it is used.
-        Stream::Routes => {
-            let mut newest = records.iter().rev();
-            let usable = newest.find_map(|record| host.apply_record(record, "store").ok());
-            usable.flatten().map(Changes::Routes)
-        }
-        Stream::Members => {
-            apply_members(host, &records, "store");
-            (!records.is_empty()).then_some(Changes::Members(records))
-        }
-    }
-}
-
-/// Applies roll-out orders; returns the roll-outs of those that could be decoded.
-fn apply_orders(host: &Host, orders: &[(u64, Bytes)]) -> Vec<Rollout> {
-    let decoded = orders.iter().filter_map(|(offset, record)| {
-        let order = (host.decoders.order)(record);
-        if let Err(error) = &order {
-            host.count_unusable("order");
-            let why = crate::logging::chain(error);
-            note!(
-                host.journal,
-                Event::ChangeRejected,
-                what = "order",
-                offset = offset,
-                why = why
-            );
-        }
-        let order = order.ok()?;
-        Some(Rollout {
-            service: order.service,
-            order: *offset,
-            from: None,
-            to: order.to,
-            duration: order.duration,
-            stage: Stage::Ordered,
-            began: local::unix_millis(),
-        })
-    });
-    let rollouts: Vec<Rollout> = decoded.collect();
-    local::receive(host, rollouts.clone(), "store");
-    rollouts
-}
-
-/// Applies orders about drains of failure domains; returns those to send to other nodes. A
-/// read of the whole stream has no record of a drain that was taken back.
-fn apply_drains(host: &Host, records: &Records, stream: Stream, is_whole: bool) -> Vec<Drain> {
-    let mut drains = records.drains.clone();
-    if is_whole && stream == Stream::Routes {
-        drains.extend(host.drains.ended(&records.drains, records.next));
-    }
-    host.receive_drains(drains.clone(), "store");
-    drains
-}
-
-/// Returns the key of a roll-out in the stream of the members. It can't collide with a
-/// node's key, because no node name contains a slash.
-pub fn rollout_key(service: &Name) -> String {
-    format!("rollout/{service}")
-}
-
-/// A record of the stream of the members. It is about a node, or about a roll-out: every
-/// node that knows the targets must know the roll-outs, too.
-enum Record {
-    Member(Member),
-    Rollout(Rollout),
-}
-
-fn decode_record(host: &Host, record: &[u8], from: &str) -> Option<Record> {
-    match rmp_serde::from_slice(record) {
-        Ok(rollout) => Some(Record::Rollout(rollout)),
-        Err(_) => decode(host, record, "member", from).map(Record::Member),
-    }
-}
-
-/// Applies records of the stream of the members.
-pub fn apply_members(host: &Host, records: &[Bytes], from: &str) {
-    let (mut members, mut rollouts) = (Vec::new(), Vec::new());
-    for record in records {
-        match decode_record(host, record, from) {
-            Some(Record::Member(member)) => members.push(member),
-            Some(Record::Rollout(rollout)) => rollouts.push(rollout),
-            None => {}
-        }
-    }
-    local::receive(host, rollouts, from);
-    host.merge_members(members, from);
-}
-
-/// Returns the delta from version `base` to the version in force, as MessagePack, or
-/// nothing if no version is in force.
-pub fn routes(host: &Host, base: u64) -> Option<Bytes> {
-    let delta = host.routes_since(base)?;
-    let encoded = rmp_serde::to_vec(&delta).expect("plain data always encodes");
-    Some(encoded.into())
-}
-
-/// Returns the members that differ from a table with these bucket hashes, as MessagePack.
-///
-/// While a fleet recovers from a loss of power, every node is constantly a little behind
-/// some other node. With all members in every answer, 295 nodes sent 0.399 GB between
-/// failure domains during a recovery; with only the differing ones, 0.226 GB.
-pub fn members(host: &Host, marks: &[u32]) -> Bytes {
-    let at = host.streams.offset(Stream::Members).unwrap_or(0);
-    let members = host.members.read();
-    let differing = members.in_differing_buckets(marks);
-    let answer = Members {
-        at,
-        members: differing
-            .into_iter()
-            .map(AsRef::as_ref)
-            .collect::<Vec<&Member>>(),
-        rollouts: host.rollouts.latest(),
-    };
-    rmp_serde::to_vec_named(&answer)
-        .expect("plain data always encodes")
-        .into()
-}
--- a/src/coordination/start.rs
+++ b/src/coordination/start.rs
@@ -29,7 +29,7 @@
         Error,
         host::Host,
         interface::{CallPeer, Store, Stream},
-        source,
+        records, source, sync,
     },
     event::Event,
     journal::note,
@@ -131,7 +131,7 @@
         host.note_store("contacts", &read, Some(since.elapsed()));
         match read {
             Ok(records) => {
-                let decode = |record| source::decode::<Contact>(host, record, "contact", "store");
+                let decode = |record| records::decode::<Contact>(host, record, "contact", "store");
                 return records.iter().filter_map(|record| decode(record)).collect();
             }
             Err(error) => {
@@ -189,7 +189,7 @@
         let found = async {
             let is_settled = |progress: &Progress| progress.is_settled && progress.blind == 0;
             let (peer, progress) = self.until_contact(is_settled).await;
-            source::fetch(self.host, self.call_peer, peer, &progress).await;
+            sync::fetch(self.host, self.call_peer, peer, &progress).await;
         };
         if tokio::time::timeout(SETTLE_WAIT, found).await.is_err() {
             source::read_newest(self.host, self.store, self.call_peer, Stream::Members).await;
@@ -236,7 +236,7 @@
             let knows_members = |progress: &Progress| progress.knows_members;
             let (peer, progress) = self.until_contact(knows_members).await;
             if self.fetch_members(peer).await {
-                source::fetch_routes(self.host, self.call_peer, peer, &progress).await;
+                sync::fetch_routes(self.host, self.call_peer, peer, &progress).await;
                 return;
             }
         }
@@ -251,9 +251,8 @@
         let mut asked = FuturesUnordered::new();
         loop {
             let nearest = contact::nearest(&self.others, &self.own.domain, ASKED_CONTACTS);
-            let ask = |contact: &Contact| {
-                source::fetch_progress(self.host, self.call_peer, contact.peers)
-            };
+            let ask =
+                |contact: &Contact| sync::fetch_progress(self.host, self.call_peer, contact.peers);
             asked.extend(nearest.into_iter().map(ask));
             // A round doesn't wait for the one before it: a dead contact answers nothing for a
             // quarter of a second.
@@ -280,13 +279,18 @@
     /// The contact may lack the newest record of this node, and with it a drain that was
     /// acknowledged to the target here just before this node's start.
     async fn fetch_members(&self, peer: SocketAddr) -> bool {
-        let members = source::request_members(self.host, self.call_peer, peer).await;
+        let members = sync::request_members(self.host, self.call_peer, peer).await;
         let Some(mut members) = members else {
             return false;
         };
-        let is_recorded = || members.members.iter().any(|member| member.node == self.own.node);
+        let is_recorded = || {
+            members
+                .members
+                .iter()
+                .any(|member| member.node == self.own.node)
+        };
         if self.host.settings.first_start && !is_recorded() {
-            source::apply_members_answer(self.host, members);
+            sync::apply_members_answer(self.host, members);
             return true;
         }
         let since = Instant::now();
@@ -294,13 +298,13 @@
         self.host.note_store("tail", &read, Some(since.elapsed()));
         match read {
             Ok(records) => {
-                source::apply_members(self.host, &records.records, "store");
+                records::apply_members(self.host, &records.records, "store");
                 members.at = records.next;
             }
             Err(Error::Expired(_)) => return self.read_store().await,
             Err(error) => source::note_store_down(self.host, Stream::Members, 0, &error),
         }
-        source::apply_members_answer(self.host, members);
+        sync::apply_members_answer(self.host, members);
         true
     }
 }
--- /dev/null
+++ b/src/coordination/sync.rs
@@ -0,0 +1,184 @@
+//! What nodes ask of each other: how far a peer is, and the routes and members that this node
+//! lacks; and the answers to such requests.
+//!
+//! This is how a node learns what it missed while the store turns it away, its failure domain's
+//! reader is gone, or its message was lost.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use bytes::Bytes;
+use futures_util::future::join_all;
+
+use crate::{
+    coordination::{
+        host::Host,
+        interface::{CallPeer, PeerRequest, Stream},
+        records,
+        rollout::local,
+        source::FIRST_RANKED,
+        watch,
+    },
+    protocol::update::{Members, Progress},
+    state::{member::Member, routing::Delta},
+};
+
+/// Peers of the own failure domain, and as many of the others, that are asked in one round
+/// while the store fails.
+const PEERS_PER_GROUP: usize = 2;
+
+/// Asks each peer that reports something newer for it; never returns.
+pub async fn follow_hints(host: Arc<Host>, call_peer: CallPeer) {
+    loop {
+        let peer = host.next_hint().await;
+        with_peer(&host, &call_peer, peer).await;
+    }
+}
+
+/// Asks a few peers for their progress, and the most advanced ones for what they have.
+pub async fn with_peers(host: &Arc<Host>, call_peer: &CallPeer) {
+    let first_ranked = watch::predecessors(host);
+    let first_ranked = first_ranked.iter().rev().take(FIRST_RANKED);
+    let peers = {
+        let members = host.members.read();
+        let others = members
+            .iter()
+            .filter(|member| member.node != host.settings.node && member.is_present());
+        let (near, far): (Vec<_>, Vec<_>) =
+            others.partition(|member| member.domain == host.settings.domain);
+        // Of equally advanced peers the first in this list is chosen. First-ranked nodes come
+        // first: they have the fastest links and are the first to receive updates. Nodes of
+        // other failure domains come last, so that they send data only if they are ahead.
+        let mut drawn = fastrand::choose_multiple(first_ranked, 1);
+        drawn.extend(fastrand::choose_multiple(near, PEERS_PER_GROUP));
+        drawn.extend(fastrand::choose_multiple(far, PEERS_PER_GROUP));
+        drawn.iter().map(|member| member.peers).collect::<Vec<_>>()
+    };
+    let asked = peers
+        .into_iter()
+        .map(|peer| fetch_progress(host, call_peer, peer));
+    let progress: Vec<_> = join_all(asked).await.into_iter().flatten().collect();
+    let newest = |of: fn(&Progress) -> u64| {
+        progress
+            .iter()
+            .rev()
+            .max_by_key(|(_, progress)| of(progress))
+    };
+    if let Some((peer, progress)) = newest(|progress| progress.version) {
+        fetch_routes(host, call_peer, *peer, progress).await;
+    }
+    if let Some((peer, progress)) = newest(|progress| progress.members) {
+        fetch_members(host, call_peer, *peer, progress).await;
+    }
+}
+
+/// Fetches from a peer what is newer than the state of this node.
+async fn with_peer(host: &Host, call_peer: &CallPeer, peer: SocketAddr) {
+    if let Some((_, progress)) = fetch_progress(host, call_peer, peer).await {
+        fetch(host, call_peer, peer, &progress).await;
+    }
+}
+
+/// Fetches from a peer what is newer than the state of this node, given the peer's progress.
+pub async fn fetch(host: &Host, call_peer: &CallPeer, peer: SocketAddr, progress: &Progress) {
+    if progress.knows_members {
+        fetch_members(host, call_peer, peer, progress).await;
+    }
+    fetch_routes(host, call_peer, peer, progress).await;
+}
+
+/// Asks a peer which version and offsets it has reached.
+///
+/// A peer that does not answer does no harm: another peer that reports something newer is
+/// asked, or the next round asks others.
+pub async fn fetch_progress(
+    host: &Host,
+    call_peer: &CallPeer,
+    peer: SocketAddr,
+) -> Option<(SocketAddr, Progress)> {
+    let answer = call_peer(peer, PeerRequest::Progress).await.ok()?;
+    let progress: Progress = records::decode(host, &answer, "news", "peer")?;
+    host.receive_drains(progress.drains.clone(), "peer");
+    Some((peer, progress))
+}
+
+/// Fetches the routes from a peer if its version is newer.
+pub async fn fetch_routes(
+    host: &Host,
+    call_peer: &CallPeer,
+    peer: SocketAddr,
+    progress: &Progress,
+) {
+    if progress.version > host.version()
+        && let Ok(answer) = call_peer(peer, PeerRequest::Routes(host.version())).await
+    {
+        apply_routes_answer(host, &answer);
+        // The peer reported this offset before it sent its version, so the version includes
+        // every record up to the offset.
+        if host.version() >= progress.version && progress.routes > 0 {
+            host.streams.advance_offset(Stream::Routes, progress.routes);
+        }
+    }
+}
+
+async fn fetch_members(host: &Host, call_peer: &CallPeer, peer: SocketAddr, progress: &Progress) {
+    if Some(progress.members) <= host.streams.offset(Stream::Members) {
+        return;
+    }
+    if let Some(answer) = request_members(host, call_peer, peer).await {
+        apply_members_answer(host, answer);
+    }
+}
+
+/// Returns the members that a peer knows and this node doesn't; nothing if it doesn't answer.
+pub async fn request_members(
+    host: &Host,
+    call_peer: &CallPeer,
+    peer: SocketAddr,
+) -> Option<Members<Member>> {
+    let marks = host.members.read().bucket_hashes().to_vec();
+    let answer = call_peer(peer, PeerRequest::Members(marks)).await.ok()?;
+    records::decode(host, &answer, "news", "peer")
+}
+
+fn apply_routes_answer(host: &Host, answer: &[u8]) {
+    if let Some(delta) = records::decode::<Delta>(host, answer, "news", "peer") {
+        host.apply_routes(delta, "peer");
+    }
+}
+
+/// Applies a peer's answer with members.
+pub fn apply_members_answer(host: &Host, answer: Members<Member>) {
+    local::receive(host, answer.rollouts, "peer");
+    host.merge_members(answer.members, "peer");
+    host.streams.advance_offset(Stream::Members, answer.at);
+}
+
+/// Returns the delta from version `base` to the version in force, as MessagePack, or
+/// nothing if no version is in force.
+pub fn routes(host: &Host, base: u64) -> Option<Bytes> {
+    let delta = host.routes_since(base)?;
+    let encoded = rmp_serde::to_vec(&delta).expect("plain data always encodes");
+    Some(encoded.into())
+}
+
+/// Returns the members that differ from a table with these bucket hashes, as MessagePack.
+///
+/// While a fleet recovers from a loss of power, every node is constantly a little behind
+/// some other node. With all members in every answer, 295 nodes sent 0.399 GB between
+/// failure domains during a recovery; with only the differing ones, 0.226 GB.
+pub fn members(host: &Host, marks: &[u32]) -> Bytes {
+    let at = host.streams.offset(Stream::Members).unwrap_or(0);
+    let members = host.members.read();
+    let differing = members.in_differing_buckets(marks);
+    let answer = Members {
+        at,
+        members: differing
+            .into_iter()
+            .map(AsRef::as_ref)
+            .collect::<Vec<&Member>>(),
+        rollouts: host.rollouts.latest(),
+    };
+    rmp_serde::to_vec_named(&answer)
+        .expect("plain data always encodes")
+        .into()
+}
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -21,7 +21,7 @@
         host,
         interface::{CallPeer, Decoders, Store, Stream},
         presence::{self, Recorded},
-        probe, quarantine, rate_limit, rollout, source, watch as reader,
+        probe, quarantine, rate_limit, rollout, source, sync, watch as reader,
     },
     event::{Event, Journal},
     journal::note,
@@ -267,7 +267,7 @@
         let follower = source::follow(host.clone(), store.clone(), call_peer.clone(), stream);
         tokio::spawn(follower);
     }
-    tokio::spawn(source::follow_hints(host.clone(), call_peer.clone()));
+    tokio::spawn(sync::follow_hints(host.clone(), call_peer.clone()));
     tokio::spawn(reader::run(host.clone(), call_peer.clone()));
     tokio::spawn(rate_limit::run(rate_limit_exchange(&host, &call_peer)));
     tokio::spawn(quarantine::run(host.clone()));
--- a/src/transport/relay/control.rs
+++ b/src/transport/relay/control.rs
@@ -23,8 +23,9 @@
         interface::{CallPeer, PeerRequest},
         local::Change,
         presence::Recorded,
+        records,
         rollout::controller,
-        source,
+        sync,
     },
     event::Event,
     journal::note,
@@ -178,7 +179,7 @@
     let Ok(base) = rmp_serde::from_slice(&bytes) else {
         return empty_response(StatusCode::BAD_REQUEST);
     };
-    match source::routes(host, base) {
+    match sync::routes(host, base) {
         Some(delta) => Response::new(Body::whole(delta)),
         None => empty_response(StatusCode::NOT_FOUND),
     }
@@ -191,7 +192,7 @@
     };
     // Marks that can't be decoded count as none, so that all members are sent.
     let hashes: Vec<u32> = rmp_serde::from_slice(&bytes).unwrap_or_default();
-    Response::new(Body::whole(source::members(host, &hashes)))
+    Response::new(Body::whole(sync::members(host, &hashes)))
 }
 
 async fn news(host: &Arc<Host>, call_peer: &CallPeer, body: Body) -> Response<Body> {
@@ -199,9 +200,9 @@
     let Ok(ReadResult::Whole(bytes)) = read else {
         return empty_response(StatusCode::BAD_REQUEST);
     };
-    match source::decode(host, &bytes, "news", "reader") {
+    match records::decode(host, &bytes, "news", "reader") {
         Some(news) => {
-            source::apply_update(host, call_peer, news);
+            records::apply_update(host, call_peer, news);
             empty_response(StatusCode::OK)
         }
         None => empty_response(StatusCode::BAD_REQUEST),
@@ -216,7 +217,7 @@
     let Some(routes) = host.routes() else {
         return empty_response(StatusCode::SERVICE_UNAVAILABLE);
     };
-    match source::decode(host, &bytes, "counts", "peer") {
+    match records::decode(host, &bytes, "counts", "peer") {
         Some(report) => {
             let limits = &host.rate_limits;
             let shares = limits.receive(report, &routes, host.nodes(), Instant::now());
--- a/src/transport/relay/mod.rs
+++ b/src/transport/relay/mod.rs
@@ -25,6 +25,7 @@
 pub mod peer_client;
 pub mod pool;
 pub mod request_fingerprint;
+pub mod run;
 pub mod serve;
 
 use std::time::Duration;
--- a/src/transport/relay/peer_client.rs
+++ b/src/transport/relay/peer_client.rs
@@ -28,8 +28,9 @@
             body::{self, Body, ReadResult},
             call::Call,
             delivery::{self, Delivery, Refused},
-            forwarded_headers, ingress, offer,
+            forwarded_headers, offer,
             pool::{Exchange, Failure, Pool, Settings},
+            run,
         },
     },
     unit::Span,
@@ -196,7 +197,7 @@
     ) -> Request<Body> {
         let mut request = Request::new(body);
         *request.method_mut() = call.head.method.clone();
-        *request.uri_mut() = ingress::origin_form(&call.head.uri);
+        *request.uri_mut() = run::origin_form(&call.head.uri);
         *request.headers_mut() = forwarded_headers(&call.head.headers);
         let now = Instant::now();
         let remaining = |until: Instant| Span::from_duration(until.saturating_duration_since(now));
--- /dev/null
+++ b/src/transport/relay/run.rs
@@ -0,0 +1,288 @@
+//! An admitted request at the target on this host: it is sent, and the target's response is
+//! checked before any of it goes to the caller.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use hyper::{
+    Request, Response, StatusCode,
+    header::{CONTENT_ENCODING, HeaderValue},
+    http::request,
+};
+
+use crate::{
+    coordination::{
+        gate::{NO_TARGET, Permit},
+        host::Host,
+    },
+    event::Event,
+    journal::note,
+    protocol::answer::Refusal,
+    state::fingerprint::Fingerprint,
+    transport::{
+        http,
+        relay::{
+            MAX_BUFFERED_BODY,
+            body::{self, Body, ReadResult},
+            delivery::{self as reasons, Delivery, Refused},
+            forwarded_headers,
+            pool::{Exchange, Failure, Pool, Settings},
+        },
+    },
+    unit::Span,
+};
+
+/// Settings of the connections to the target. The target is on this host, where connecting
+/// takes less than a millisecond. Targets keep idle connections for 10 s; one with another
+/// timeout announces it in a `Keep-Alive` header.
+const POOL: Settings = Settings {
+    connect_timeout: Duration::from_millis(300),
+    idle_timeout: Duration::from_secs(8),
+    max_idle_per_address: 64,
+    max_idle: 64,
+};
+
+/// A request that the target on this host is running.
+pub struct Run<'a> {
+    /// Its head.
+    pub head: &'a request::Parts,
+    /// The fingerprint by which quarantine identifies the request.
+    pub content: Fingerprint,
+    /// When it was sent.
+    pub since: Instant,
+    /// When the caller has no more use for an answer.
+    pub deadline: Instant,
+}
+
+/// Runs requests at the target on this host.
+pub struct Runner {
+    host: Arc<Host>,
+    pool: Pool,
+}
+
+impl Runner {
+    /// Returns a runner for the target on `host`, with no connections yet.
+    pub fn new(host: Arc<Host>) -> Self {
+        Self {
+            host,
+            pool: Pool::new(POOL),
+        }
+    }
+
+    /// Closes idle connections to the target.
+    pub fn prune(&self) {
+        self.pool.prune();
+    }
+
+    /// Sends a request to the target and returns its checked response.
+    pub async fn run(
+        &self,
+        delivery: &Delivery,
+        permit: Permit,
+        run: &Run<'_>,
+        body: Body,
+    ) -> Result<Response<Body>, Refused> {
+        let request = self.target_request(delivery, &permit, run.head, body);
+        let address = permit.target.address;
+        let exchange = match self.pool.send(address, request, delivery.deadline).await {
+            Ok(exchange) => exchange,
+            Err(failure) => return Err(self.refuse_failure(&permit, run, &failure).await),
+        };
+        if exchange.response.status() == StatusCode::MISDIRECTED_REQUEST {
+            self.mark_unreachable(&permit, "another instance answers");
+        }
+        let id = run.head.headers.get(&self.host.decoders.dialect.attempt_id);
+        self.check_response(id, &exchange.response)?;
+        self.relay_response(delivery, permit, run, exchange).await
+    }
+
+    /// Returns the request as it is sent to the target.
+    fn target_request(
+        &self,
+        delivery: &Delivery,
+        permit: &Permit,
+        head: &request::Parts,
+        body: Body,
+    ) -> Request<Body> {
+        let dialect = &self.host.decoders.dialect;
+        let mut request = Request::new(body);
+        *request.method_mut() = head.method.clone();
+        *request.uri_mut() = origin_form(&head.uri);
+        *request.headers_mut() = forwarded_headers(&head.headers);
+        let headers = request.headers_mut();
+        let remaining = delivery.deadline.saturating_duration_since(Instant::now());
+        headers.insert(
+            dialect.deadline.clone(),
+            HeaderValue::from(remaining.as_millis() as u64),
+        );
+        // The instance id of every accepted heartbeat is a valid header value. Without this
+        // header, another instance at the same address would not be noticed.
+        if let Ok(instance) = HeaderValue::from_str(permit.target.instance.id()) {
+            headers.insert(dialect.expected_instance.clone(), instance);
+        }
+        request
+    }
+
+    /// Returns the refusal for a request that the target did not answer.
+    async fn refuse_failure(&self, permit: &Permit, run: &Run<'_>, failure: &Failure) -> Refused {
+        match failure {
+            Failure::NotSent(_) => {
+                self.mark_unreachable(permit, failure);
+                Refused::before_arrival(Refusal::not_run(NO_TARGET, Span::from_millis(100)))
+            }
+            // The caller failed to send the whole body.
+            Failure::Broken(error) if error.is_user() => {
+                Refused::after_arrival(Refusal::unknown(502, reasons::BODY_BROKE_OFF))
+            }
+            Failure::Broken(_) => Refused::after_arrival(Refusal::unknown(
+                502,
+                self.disconnect_reason(permit, run).await,
+            )),
+            Failure::TimedOut | Failure::NotAccepted => {
+                Refused::after_arrival(Refusal::unknown(504, "target did not answer in time"))
+            }
+        }
+    }
+
+    /// Returns the reason why a connection broke during a request: the target crashed, or
+    /// closed just this connection.
+    ///
+    /// When a target's process terminates, all of its connections break at once and nothing
+    /// listens at its address any more. A running target may break off a single response.
+    async fn disconnect_reason(&self, permit: &Permit, run: &Run<'_>) -> &'static str {
+        let target = &permit.target;
+        if !self.pool.is_refused(target.address, run.deadline).await {
+            return reasons::TARGET_BROKE_OFF;
+        }
+        let dialect = &self.host.decoders.dialect;
+        self.host
+            .quarantine
+            .note_crash(&target.instance, run.content);
+        note!(
+            self.host.journal,
+            Event::TargetEnded,
+            id = http::get(&run.head.headers, dialect.attempt_id.as_str()).unwrap_or("-"),
+            instance = target.instance,
+            content = run.content,
+            ran = run.since.elapsed().as_millis(),
+        );
+        self.mark_unreachable(permit, reasons::TARGET_CRASHED);
+        reasons::TARGET_CRASHED
+    }
+
+    /// Marks the target as unreachable and closes the gate until its next heartbeat.
+    fn mark_unreachable(&self, permit: &Permit, reason: impl std::fmt::Display) {
+        let instance = &permit.target.instance;
+        if self.host.local.lock().mark_unreachable(instance) {
+            self.host.set_gate();
+            note!(
+                self.host.journal,
+                Event::TargetChanged,
+                instance = instance,
+                reason = reason
+            );
+        }
+    }
+
+    /// Refuses a response that does not belong to this request, reports that the request has
+    /// not run, lacks the proof of the target, or is encoded.
+    fn check_response(
+        &self,
+        id: Option<&HeaderValue>,
+        response: &Response<Body>,
+    ) -> Result<(), Refused> {
+        let dialect = &self.host.decoders.dialect;
+        let headers = response.headers();
+        let echoed = headers.get(&dialect.attempt_id);
+        let is_not_run =
+            headers.contains_key(&dialect.not_run) || response.status().as_u16() == 421;
+        let is_matching = match (id, echoed) {
+            (Some(id), Some(echoed)) => id == echoed,
+            (Some(_), None) => is_not_run,
+            (None, _) => true,
+        };
+        let unknown = |reason| Err(Refused::after_arrival(Refusal::unknown(502, reason)));
+        if !is_matching {
+            return unknown("target answered another request");
+        }
+        if is_not_run {
+            let refusal = Refusal::not_run("target shed the request", Span::from_millis(200));
+            return Err(Refused::after_arrival(refusal));
+        }
+        let is_success = response.status().is_success();
+        if is_success && !headers.contains_key(&dialect.proof) {
+            return unknown("target's answer bears no proof");
+        }
+        if headers.contains_key(CONTENT_ENCODING) {
+            return unknown("target's answer is encoded");
+        }
+        Ok(())
+    }
+
+    /// Returns the response to send on. A small body is read whole first, so that a response
+    /// that breaks off can still be refused.
+    async fn relay_response(
+        &self,
+        delivery: &Delivery,
+        permit: Permit,
+        run: &Run<'_>,
+        exchange: Exchange,
+    ) -> Result<Response<Body>, Refused> {
+        let Exchange {
+            response,
+            connection,
+        } = exchange;
+        let (head, incoming) = response.into_parts();
+        let remaining = delivery.deadline.saturating_duration_since(Instant::now());
+        let read = body::read(incoming, MAX_BUFFERED_BODY, remaining).await;
+        let read = match read {
+            Ok(read) => read,
+            Err(error @ body::ReadError::Stalled) => {
+                return Err(Refused::after_arrival(Refusal::unknown(
+                    504,
+                    error.to_string(),
+                )));
+            }
+            Err(body::ReadError::Interrupted(_)) => {
+                let reason = self.disconnect_reason(&permit, run).await;
+                return Err(Refused::after_arrival(Refusal::unknown(502, reason)));
+            }
+        };
+        let body = match read {
+            ReadResult::Whole(bytes) => {
+                self.pool.put_back(connection);
+                self.host.quarantine.note_answer(run.content);
+                Body::whole(bytes)
+            }
+            ReadResult::Partial(first, rest) => {
+                Body::streamed(first, rest, delivery.deadline).holding((permit, connection))
+            }
+        };
+        let mut response = Response::new(body);
+        *response.status_mut() = head.status;
+        *response.headers_mut() = forwarded_headers(&head.headers);
+        Ok(response)
+    }
+}
+
+/// Returns whether a completed run is a fault of the target, or `None` if the request did not
+/// run.
+///
+/// A timeout is no fault by itself: its run time is assessed instead.
+pub fn is_fault(result: &Result<Response<Body>, Refused>) -> Option<bool> {
+    match result {
+        Ok(response) => Some(response.status().is_server_error()),
+        Err(refused) if refused.is_fault() => Some(true),
+        Err(refused) => (refused.has_arrived && refused.refusal.status == 504).then_some(false),
+    }
+}
+
+/// Returns the path and query of a URI, the form of the request target that origin servers
+/// expect.
+pub fn origin_form(uri: &hyper::Uri) -> hyper::Uri {
+    let path = uri.path_and_query().map_or("/", |path| path.as_str());
+    path.parse()
+        .unwrap_or_else(|_| hyper::Uri::from_static("/"))
+}
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -30,7 +30,7 @@
         host::Host,
         interface::{CallPeer, Decoders, PeerRequest, Records, Store, Stream},
         local::{Change, Local},
-        presence, rank, source,
+        presence, rank, source, sync,
     },
     document::Document,
     event::Journal,
@@ -1623,7 +1623,7 @@
             peer_table.merge(member.clone());
         }
         let update_for = |marks: &[u32]| -> MembersUpdate<Member> {
-            rmp_serde::from_slice(&source::members(&host, marks)).unwrap()
+            rmp_serde::from_slice(&sync::members(&host, marks)).unwrap()
         };
         let missing = update_for(peer_table.bucket_hashes());
         assert!(missing.members.contains(&list[0]));
--- a/tests/start.rs
+++ b/tests/start.rs
@@ -14,7 +14,7 @@
         Error,
         host::Host,
         interface::{CallPeer, Decoders, PeerRequest, Records, Store, Stream},
-        source, start,
+        source, start, sync,
     },
     document::Document,
     event::Journal,
@@ -124,7 +124,7 @@
                 PeerRequest::Progress => {
                     Ok(rmp_serde::to_vec_named(&node.progress()).unwrap().into())
                 }
-                PeerRequest::Members(hashes) => Ok(source::members(&node, &hashes)),
+                PeerRequest::Members(hashes) => Ok(sync::members(&node, &hashes)),
                 _ => Err(Error::Unexpected(address.to_string())),
             }
         }
