A node's first record waits for a target that starts with its host; large answers are sent uncopied

Cause: a target that starts beside its node sends its first heartbeat a second and up to one interval later; the node waited for 4/3 of an interval and then wrote a record without the target, and at once another one. And each connection copied the answer that it sent, so that fifty copies of 400 KB were held by a contact although they shared one answer.

--- a/src/coordination/presence.rs
+++ b/src/coordination/presence.rs
@@ -9,7 +9,7 @@
 use tokio::sync::watch;
 
 use crate::{
-    coordination::{host::Host, interface::Store, quarantine, source, start},
+    coordination::{host::Host, interface::Store, quarantine, source},
     event::Event,
     id::Incarnation,
     journal::note,
@@ -20,6 +20,9 @@
 /// 1.5 s.
 const CHECK_PERIOD: Duration = Duration::from_millis(500);
 
+/// How long a target may take to start beside its node, before its first heartbeat is due.
+const TARGET_START: Duration = Duration::from_millis(1500);
+
 /// The part of this node's record that is known to be in the store.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Recorded {
@@ -44,7 +47,7 @@
     let mut member = recorded.as_deref().cloned();
     if member.is_none() {
         // Avoids a second write: the first record then already has the target.
-        let wait = start::first_record_wait(&host);
+        let wait = TARGET_START + host.settings.heartbeat.duration();
         drop(tokio::time::timeout(wait, host.own_record_changed.notified()).await);
     }
     let mut failures = 0;
--- a/src/coordination/start.rs
+++ b/src/coordination/start.rs
@@ -102,7 +102,7 @@
         start.claim_contact(from_contact).await
     } else {
         let is_contact = start.claim_contact(from_contact).await;
-        tokio::time::sleep(first_record_wait(host) + RECORD_TIME).await;
+        tokio::time::sleep(heartbeat_wait(host) + RECORD_TIME).await;
         start.reload_members(is_contact).await;
         host.streams.note_membership_settled();
         is_contact
@@ -117,9 +117,9 @@
     );
 }
 
-/// Returns how long a node without a record in the store waits for its target's first
-/// heartbeat. Its first record then already has the target, which saves a second one.
-pub fn first_record_wait(host: &Host) -> Duration {
+/// Returns how long the targets of most nodes take for their first heartbeats when the fleet
+/// starts as a whole.
+fn heartbeat_wait(host: &Host) -> Duration {
     host.settings.heartbeat.duration() * 4 / 3
 }
 
--- a/src/transport/relay/http1_server.rs
+++ b/src/transport/relay/http1_server.rs
@@ -414,7 +414,14 @@
         if framing == ResponseFraming::Chunks {
             out.extend_from_slice(format!("{:x}\r\n", data.len()).as_bytes());
         }
-        out.extend_from_slice(&data);
+        if data.len() >= READ_BYTES {
+            // Not copied: hundreds of nodes may be sent the same bytes at the same time.
+            writer.write_all(&out).await?;
+            out.clear();
+            writer.write_all(&data).await?;
+        } else {
+            out.extend_from_slice(&data);
+        }
         if framing == ResponseFraming::Chunks {
             out.extend_from_slice(b"\r\n");
         }
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -1632,6 +1632,20 @@
         assert_eq!(update_for(&[]).members.len(), 300, "a peer without members is sent all");
     }
 
+    first_record_has_a_target_that_starts_a_little_after_its_node => {
+        let mut host = host("here");
+        host.settings.heartbeat = Span::from_millis(100);
+        let host = Arc::new(host);
+        host.streams.advance_offset(Stream::Members, 0);
+        let (store, mut written_members) = recording_store();
+        tokio::spawn(presence::maintain_record(host.clone(), store, watch::Sender::default()));
+        // The target starts within 100 ms, and sends its first heartbeat an interval later.
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        host.local.lock().apply_heartbeat(&heartbeat("i1", 1, false), Instant::now());
+        host.own_record_changed.notify_one();
+        assert_eq!(written_members.recv().await.unwrap().targets.len(), 1);
+    }
+
     node_removes_a_former_member_at_its_own_address => {
         let host = Arc::new(host("here"));
         let elsewhere = Member { inbound: "127.0.0.1:2".parse().unwrap(), ..member("n2", "here", 10) };
