A starting node settles only with what a contact sent whole

Cause: if a settled contact broke off its answer, the node settled without the records since its start; and the limit on waiting for a contact cut off an answer that was coming, so that the node asked the store for the same.

Change: the limit is on finding a contact; one that breaks off is asked again.

--- a/src/coordination/start.rs
+++ b/src/coordination/start.rs
@@ -35,7 +35,7 @@
     journal::note,
     protocol::{
         contact::{self, Contact},
-        update::{Members, Progress},
+        update::Progress,
     },
     state::member::Member,
     unit::Span,
@@ -171,8 +171,7 @@
             true => OWN_CONTACT_WAIT,
             false => CONTACT_WAIT,
         };
-        let found = tokio::time::timeout(wait, self.until_fetched()).await;
-        if found.is_ok() {
+        if self.fetch(wait, |progress| progress.knows_members).await {
             return true;
         }
         source::read_newest(self.host, self.store, self.call_peer, Stream::Members).await;
@@ -187,15 +186,8 @@
         }
         // A contact that can't read the store doesn't know the latest records either. Nodes that
         // settled with what it has would take themselves for readers and ask a failing store.
-        let found = async {
-            let is_settled = |progress: &Progress| progress.is_settled && progress.blind == 0;
-            let (peer, progress) = self.until_contact(is_settled).await;
-            if let Some(members) = self.request_members(peer).await {
-                sync::apply_members_answer(self.host, members);
-            }
-            sync::fetch_routes(self.host, self.call_peer, peer, &progress).await;
-        };
-        if tokio::time::timeout(SETTLE_WAIT, found).await.is_err() {
+        let is_settled = |progress: &Progress| progress.is_settled && progress.blind == 0;
+        if !self.fetch(SETTLE_WAIT, is_settled).await {
             source::read_newest(self.host, self.store, self.call_peer, Stream::Members).await;
         }
     }
@@ -234,16 +226,21 @@
         read.is_ok()
     }
 
-    /// Asks contacts until one has the members, and fetches them and the routes.
-    async fn until_fetched(&self) {
-        loop {
-            let knows_members = |progress: &Progress| progress.knows_members;
-            let (peer, progress) = self.until_contact(knows_members).await;
+    /// Fetches the members and the routes from a contact that is `far_enough`. Returns whether one
+    /// was within `wait`; what it then sends may take longer.
+    async fn fetch(&self, wait: Duration, far_enough: impl Fn(&Progress) -> bool) -> bool {
+        if self.others.is_empty() {
+            return false;
+        }
+        let deadline = tokio::time::Instant::now() + wait;
+        let found = || tokio::time::timeout_at(deadline, self.until_contact(&far_enough));
+        while let Ok((peer, progress)) = found().await {
             if self.fetch_members(peer).await {
                 sync::fetch_routes(self.host, self.call_peer, peer, &progress).await;
-                return;
+                return true;
             }
         }
+        false
     }
 
     /// Asks a few contacts a round how far they are. Returns the first one that is `far_enough`,
@@ -277,28 +274,22 @@
         }
     }
 
-    /// Returns all members that a contact knows. All starting nodes ask for the same, so that a
-    /// contact encodes it once.
-    async fn request_members(&self, peer: SocketAddr) -> Option<Members<Member>> {
-        sync::request_members(self.host, self.call_peer, peer, Vec::new()).await
-    }
-
     /// Fetches the members from a contact, and from the store what was recorded since the contact
     /// read it. Returns whether the contact answered.
     ///
     /// The contact may lack the newest record of this node, and with it a drain that was
-    /// acknowledged to the target here just before this node's start.
+    /// acknowledged to the target here just before this node's start. So the store is read before
+    /// the members are known for the first time, unless there can be no such record.
     async fn fetch_members(&self, peer: SocketAddr) -> bool {
-        let Some(mut members) = self.request_members(peer).await else {
+        // All starting nodes ask for all members, so that a contact encodes them once.
+        let members = sync::request_members(self.host, self.call_peer, peer, Vec::new()).await;
+        let Some(mut members) = members else {
             return false;
         };
-        let is_recorded = || {
-            members
-                .members
-                .iter()
-                .any(|member| member.node == self.own.node)
-        };
-        if self.host.settings.first_start && !is_recorded() {
+        let is_own = |member: &Member| member.node == self.own.node;
+        let is_recorded = !self.host.settings.first_start || members.members.iter().any(is_own);
+        let is_known = self.host.streams.offset(Stream::Members).is_some();
+        if is_known || !is_recorded {
             sync::apply_members_answer(self.host, members);
             return true;
         }
--- a/tests/start.rs
+++ b/tests/start.rs
@@ -389,3 +389,42 @@
     assert!(sync::members(&running, &hashes).len() < later.len());
     assert_eq!(sync::members(&running, &[]), later);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn contact_that_breaks_off_is_asked_again_before_the_node_settles() {
+    let fake = recorded_fleet().await;
+    // A new node whose place is held, so that it stays without one.
+    let held: Vec<String> = contacts(&fake).iter().map(Contact::key).collect();
+    let place = |number: &usize| Contact {
+        node: member(*number).node,
+        domain: member(*number).domain,
+        ..contacts(&fake)[0].clone()
+    };
+    let number = (100..200).find(|number| held.contains(&place(number).key()));
+    let running = host(0);
+    source::read_once(&running, &store(&fake), Stream::Members)
+        .await
+        .unwrap();
+    running.streams.note_membership_settled();
+    let nodes = Nodes::default();
+    let peers = contacts(&fake).into_iter().map(|contact| contact.peers);
+    nodes
+        .lock()
+        .extend(peers.map(|peers| (peers, running.clone())));
+    let (answers, asked) = (call_peer(&nodes), Mutex::new(0));
+    let calls: CallPeer = Arc::new(move |address, request| {
+        if matches!(request, PeerRequest::Members(_)) {
+            let mut asked = asked.lock();
+            *asked += 1;
+            if *asked == 2 {
+                running.merge_members(vec![member(250)], "test");
+                return async { Err(Error::Unreachable("contact".into())) }.boxed();
+            }
+        }
+        answers(address, request)
+    });
+    let started = host(number.unwrap());
+    start::load(&started, &store(&fake), &calls).await;
+    let members = started.members.read();
+    assert!(members.get(&member(250).node).is_some());
+}
