--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -236,11 +236,13 @@
 
     fn repeat_heartbeat(&mut self) {
         let targets = SocketAddr::new(self.ip, TARGETS);
-        let body = self.heartbeat_body("i1", 1, "ready").to_string();
-        let call = post("/api/instances/i1/heartbeat", &body);
+        let mut body = self.heartbeat_body("i1", 1, "ready");
+        let target = self.target.clone();
         self.heartbeats.spawn(async move {
             loop {
                 tokio::time::sleep(HEARTBEAT).await;
+                body["status"]["warmupLeft"] = format!("{}ms", target.cold_left()).into();
+                let call = post("/api/instances/i1/heartbeat", &body.to_string());
                 // Refused while the node is stopped.
                 if let Ok(mut stream) = TcpStream::connect(targets).await {
                     let _ = stream.write_all(call.as_bytes()).await;
--- a/standins/src/target.rs
+++ b/standins/src/target.rs
@@ -188,7 +188,7 @@
     }
 
     /// Returns the milliseconds for which it is still cold.
-    fn cold_left(&self) -> u128 {
+    pub fn cold_left(&self) -> u128 {
         let now = std::time::Instant::now();
         let cold = *self.cold.lock();
         cold.map_or(0, |cold| {
