A reload names changed regions as needing a restart

The setting was new and missing from the list; a reload passed over it without a word. Reloads have no test of their log line yet; this has none either.

--- a/src/coordination/host.rs
+++ b/src/coordination/host.rs
@@ -145,6 +145,7 @@
         let needs_restart: Vec<&str> = [
             differs("node", current.node == new.node),
             differs("domain", current.domain == new.domain),
+            differs("regions", current.regions == new.regions),
             differs("service", current.service == new.service),
             differs("labels", current.labels == new.labels),
             differs("listen", current.listen == new.listen),
