--- a/src/coordination/decision/balance/mod.rs
+++ b/src/coordination/decision/balance/mod.rs
@@ -476,6 +476,7 @@
     most: usize,
     mut is_eligible: impl FnMut(&Arc<Member>) -> bool,
 ) -> Vec<&'a Arc<Member>> {
+    let all = || lists.iter().copied().flatten();
     let count: usize = lists.iter().map(|list| list.len()).sum();
     let mut drawn = Vec::with_capacity(most);
     let mut sampled = Vec::with_capacity(MAX_SAMPLES);
@@ -485,7 +486,7 @@
             continue;
         }
         sampled.push(at);
-        let member = nth(lists, at);
+        let member = all().nth(at).expect("the position is below their count");
         if is_eligible(member) {
             drawn.push(member);
         }
@@ -494,23 +495,7 @@
         }
     }
     // The lists are short, or the samples held too few eligible members: check all.
-    let all = lists.iter().copied().flatten();
-    fastrand::choose_multiple(all.filter(|member| is_eligible(member)), most)
-}
-
-/// Returns the member at a position in several lists.
-///
-/// # Panics
-///
-/// If the lists have fewer members.
-fn nth<'a>(lists: &[&'a [Arc<Member>]], mut at: usize) -> &'a Arc<Member> {
-    for list in lists {
-        match list.get(at) {
-            Some(member) => return member,
-            None => at -= list.len(),
-        }
-    }
-    panic!("the lists have fewer members");
+    fastrand::choose_multiple(all().filter(|member| is_eligible(member)), most)
 }
 
 /// Returns the slowdown of a request that took so long, and adds its time to the mean of its
--- a/src/state/region.rs
+++ b/src/state/region.rs
@@ -33,10 +33,12 @@
     /// Returns the distance between two failure domains, given their regions. Those without a
     /// region are close to each other.
     pub fn between<R: PartialEq>(one: (&Name, Option<R>), other: (&Name, Option<R>)) -> Self {
-        match () {
-            () if one.0 == other.0 => Self::Domain,
-            () if one.1 == other.1 => Self::Region,
-            () => Self::OtherRegion,
+        if one.0 == other.0 {
+            Self::Domain
+        } else if one.1 == other.1 {
+            Self::Region
+        } else {
+            Self::OtherRegion
         }
     }
 }
