Tests share the state of a starting host and pairs of stand-in hosts

tests/start.rs built a host's decoders as tests/relay.rs did, and three files of the stand-ins started the same two hosts. Assertions are as before.

--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -332,6 +332,20 @@
     }
 }
 
+/// Returns a store with a version, and two hosts in one failure domain that know each other: the
+/// first has a target of service a, the second one of `service`.
+pub async fn pair(version: &Value, service: &str) -> (Store, Host, Host) {
+    let store = Store::start().await;
+    store.publish(version);
+    let one = Host::start(&store, "n1", "here", "a").await;
+    let two = Host::start(&store, "n2", "here", service).await;
+    until("both nodes know each other", async || {
+        one.knows("n2") && two.knows("n1")
+    })
+    .await;
+    (store, one, two)
+}
+
 /// Returns a POST whose answer closes the connection.
 fn post(path: &str, body: &str) -> String {
     let length = body.len();
--- a/standins/tests/teams.rs
+++ b/standins/tests/teams.rs
@@ -2,7 +2,7 @@
 
 use rilltrack_standins::{
     cases,
-    fleet::{Host, version},
+    fleet::{self, Host, version},
     raw,
     store::{Mode as StoreMode, Store},
     until,
@@ -34,15 +34,7 @@
 
 /// Starts such hosts under a version.
 async fn pair_under(version: &Value) -> (Store, Host, Host) {
-    let store = Store::start().await;
-    store.publish(version);
-    let one = Host::start(&store, "n1", "here", "a").await;
-    let two = Host::start(&store, "n2", "here", "b").await;
-    until("both nodes know each other", async || {
-        one.knows("n2") && two.knows("n1")
-    })
-    .await;
-    (store, one, two)
+    fleet::pair(version, "b").await
 }
 
 /// Sends a request with further headers, each ended by a line break; returns the status.
--- a/standins/tests/warmup.rs
+++ b/standins/tests/warmup.rs
@@ -5,7 +5,7 @@
 use futures_util::future::join_all;
 use rilltrack_standins::{
     cases,
-    fleet::{Host, version},
+    fleet::{self, Host, version},
     store::Store,
     target::Cold,
     until,
@@ -31,15 +31,7 @@
 
 /// Starts two hosts that know each other, with targets of a and b.
 async fn pair() -> (Store, Host, Host) {
-    let store = Store::start().await;
-    store.publish(&warming_version());
-    let one = Host::start(&store, "n1", "here", "a").await;
-    let two = Host::start(&store, "n2", "here", "b").await;
-    until("both nodes know each other", async || {
-        one.knows("n2") && two.knows("n1")
-    })
-    .await;
-    (store, one, two)
+    fleet::pair(&warming_version(), "b").await
 }
 
 fn cold() -> Option<Cold> {
--- a/standins/tests/whole_path.rs
+++ b/standins/tests/whole_path.rs
@@ -3,7 +3,7 @@
 
 use rilltrack_standins::{
     cases,
-    fleet::{Host, ready, version},
+    fleet::{self, Host, ready, version},
     raw,
     store::{Mode as StoreMode, Store},
     target::Mode,
@@ -13,15 +13,7 @@
 /// Returns a store and two hosts in one failure domain that know each other: the first has a
 /// target of service a, the second one of `service`.
 async fn pair(service: &str) -> (Store, Host, Host) {
-    let store = Store::start().await;
-    store.publish(&version(5, &["a", "b"]));
-    let one = Host::start(&store, "n1", "here", "a").await;
-    let two = Host::start(&store, "n2", "here", service).await;
-    until("both nodes know each other", async || {
-        one.knows("n2") && two.knows("n1")
-    })
-    .await;
-    (store, one, two)
+    fleet::pair(&version(5, &["a", "b"]), service).await
 }
 
 /// Returns the status code of an answer.
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -28,18 +28,15 @@
         flow::Flow,
         gate::{self, Arrival, Gate},
         host::Host,
-        interface::{CallPeer, Decoders, PeerRequest, Records, Store, Stream},
+        interface::{CallPeer, PeerRequest, Records, Store, Stream},
         local::{Change, Local},
         presence, rank, source, sync,
     },
-    document::Document,
-    event::Journal,
-    host::Settings,
     id::{Incarnation, Instance, Name},
     protocol::{
         announce::Heartbeat,
         answer::Outcome,
-        dialect::{Dialect, Load},
+        dialect::Load,
         hop,
         update::{Members as MembersUpdate, Progress},
     },
@@ -181,20 +178,7 @@
             "store": "127.0.0.1:1", "heartbeat": "1500ms", "grace": "6s",
             "resend": {{"ratio": 0.2, "slack": 62, "window": "10s"}}, "descriptors": 1024}}"#
     );
-    let document = Document::parse("host", &settings).unwrap();
-    let decoders = Decoders {
-        routes: Arc::new(|_| unreachable!("the test decodes no version")),
-        order: Arc::new(|_| unreachable!("the test decodes no order")),
-        target_call: Arc::new(|_, _, _| unreachable!("no target calls in this test")),
-        acknowledgement: Default::default(),
-        dialect: Dialect::default(),
-    };
-    let journal = Journal::start_json("me", Box::new(std::io::sink()));
-    Host::new(
-        Settings::from_document(&document).unwrap(),
-        decoders,
-        journal,
-    )
+    support::host::starting(&settings)
 }
 
 /// A store that accepts every write, and the members written to it.
--- a/tests/start.rs
+++ b/tests/start.rs
@@ -1,5 +1,7 @@
 //! The start of a fleet: what the store is asked for, by the number of nodes.
 
+mod support;
+
 use std::{
     collections::{BTreeMap, HashMap},
     net::SocketAddr,
@@ -13,14 +15,11 @@
     coordination::{
         Error,
         host::Host,
-        interface::{CallPeer, Decoders, PeerRequest, Records, Store, Stream},
+        interface::{CallPeer, PeerRequest, Records, Store, Stream},
         source, start, sync,
     },
-    document::Document,
-    event::Journal,
-    host::Settings,
     id::{Incarnation, Instance},
-    protocol::{contact::Contact, dialect::Dialect, update::Progress},
+    protocol::{contact::Contact, update::Progress},
     state::member::{Member, Status, Target},
 };
 
@@ -157,17 +156,7 @@
             "first_start": {first_start},
             "resend": {{"ratio": 0.2, "slack": 62, "window": "10s"}}, "descriptors": 1024}}"#
     );
-    let document = Document::parse("host", &settings).unwrap();
-    let decoders = Decoders {
-        routes: Arc::new(|_| unreachable!("the test decodes no version")),
-        order: Arc::new(|_| unreachable!("the test decodes no order")),
-        target_call: Arc::new(|_, _, _| unreachable!("no target calls in this test")),
-        acknowledgement: Default::default(),
-        dialect: Dialect::default(),
-    };
-    let journal = Journal::start_json("n", Box::new(std::io::sink()));
-    let settings = Settings::from_document(&document).unwrap();
-    Arc::new(Host::new(settings, decoders, journal))
+    Arc::new(support::host::starting(&settings))
 }
 
 fn member(number: usize) -> Member {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -4,6 +4,7 @@
     reason = "each test file uses a different subset of these helpers"
 )]
 
+pub mod host;
 pub mod link;
 pub mod local;
 pub mod log;
