Log and metrics tell what a target states in its answers

E324 is written when what the target states changes; rilltrack_gate_limit and rilltrack_gate_admitted stand beside it. No decision uses them yet.

An answer to another request, and one of another instance, tells nothing.

--- a/src/coordination/gate.rs
+++ b/src/coordination/gate.rs
@@ -25,8 +25,9 @@
     protocol::{
         answer::Refusal,
         dialect::{Load, Slowdown},
+        notice::Notice,
     },
-    unit::Span,
+    unit::{Rate, Span},
 };
 
 /// Admits requests to the target on this host. Cheap to clone; all clones share their state.
@@ -64,6 +65,8 @@
     queue: Queue<oneshot::Sender<()>>,
     runs: Runs,
     pace: Pace,
+    /// What the target states in its responses.
+    notice: Notice,
 }
 
 /// Why no request is admitted now.
@@ -113,6 +116,7 @@
         // The run times of an earlier instance don't apply to this one.
         if current.is_none_or(|current| current.instance != target.instance) {
             state.queue.reset_run_times();
+            state.notice = Notice::default();
         }
         state.queue.set_slots(target.slots);
         state.target = Some(target);
@@ -125,6 +129,22 @@
         self.state.lock().pace.set(warmup);
     }
 
+    /// Records what the target stated in a response. Returns whether it stated something else
+    /// before.
+    pub fn record_notice(&self, instance: &Instance, notice: Notice) -> bool {
+        let mut state = self.state.lock();
+        let current = state.target.as_ref();
+        if current.is_none_or(|target| target.instance != *instance) {
+            return false;
+        }
+        std::mem::replace(&mut state.notice, notice) != notice
+    }
+
+    /// Returns the limit that the target states, if it states one.
+    pub fn limit(&self) -> Option<Rate> {
+        self.state.lock().notice.limit
+    }
+
     /// Closes the gate: rejects waiting requests and all later ones.
     pub fn close(&self) {
         let mut state = self.state.lock();
--- a/src/coordination/host.rs
+++ b/src/coordination/host.rs
@@ -525,6 +525,7 @@
                 .in_force_since()
                 .map_or(Duration::ZERO, |since| now - since),
             load: self.gate.load(),
+            limit: self.gate.limit(),
             is_reader: self.streams.is_reading(),
             dropped_lines: self.journal.dropped(),
             members: (members.len() - unreachable, unreachable),
--- a/src/event.rs
+++ b/src/event.rs
@@ -80,6 +80,7 @@
     321 Info  RolloutMoved: "This node brought a roll-out to its next stage, or found that it stands there.";
     322 Info  TargetJudged: "The verdict on the target here, whose release is on trial, changed.";
     323 Info  DomainDrained: "An operator's drain of a failure domain, or its end, became known here.";
+    324 Info  TargetNotice: "The target here states a limit or its leave in its answers, another limit, or none any more.";
     400 Info  Routed: "A request was routed: to which target, and why there.";
     401 Info  NoRoute: "No route matches a request.";
     402 Warn  NoTarget: "No allowed target is there for a request.";
--- a/src/host/metrics.rs
+++ b/src/host/metrics.rs
@@ -17,12 +17,17 @@
     registry::Registry,
 };
 
+use crate::unit::Rate;
+
 /// The upper bound of the first bucket, in seconds; each further bucket doubles it.
 const FIRST_BUCKET_SECONDS: f64 = 0.001;
 
 /// The number of buckets. The last ends at 16 s, which is longer than every deadline.
 const BUCKET_COUNT: u16 = 15;
 
+/// The value of the limit of a target that states none.
+const NO_LIMIT: f64 = -1.0;
+
 /// The metrics of one host process.
 #[derive(Debug)]
 pub struct Metrics {
@@ -42,6 +47,8 @@
     pub store_latency: Histogram,
     /// Invalid input from outside, by kind.
     pub unusable: Family<Unusable, Counter<u64, AtomicU64>>,
+    /// Requests that were passed to the target on this host.
+    pub admitted: Counter<u64, AtomicU64>,
     /// Known members, by whether they answered the last check.
     pub members: Family<State, Gauge<i64, AtomicI64>>,
     gauges: Gauges,
@@ -55,6 +62,7 @@
     running: Gauge<i64, AtomicI64>,
     waiting: Gauge<i64, AtomicI64>,
     slots: Gauge<i64, AtomicI64>,
+    limit: Gauge<f64, AtomicU64>,
     is_reader: Gauge<i64, AtomicI64>,
     quarantined: Gauge<i64, AtomicI64>,
     dropped_lines: Gauge<i64, AtomicI64>,
@@ -69,6 +77,8 @@
     pub version_age: Duration,
     /// The utilization of the target on this host.
     pub load: crate::protocol::dialect::Load,
+    /// The limit that the target on this host states, if it states one.
+    pub limit: Option<Rate>,
     /// Whether the node reads the store for its failure domain.
     pub is_reader: bool,
     /// Log lines that were dropped.
@@ -158,6 +168,7 @@
             store_calls: Family::default(),
             store_latency: histogram(),
             unusable: Family::default(),
+            admitted: Counter::default(),
             members: Family::default(),
             gauges: Gauges::default(),
         };
@@ -226,6 +237,16 @@
             "Requests that the target here runs at a time",
             gauges.slots.clone(),
         );
+        registry.register(
+            "gate_limit",
+            "Requests per second that the target here takes by its own statement, -1 without one",
+            gauges.limit.clone(),
+        );
+        registry.register(
+            "gate_admitted",
+            "Requests passed to the target here",
+            self.admitted.clone(),
+        );
         registry.register(
             "reading",
             "Whether the node reads the store for its failure domain",
@@ -251,6 +272,9 @@
         gauges.running.set(i64::from(now.load.running));
         gauges.waiting.set(i64::from(now.load.waiting));
         gauges.slots.set(i64::from(now.load.slots));
+        gauges
+            .limit
+            .set(now.limit.map_or(NO_LIMIT, Rate::per_second));
         gauges.is_reader.set(i64::from(now.is_reader));
         gauges.quarantined.set(now.quarantined as i64);
         gauges.dropped_lines.set(now.dropped_lines as i64);
--- a/src/protocol/answer.rs
+++ b/src/protocol/answer.rs
@@ -35,6 +35,11 @@
 /// From an inbound proxy: running plus waiting requests, divided by slots, in
 /// hundredths.
 pub const LOAD: &str = "rilltrack-load";
+/// From a target: the requests per second that it takes from all nodes together, as a decimal
+/// number.
+pub const LIMIT: &str = "rilltrack-limit";
+/// From a target: `1` if it is about to leave.
+pub const LEAVING: &str = "rilltrack-leaving";
 
 /// Whether a request ran, as far as is known.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/src/protocol/dialect.rs
+++ b/src/protocol/dialect.rs
@@ -32,6 +32,10 @@
     /// On a target's response: its running requests, waiting requests and slots,
     /// separated by commas.
     pub load: HeaderName,
+    /// On a target's response: the requests per second that it takes from all nodes together.
+    pub limit: HeaderName,
+    /// On a target's response: the target is about to leave.
+    pub leaving: HeaderName,
 }
 
 impl Default for Dialect {
@@ -48,6 +52,8 @@
             warmup: HeaderName::from_static("rilltrack-warmup-ms"),
             not_run: HeaderName::from_static("rilltrack-not-run"),
             load: HeaderName::from_static(super::answer::LOAD),
+            limit: HeaderName::from_static(super::answer::LIMIT),
+            leaving: HeaderName::from_static(super::answer::LEAVING),
         }
     }
 }
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -9,7 +9,8 @@
 //! * [`operator`]: messages of the command-line tool;
 //! * [`rollout`]: orders for roll-outs and their status;
 //! * [`announce`]: messages of targets to their node;
-//! * [`dialect`]: the headers of callers and targets, whose names depend on the platform.
+//! * [`dialect`]: the headers of callers and targets, whose names depend on the platform;
+//! * [`notice`]: what a target states in its responses about the requests that it takes.
 
 pub mod announce;
 pub mod answer;
@@ -17,6 +18,7 @@
 pub mod dialect;
 pub mod hop;
 pub mod log;
+pub mod notice;
 pub mod operator;
 pub mod rollout;
 pub mod update;
--- a/src/transport/relay/ingress.rs
+++ b/src/transport/relay/ingress.rs
@@ -121,6 +121,7 @@
         let admission = self.host.gate.acquire(delivery.arrival).await;
         self.log_admission(id, delivery, since, &admission);
         let mut permit = admission.map_err(Refused::before_arrival)?;
+        self.host.metrics.admitted.inc();
         let body = self.read_body(delivery, head, body).await?;
         let run = Run {
             head,
--- a/src/transport/relay/run.rs
+++ b/src/transport/relay/run.rs
@@ -19,7 +19,7 @@
     },
     event::Event,
     journal::note,
-    protocol::answer::Refusal,
+    protocol::{answer::Refusal, notice::Notice},
     state::fingerprint::Fingerprint,
     transport::{
         http,
@@ -90,10 +90,12 @@
             Ok(exchange) => exchange,
             Err(failure) => return Err(self.refuse_failure(&permit, run, &failure).await),
         };
+        let id = run.head.headers.get(&self.host.decoders.dialect.attempt_id);
         if exchange.response.status() == StatusCode::MISDIRECTED_REQUEST {
             self.mark_unreachable(&permit, "another instance answers");
+        } else if self.answers(id, &exchange.response) {
+            self.receive_notice(&permit, &exchange.response);
         }
-        let id = run.head.headers.get(&self.host.decoders.dialect.attempt_id);
         self.check_response(id, &exchange.response)?;
         self.relay_response(delivery, permit, run, exchange).await
     }
@@ -186,6 +188,43 @@
         }
     }
 
+    /// Takes in what a response states about the requests that the target takes.
+    fn receive_notice(&self, permit: &Permit, response: &Response<Body>) {
+        let notice = Notice::of(response.headers(), &self.host.decoders.dialect);
+        let instance = &permit.target.instance;
+        if self.host.gate.record_notice(instance, notice) {
+            note!(
+                self.host.journal,
+                Event::TargetNotice,
+                instance = instance,
+                limit = notice
+                    .limit
+                    .map_or("none".into(), |limit| limit.to_string()),
+                leaving = notice.is_leaving,
+            );
+        }
+    }
+
+    /// Returns whether a response belongs to the request with `id`. Another one may be late and
+    /// tell nothing of the target as it is now.
+    fn answers(&self, id: Option<&HeaderValue>, response: &Response<Body>) -> bool {
+        let echoed = response
+            .headers()
+            .get(&self.host.decoders.dialect.attempt_id);
+        match (id, echoed) {
+            (Some(id), Some(echoed)) => id == echoed,
+            (Some(_), None) => self.is_not_run(response),
+            (None, _) => true,
+        }
+    }
+
+    /// Returns whether a response reports that the request has not run.
+    fn is_not_run(&self, response: &Response<Body>) -> bool {
+        let not_run = &self.host.decoders.dialect.not_run;
+        response.headers().contains_key(not_run)
+            || response.status() == StatusCode::MISDIRECTED_REQUEST
+    }
+
     /// Refuses a response that does not belong to this request, reports that the request has
     /// not run, lacks the proof of the target, or is encoded.
     fn check_response(
@@ -195,19 +234,11 @@
     ) -> Result<(), Refused> {
         let dialect = &self.host.decoders.dialect;
         let headers = response.headers();
-        let echoed = headers.get(&dialect.attempt_id);
-        let is_not_run =
-            headers.contains_key(&dialect.not_run) || response.status().as_u16() == 421;
-        let is_matching = match (id, echoed) {
-            (Some(id), Some(echoed)) => id == echoed,
-            (Some(_), None) => is_not_run,
-            (None, _) => true,
-        };
         let unknown = |reason| Err(Refused::after_arrival(Refusal::unknown(502, reason)));
-        if !is_matching {
+        if !self.answers(id, response) {
             return unknown("target answered another request");
         }
-        if is_not_run {
+        if self.is_not_run(response) {
             let refusal = Refusal::not_run("target shed the request", Span::from_millis(200));
             return Err(Refused::after_arrival(refusal));
         }
--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -316,6 +316,12 @@
         raw::exchange_until_closed((self.ip, CALLERS).into(), request.as_bytes()).await
     }
 
+    /// Returns the node's metrics as text.
+    pub async fn metrics(&self) -> String {
+        let ask = "GET /metrics HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
+        raw::exchange_until_closed((self.ip, METRICS).into(), ask.as_bytes()).await
+    }
+
     /// Returns the address of the node's listener for peers and operators.
     pub fn peers(&self) -> SocketAddr {
         (self.ip, PEERS).into()
--- a/standins/src/target.rs
+++ b/standins/src/target.rs
@@ -67,6 +67,8 @@
     process: Arc<Mutex<ProcessState>>,
     /// What its health answers tell, while it is cold.
     cold: Arc<Mutex<Option<Cold>>>,
+    /// Header lines that it adds to its answers.
+    notice: Arc<Mutex<String>>,
 }
 
 /// A target that is cold: it crashes if it gets twice the requests that it tolerates within
@@ -98,6 +100,7 @@
             fatal: Arc::default(),
             process: Arc::default(),
             cold: Arc::default(),
+            notice: Arc::default(),
         };
         target.run(socket);
         target
@@ -170,18 +173,33 @@
         *self.cold.lock() = cold;
     }
 
+    /// Sets header lines that it adds to its answers, each with its line end.
+    pub fn set_notice(&self, lines: &str) {
+        *self.notice.lock() = lines.into();
+    }
+
     /// Returns the most requests, health checks aside, that it got within any second before
     /// `end`.
     pub fn busiest_second(&self, end: std::time::Instant) -> usize {
+        self.busiest(std::time::Duration::from_secs(1), |at| at < end)
+    }
+
+    /// Returns the most requests, health checks aside, that it got within any `span`; counts
+    /// those that arrived when `is_counted`.
+    pub fn busiest(
+        &self,
+        span: std::time::Duration,
+        is_counted: impl Fn(std::time::Instant) -> bool,
+    ) -> usize {
         let seen = self.seen.lock();
         let mut times: Vec<_> = seen.iter().filter_map(|seen| seen.at).collect();
-        times.retain(|at| *at < end);
+        times.retain(|at| is_counted(*at));
         times.sort_unstable();
         let within = |from: &std::time::Instant| {
-            let second = *from + std::time::Duration::from_secs(1);
+            let until = *from + span;
             times
                 .iter()
-                .filter(|at| (*from..second).contains(at))
+                .filter(|at| (*from..until).contains(at))
                 .count()
         };
         times.iter().map(within).max().unwrap_or(0)
@@ -268,7 +286,8 @@
                 drop(stream.read_u8().await);
                 return None;
             }
-            let (bytes, closes) = answer(mode, &seen)?;
+            let notice = self.notice.lock().clone();
+            let (bytes, closes) = answer(mode, &seen, &notice)?;
             stream.write_all(&bytes).await.ok()?;
             if closes {
                 return None;
@@ -277,10 +296,10 @@
     }
 }
 
-fn answer(mode: Mode, seen: &Seen) -> Option<(Vec<u8>, bool)> {
+fn answer(mode: Mode, seen: &Seen, notice: &str) -> Option<(Vec<u8>, bool)> {
     let id = seen.header("rilltrack-attempt-id");
     let proof = "Rilltrack-Response-Signature: 1.2.3\r\n";
-    let echo = format!("Rilltrack-Attempt-Id: {id}\r\n");
+    let echo = format!("Rilltrack-Attempt-Id: {id}\r\n{notice}");
     let other = "other";
     let body = format!("ran {}", if mode == Mode::Mixes { other } else { id });
     let whole = |status: &str, headers: &str| {
@@ -293,7 +312,9 @@
     let (text, closes) = match mode {
         Mode::Serves => (served, false),
         Mode::Sheds => (
-            "HTTP/1.1 503 Full\r\nRilltrack-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n".into(),
+            format!(
+                "HTTP/1.1 503 Full\r\nRilltrack-Not-Executed: 1\r\n{notice}Content-Length: 0\r\n\r\n"
+            ),
             false,
         ),
         Mode::Other => (
