--- a/standins/tests/target_notice.rs
+++ b/standins/tests/target_notice.rs
@@ -1,17 +1,38 @@
 //! Targets that state in their answers how many requests they take, or that they leave.
 
+use std::time::{Duration, Instant};
+
+use futures_util::future::join_all;
 use rilltrack_standins::{
     cases,
     fleet::{self, Host, version},
     store::Store,
+    target::Target,
     until,
 };
 
+/// The limit that targets state, in requests per second.
+const LIMIT: f64 = 10.0;
+
+/// The span in which requests beyond a limit are counted.
+const SPAN: Duration = Duration::from_secs(4);
+
+/// Starts two hosts that know each other, both with a target of service a.
+async fn pair() -> (Store, Host, Host) {
+    fleet::pair(&version(5, &["a"]), "a").await
+}
+
 /// Starts two hosts that know each other, with targets of services a and b.
 async fn single() -> (Store, Host, Host) {
     fleet::pair(&version(5, &["a", "b"]), "b").await
 }
 
+/// Returns the most requests that a target may get within `SPAN` while it states a limit:
+/// half more than the limit, and five.
+fn allowed(limit: f64) -> usize {
+    (limit * 1.5 * SPAN.as_secs_f64()) as usize + 5
+}
+
 /// Asks for service a until the answer is a target's.
 async fn served(host: &Host, id: &str) {
     until("a target answers", async || {
@@ -21,7 +42,56 @@
     .await;
 }
 
+/// Sends 400 requests for service a to both nodes, eight at a time; returns how many were
+/// served.
+async fn herd(one: &Host, two: &Host) -> usize {
+    let callers = (0..4).flat_map(|number| [one, two].map(|host| caller(host, number)));
+    join_all(callers).await.into_iter().sum()
+}
+
+/// Sends 50 requests for service a one after the other; returns how many were served.
+async fn caller(host: &Host, number: usize) -> usize {
+    let mut served = 0;
+    for i in 0..50 {
+        let id = format!("{}-{number}-{i}", host.name);
+        let answer = host.ask_within("GET", "/get/a/x", &id, "", 2_000).await;
+        served += usize::from(answer.starts_with("HTTP/1.1 200"));
+    }
+    served
+}
+
+/// Returns the most requests that a target got within `SPAN` since `start`.
+fn busiest(target: &Target, start: Instant) -> usize {
+    target.busiest(SPAN, |at| at >= start)
+}
+
 cases! {
+    target_gets_no_more_than_the_limit_that_it_states => {
+        let (_store, one, two) = single().await;
+        one.target.set_notice(&format!("Server-Limit: {LIMIT}\r\n"));
+        served(&one, "told1").await;
+        served(&two, "told2").await;
+        let start = Instant::now();
+        let served = herd(&one, &two).await;
+        let got = busiest(&one.target, start);
+        assert!(got <= allowed(LIMIT), "{got} requests, {} allowed", allowed(LIMIT));
+        assert!(served >= LIMIT as usize / 2, "{served} served");
+    }
+
+    leaving_target_gets_no_request_after_it_said_so => {
+        let (_store, one, two) = pair().await;
+        one.target.set_notice("Server-Leaving: 1\r\n");
+        until("both targets are used", async || {
+            served(&one, "told").await;
+            !one.target.seen().is_empty() && !two.target.seen().is_empty()
+        })
+        .await;
+        let before = one.target.seen().len();
+        let served = herd(&one, &two).await;
+        assert_eq!(one.target.seen().len(), before, "requests to the leaving target");
+        assert_eq!(served, 400, "the other target serves all");
+    }
+
     metrics_tell_the_limit_that_the_target_states => {
         let (_store, one, _two) = single().await;
         assert!(one.metrics().await.contains("\nrilltrack_gate_limit -1"));
