The gate keeps to the limit that its target states

The gate admitted by slots alone.

Why this holds over all nodes: a target is reached only through the node beside it, so its gate sees the sum. It reads the limit in each answer and paces what it passes on, as it paces a target that warms up; the rest is rejected at once as not run, and its sender asks another node. A limit applies from the answer that states it, to the one that doesn't.

--- a/src/coordination/decision/balance/mod.rs
+++ b/src/coordination/decision/balance/mod.rs
@@ -114,6 +114,8 @@
     Leaving,
     /// The node reported that its target warms up and got all requests that it tolerates.
     WarmingUp,
+    /// The node reported that its target got all requests that it takes.
+    AtLimit,
     /// Another node answered at its address.
     Replaced,
     /// The target failed: it closed the connection, or sent an invalid response or an error.
@@ -134,6 +136,7 @@
             Self::Refused => "refused",
             Self::Leaving => "leaving",
             Self::WarmingUp => "warming-up",
+            Self::AtLimit => "at-limit",
             Self::Replaced => "replaced",
             Self::Failed => "failed",
             Self::Late => "late",
@@ -424,7 +427,7 @@
             }
             // Hundreds of nodes may choose the target next. Each leaves it alone for a while,
             // since most of their requests would be refused.
-            AttemptResult::WarmingUp => {
+            AttemptResult::WarmingUp | AttemptResult::AtLimit => {
                 peer.eject(now);
                 false
             }
--- a/src/coordination/gate.rs
+++ b/src/coordination/gate.rs
@@ -17,9 +17,9 @@
 pub use crate::coordination::decision::queue::Arrival;
 use crate::{
     coordination::decision::{
+        pace::{Bound, Pace},
         queue::{Admission, MIN_RETRY_AFTER, Place, Queue},
         runs::Runs,
-        warmup::{Pace, Warmup},
     },
     id::Instance,
     protocol::{
@@ -64,7 +64,10 @@
     /// The senders wake waiting tasks. A task whose sender is dropped is rejected.
     queue: Queue<oneshot::Sender<()>>,
     runs: Runs,
-    pace: Pace,
+    /// The pace while the target warms up.
+    warmup: Pace,
+    /// The pace by the limit that the target states.
+    limit: Pace,
     /// What the target states in its responses.
     notice: Notice,
 }
@@ -98,6 +101,9 @@
 /// Reason of a rejection because a target that warms up got all requests that it tolerates.
 pub const WARMING_UP: &str = "target is warming up";
 
+/// Reason of a rejection because a target got all requests that it takes by its own statement.
+pub const AT_LIMIT: &str = "target is at its limit";
+
 /// Returns the [`Refusal`] of a request that is rejected because the gate has no target.
 pub fn no_target() -> Refusal {
     Unavailable::NoTarget.refusal()
@@ -116,7 +122,7 @@
         // The run times of an earlier instance don't apply to this one.
         if current.is_none_or(|current| current.instance != target.instance) {
             state.queue.reset_run_times();
-            state.notice = Notice::default();
+            state.set_notice(Notice::default());
         }
         state.queue.set_slots(target.slots);
         state.target = Some(target);
@@ -124,20 +130,20 @@
         state.admit_next();
     }
 
-    /// Sets what is known of the target's warm-up; `None` if it needs none.
-    pub fn set_warmup(&self, warmup: Option<Warmup>) {
-        self.state.lock().pace.set(warmup);
+    /// Sets the bound while the target warms up; `None` if it needs none.
+    pub fn set_warmup(&self, warmup: Option<Bound>) {
+        self.state.lock().warmup.set(warmup);
     }
 
-    /// Records what the target stated in a response. Returns whether it stated something else
-    /// before.
+    /// Takes in what the target stated in a response, and keeps to its limit from now on.
+    /// Returns whether it stated something else before.
     pub fn record_notice(&self, instance: &Instance, notice: Notice) -> bool {
         let mut state = self.state.lock();
         let current = state.target.as_ref();
         if current.is_none_or(|target| target.instance != *instance) {
             return false;
         }
-        std::mem::replace(&mut state.notice, notice) != notice
+        state.set_notice(notice)
     }
 
     /// Returns the limit that the target states, if it states one.
@@ -160,12 +166,14 @@
         state.queue.clear();
     }
 
-    /// Returns the target's load. While it warms up, its slots count as used as far as the
-    /// requests of a second are, so that other nodes choose it less.
+    /// Returns the target's load. While requests to it are paced, its slots count as used as far
+    /// as the requests of a window are, so that other nodes choose it less.
     pub fn load(&self) -> Load {
         let state = self.state.lock();
         let load = state.queue.load();
-        let usage = state.pace.usage(Instant::now()).unwrap_or_default();
+        let now = Instant::now();
+        let usages = [&state.warmup, &state.limit].map(|pace| pace.usage(now).unwrap_or_default());
+        let usage = usages.into_iter().fold(0.0, f64::max);
         let paced = (usage * f64::from(load.slots)).ceil() as u32;
         Load {
             running: load.running.max(paced),
@@ -213,7 +221,7 @@
             state.check_pace(now)?;
             match state.queue.admit(&arrival, sender, now) {
                 Admission::Admitted => {
-                    state.pace.record(now);
+                    state.record_admission(now);
                     return Ok(self.permit(&state));
                 }
                 Admission::Rejected => return Err(state.reject_full(&arrival)),
@@ -322,14 +330,30 @@
         }
     }
 
-    /// Checks whether the target, if it warms up, tolerates one more request now.
+    /// Takes in what the target states. Returns whether it stated something else before.
+    fn set_notice(&mut self, notice: Notice) -> bool {
+        let has_changed = std::mem::replace(&mut self.notice, notice) != notice;
+        if has_changed {
+            self.limit.set(notice.limit.map(Bound::limit));
+        }
+        has_changed
+    }
+
+    /// Checks whether the target takes one more request now.
     fn check_pace(&self, now: Instant) -> Result<(), Refusal> {
-        match self.pace.wait(now) {
-            None => Ok(()),
-            Some(wait) => Err(Refusal::not_run(WARMING_UP, Span::from_duration(wait))),
+        let paces = [(&self.warmup, WARMING_UP), (&self.limit, AT_LIMIT)];
+        let waits = paces.map(|(pace, reason)| (pace.wait(now), reason));
+        match waits.into_iter().max() {
+            Some((Some(wait), reason)) => Err(Refusal::not_run(reason, Span::from_duration(wait))),
+            _ => Ok(()),
         }
     }
 
+    fn record_admission(&mut self, now: Instant) {
+        self.warmup.record(now);
+        self.limit.record(now);
+    }
+
     fn reject_full(&self, arrival: &Arrival) -> Refusal {
         let retry_after = self
             .queue
@@ -340,13 +364,13 @@
     /// Wakes the waiting tasks for which slots are free now.
     fn admit_next(&mut self) {
         let now = Instant::now();
-        while !self.is_closed && self.pace.wait(now).is_none() {
+        while !self.is_closed && self.check_pace(now).is_ok() {
             let Some(waiter) = self.queue.admit_next() else {
                 return;
             };
             // The task has just stopped waiting, so the slot goes to the next one.
             match waiter.send(()) {
-                Ok(()) => self.pace.record(now),
+                Ok(()) => self.record_admission(now),
                 Err(()) => self.queue.release(None),
             }
         }
--- a/src/coordination/host.rs
+++ b/src/coordination/host.rs
@@ -20,9 +20,9 @@
         decision::{
             age::Ages,
             balance::{self, Balancer},
+            pace::Bound,
             retry_budget::{RetryBudget, Rule},
             split::Split,
-            warmup::Warmup,
         },
         drain::SharedDrains,
         flow::Flow,
@@ -479,7 +479,7 @@
         let until = local.warm_at();
         let is_warm = until.is_some_and(|until| until <= Instant::now());
         self.gate
-            .set_warmup(rate.map(|rate| Warmup { rate, until }));
+            .set_warmup(rate.map(|rate| Bound::warmup(rate, until)));
         match local.open() {
             Some(_) if routes.is_none() && !is_warm => self.gate.remove_target(),
             Some(target) => {
--- a/src/transport/relay/attempt.rs
+++ b/src/transport/relay/attempt.rs
@@ -116,6 +116,9 @@
                 Outcome::NotRun if refused.refusal.reason == gate::WARMING_UP => {
                     AttemptResult::WarmingUp
                 }
+                Outcome::NotRun if refused.refusal.reason == gate::AT_LIMIT => {
+                    AttemptResult::AtLimit
+                }
                 Outcome::NotRun => AttemptResult::Refused,
                 _ => AttemptResult::Failed,
             },
