A target that states its leave in an answer gets no more requests

The new rule of the platform lets no request reach a target later than drain after a node has passed on an answer with Server-Leaving.

Cause: as with the limit, the header was passed on and not read. Only heartbeats and leave calls closed the gate.

Why this works: such an answer has the effect of a heartbeat that announces a drain. The gate closes at once, for the requests of all nodes, and the record of the node in the store says so, so that other nodes choose another target and a restarted node doesn't open the gate (stated_leave_survives_a_restart_of_the_node).

--- a/src/coordination/host.rs
+++ b/src/coordination/host.rs
@@ -28,7 +28,7 @@
         flow::Flow,
         gate::{self, Gate},
         interface::{Decoders, Stream},
-        local::Local,
+        local::{Change, Local},
         quarantine::SharedQuarantine,
         rate_limit::RateLimits,
         rollout::Rollouts,
@@ -41,7 +41,7 @@
         Settings,
         metrics::{self, Metrics},
     },
-    id::{Name, Node},
+    id::{Instance, Name, Node},
     journal::note,
     protocol::update::Progress,
     state::{
@@ -393,6 +393,16 @@
         }
     }
 
+    /// Records that the target of `instance` leaves: the gate closes, and the record of this node
+    /// in the store is to say so.
+    pub fn note_leaving(&self, instance: &Instance) {
+        let change = self.local.lock().leave(instance);
+        if change == Change::Publish {
+            self.own_record_changed.notify_one();
+            self.set_gate();
+        }
+    }
+
     /// Returns the target on this host and the path of its health checks, if it isn't known
     /// whether it warms up.
     pub fn unknown_warmup(&self) -> Option<(gate::Target, String)> {
--- a/src/transport/relay/run.rs
+++ b/src/transport/relay/run.rs
@@ -203,6 +203,9 @@
                 leaving = notice.is_leaving,
             );
         }
+        if notice.is_leaving {
+            self.host.note_leaving(instance);
+        }
     }
 
     /// Returns whether a response belongs to the request with `id`. Another one may be late and
