A node keeps to a leave that it has passed on, whatever the target's node knows

What callers would see: a request reaches a leaving target from a node that had passed on an answer with the leave.

Cause: only the node beside the target held the leave, in memory until the store has it. If it starts again before the store took the record, it restores the target as ready, and its next request tells it anew; a request of a node that was told has reached the target by then.

Evidence: node_that_passed_on_a_leave_keeps_to_it_if_the_node_of_the_target_forgot got a request from the node that was told, none now; the balancer's own test failed likewise.

Why this works: the balancer remembers what an instance of a target stated in the answers that this node passed on, over restarts of the node beside it, and excludes one that leaves. Another instance has stated nothing yet.

--- a/src/coordination/decision/balance/mod.rs
+++ b/src/coordination/decision/balance/mod.rs
@@ -10,6 +10,10 @@
 //! elsewhere. The path to another region costs a multiple of that: it is tens of milliseconds
 //! long, and all traffic between two regions shares it.
 //!
+//! A target that stated its leave in an answer that this node passed on gets nothing more from
+//! this node, whatever the node beside it knows. That one may have started again since, without
+//! having recorded the leave.
+//!
 //! A node that is unreachable, or has left requests unanswered for longer than `MAX_SILENCE`,
 //! gets no requests until it responds again.
 
@@ -25,7 +29,10 @@
 use crate::{
     coordination::decision::reach::{Failure, Reachability},
     id::{Name, Node},
-    protocol::dialect::{Load, Slowdown},
+    protocol::{
+        dialect::{Load, Slowdown},
+        notice::Notice,
+    },
     state::{
         member::{Member, Status, Table},
         region::{Distance, Regions},
@@ -197,6 +204,8 @@
     pub run_time: Option<Duration>,
     /// Whether the request's body was large.
     pub is_large: bool,
+    /// What the target stated in its answer, if there is one.
+    pub notice: Option<Notice>,
 }
 
 /// The node that was chosen, and the figures that it was chosen by.
@@ -223,6 +232,7 @@
             // don't apply to this one.
             *peer = Peer {
                 outstanding: peer.outstanding,
+                stated: peer.stated.take(),
                 ..Peer::new(Process::of(member), now)
             };
         }
@@ -277,7 +287,8 @@
 
     fn is_excluded(&mut self, member: &Member, me: &Node, now: Instant) -> bool {
         let is_unreachable = member.node != *me && self.reachability.is_unreachable(member);
-        is_unreachable || self.peer(member, now).is_excluded(now)
+        let peer = self.peer(member, now);
+        is_unreachable || peer.is_excluded(now) || peer.is_leaving(member)
     }
 
     /// Returns the number of targets of a service, as the node `me` observes them.
@@ -392,6 +403,9 @@
         };
         let peer = self.peer(member, now);
         peer.outstanding = peer.outstanding.saturating_sub(1);
+        if let Some(notice) = report.notice {
+            peer.record_notice(member, notice);
+        }
         if let Some(load) = report.load {
             peer.report = Some((load, now));
             peer.sent_since_report = 0;
--- a/src/coordination/decision/balance/peer.rs
+++ b/src/coordination/decision/balance/peer.rs
@@ -4,7 +4,10 @@
 
 use crate::{
     id::{Incarnation, Instance},
-    protocol::dialect::{Load, Slowdown},
+    protocol::{
+        dialect::{Load, Slowdown},
+        notice::Notice,
+    },
     state::member::Member,
 };
 
@@ -51,6 +54,8 @@
     /// Ejections since the node last responded; a failure of its target counts as a response.
     pub(super) ejections: u32,
     pub(super) ejected_until: Option<Instant>,
+    /// What an instance of its target stated in the last answer that this node passed on.
+    pub(super) stated: Option<(Instance, Notice)>,
 }
 
 /// The processes of a node and its target that an observation is about.
@@ -88,9 +93,36 @@
             failures: 0,
             ejections: 0,
             ejected_until: None,
+            stated: None,
         }
     }
 
+    /// Takes in what the target of `member` stated in an answer.
+    pub(super) fn record_notice(&mut self, member: &Member, notice: Notice) {
+        let Some(target) = member.targets.first() else {
+            return;
+        };
+        // A leave is final: an answer that was sent before it may arrive after it.
+        let is_leaving = notice.is_leaving || self.is_leaving(member);
+        let notice = Notice {
+            is_leaving,
+            ..notice
+        };
+        self.stated = Some((target.instance.clone(), notice));
+    }
+
+    /// Returns whether the target of `member` stated to this node that it leaves.
+    pub(super) fn is_leaving(&self, member: &Member) -> bool {
+        self.notice(member).is_some_and(|notice| notice.is_leaving)
+    }
+
+    /// Returns what the target of `member` stated to this node, if it is still that instance.
+    fn notice(&self, member: &Member) -> Option<Notice> {
+        let (instance, notice) = self.stated.as_ref()?;
+        let target = member.targets.first()?;
+        target.instance.may_match(instance).then_some(*notice)
+    }
+
     pub(super) fn is_excluded(&self, now: Instant) -> bool {
         let is_ejected = self.ejected_until.is_some_and(|until| now < until);
         let is_unresponsive = self.outstanding > 0 && self.is_overdue(now);
--- a/src/transport/relay/egress.rs
+++ b/src/transport/relay/egress.rs
@@ -27,7 +27,10 @@
     host::metrics,
     id::Node,
     journal::note,
-    protocol::answer::{Outcome, Refusal},
+    protocol::{
+        answer::{Outcome, Refusal},
+        notice::Notice,
+    },
     state::{fingerprint::Fingerprint, member::Member},
     transport::{
         http,
@@ -426,6 +429,7 @@
                 slowdown: Some(self.host.gate.slowdown()),
                 run_time: run_time.map(|RunTime(run_time)| *run_time),
                 is_large,
+                notice: None,
             };
             match delivered {
                 Ok(response) => AttemptOutcome::Answered(response),
@@ -436,6 +440,10 @@
                 .send(call, member, &delivery, body, &mut guard)
                 .await
         };
+        if let AttemptOutcome::Answered(response) = &outcome {
+            let dialect = &self.host.decoders.dialect;
+            guard.report.notice = Some(Notice::of(response.headers(), dialect));
+        }
         self.record_attempt(
             call,
             member,
--- a/src/transport/relay/peer_client.rs
+++ b/src/transport/relay/peer_client.rs
@@ -117,6 +117,7 @@
                 slowdown: Some(report.slowdown),
                 run_time: report.run_time.map(Span::duration),
                 is_large,
+                notice: None,
             };
             self.host
                 .note_newer(report.version, report.members_offset, member.peers);
--- a/standins/src/load/model.rs
+++ b/standins/src/load/model.rs
@@ -547,6 +547,7 @@
             slowdown: Some(queue.slowdown()),
             run_time: ran,
             is_large: is_large(body),
+            notice: None,
         };
         self.requests[request].outcome = Some((ended, report));
         let delay = self.one_way_delay(request);
--- a/standins/tests/target_notice.rs
+++ b/standins/tests/target_notice.rs
@@ -6,7 +6,7 @@
 use rilltrack_standins::{
     cases,
     fleet::{self, Host, version},
-    store::Store,
+    store::{Mode as StoreMode, Store},
     target::Target,
     until,
 };
@@ -111,6 +111,25 @@
         assert_eq!(one.target.seen().len(), before, "requests to the leaving target");
     }
 
+    node_that_passed_on_a_leave_keeps_to_it_if_the_node_of_the_target_forgot => {
+        let (_store, mut one, two) = pair().await;
+        // The leave is never recorded.
+        one.store.set_own(StoreMode::Refusing);
+        one.target.set_notice("Server-Leaving: 1\r\n");
+        until("the other node was told", async || {
+            served(&two, "told").await;
+            !one.target.seen().is_empty()
+        })
+        .await;
+        one.stop().await;
+        one.store.set_own(StoreMode::Up);
+        one.run();
+        one.until_ready().await;
+        let before = one.target.seen().len();
+        assert_eq!(caller(&two, 0, 200).await, 200);
+        assert_eq!(one.target.seen().len(), before, "requests to the leaving target");
+    }
+
     metrics_tell_the_limit_that_the_target_states => {
         let (_store, one, _two) = single().await;
         assert!(one.metrics().await.contains("\nrilltrack_gate_limit -1"));
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -38,6 +38,7 @@
         answer::Outcome,
         dialect::Load,
         hop,
+        notice::Notice,
         update::{Members as MembersUpdate, Progress},
     },
     state::{
@@ -997,6 +998,32 @@
         }
     }
 
+    target_that_stated_its_leave_gets_no_requests_even_if_its_node_forgets => {
+        let mut table = members(&[("n1", "here")]);
+        let mut balancer = Balancer::default();
+        let now = Instant::now();
+        let answer = |is_leaving| Report {
+            notice: Some(Notice { is_leaving, ..Notice::default() }),
+            ..Report::default()
+        };
+        let ended = AttemptResult::Answered(Duration::from_millis(100));
+        let first = member("n1", "here", 10);
+        balancer.start(&first, now);
+        balancer.start(&first, now);
+        balancer.finish(&first, &name("r"), ended, answer(true), now);
+        // This answer was sent before the other one.
+        balancer.finish(&first, &name("r"), ended, answer(false), now);
+        assert!(choose(&mut balancer, &table, 0, now).is_none());
+        // Its node has started again and knows nothing of the leave.
+        table.merge(Member { incarnation: Incarnation(2), ..member("n1", "here", 10) });
+        assert!(choose(&mut balancer, &table, 0, now).is_none());
+        // Another instance of the target has stated nothing.
+        let mut restarted = Member { incarnation: Incarnation(2), sequence: 2, ..first };
+        restarted.targets[0].instance = "i2".into();
+        table.merge(restarted);
+        assert!(choose(&mut balancer, &table, 0, now).is_some());
+    }
+
     late_heartbeat_does_not_undo_a_drain => {
         let mut local = Local::new(Span::from_millis(1500));
         let now = Instant::now();
