A restarted node learns the limit of its target from nodes that were told

What callers would see: after a restart of the node beside a target that states a limit, the target gets more than that from nodes that were told of it.

Cause: the limit is known to the gate alone, which starts anew without it and learns it from the first answer. Until that one comes, or while answers are lost, it admits by slots.

Why this works: a node that passed on an answer with a limit sends the limit along with its next requests for that instance, in a header of its own that is there only then. The gate takes the lowest until its target has answered, which then counts alone. So just the requests that a told node sends are bound, and no store or further message is needed. Nodes of earlier releases remove the header with the other one of its prefix.

--- a/src/coordination/decision/balance/mod.rs
+++ b/src/coordination/decision/balance/mod.rs
@@ -31,6 +31,7 @@
     id::{Name, Node},
     protocol::{
         dialect::{Load, Slowdown},
+        hop::Limit,
         notice::Notice,
     },
     state::{
@@ -291,6 +292,12 @@
         is_unreachable || peer.is_excluded(now) || peer.is_leaving(member)
     }
 
+    /// Returns the limit that the target beside a node stated in the last answer that this node
+    /// passed on.
+    pub fn stated_limit(&self, member: &Member) -> Option<Limit> {
+        self.peers.get(&member.node)?.limit(member)
+    }
+
     /// Returns the number of targets of a service, as the node `me` observes them.
     pub fn count_targets(
         &mut self,
--- a/src/coordination/decision/balance/peer.rs
+++ b/src/coordination/decision/balance/peer.rs
@@ -6,6 +6,7 @@
     id::{Incarnation, Instance},
     protocol::{
         dialect::{Load, Slowdown},
+        hop::Limit,
         notice::Notice,
     },
     state::member::Member,
@@ -116,6 +117,16 @@
         self.notice(member).is_some_and(|notice| notice.is_leaving)
     }
 
+    /// Returns the limit that the target of `member` stated to this node.
+    pub(super) fn limit(&self, member: &Member) -> Option<Limit> {
+        let rate = self.notice(member)?.limit?;
+        let (instance, _) = self.stated.as_ref()?;
+        Some(Limit {
+            rate,
+            instance: instance.clone(),
+        })
+    }
+
     /// Returns what the target of `member` stated to this node, if it is still that instance.
     fn notice(&self, member: &Member) -> Option<Notice> {
         let (instance, notice) = self.stated.as_ref()?;
--- a/src/coordination/gate.rs
+++ b/src/coordination/gate.rs
@@ -25,6 +25,7 @@
     protocol::{
         answer::Refusal,
         dialect::{Load, Slowdown},
+        hop::Limit,
         notice::Notice,
     },
     unit::{Rate, Span},
@@ -68,8 +69,17 @@
     warmup: Pace,
     /// The pace by the limit that the target states.
     limit: Pace,
-    /// What the target states in its responses.
+    /// What is known of what the target states; `None` before it has stated anything.
+    stated: Option<Stated>,
+}
+
+/// What an instance of the target states in its responses.
+struct Stated {
+    by: Instance,
     notice: Notice,
+    /// Whether the target stated it here. Otherwise other nodes know it from earlier responses,
+    /// while this node has started anew.
+    is_heard: bool,
 }
 
 /// Why no request is admitted now.
@@ -122,7 +132,11 @@
         // The run times of an earlier instance don't apply to this one.
         if current.is_none_or(|current| current.instance != target.instance) {
             state.queue.reset_run_times();
-            state.set_notice(Notice::default());
+        }
+        let is_by_another = |stated: &Stated| stated.by != target.instance;
+        if state.stated.as_ref().is_some_and(is_by_another) {
+            state.stated = None;
+            state.limit.set(None);
         }
         state.queue.set_slots(target.slots);
         state.target = Some(target);
@@ -143,12 +157,39 @@
         if current.is_none_or(|target| target.instance != *instance) {
             return false;
         }
-        state.set_notice(notice)
+        let has_changed = state.notice() != notice;
+        state.set_stated(Stated {
+            by: instance.clone(),
+            notice,
+            is_heard: true,
+        });
+        has_changed
+    }
+
+    /// Keeps to a limit that another node knows, until the target answers here.
+    pub fn assume_limit(&self, limit: &Limit) {
+        let mut state = self.state.lock();
+        let Some(target) = &state.target else { return };
+        let is_heard = state.stated.as_ref().is_some_and(|stated| stated.is_heard);
+        if is_heard || !target.instance.may_match(&limit.instance) {
+            return;
+        }
+        let known = state.notice().limit;
+        let notice = Notice {
+            limit: Some(known.map_or(limit.rate, |known| known.min(limit.rate))),
+            is_leaving: false,
+        };
+        let by = target.instance.clone();
+        state.set_stated(Stated {
+            by,
+            notice,
+            is_heard: false,
+        });
     }
 
     /// Returns the limit that the target states, if it states one.
     pub fn limit(&self) -> Option<Rate> {
-        self.state.lock().notice.limit
+        self.state.lock().notice().limit
     }
 
     /// Closes the gate: rejects waiting requests and all later ones.
@@ -330,13 +371,14 @@
         }
     }
 
-    /// Takes in what the target states. Returns whether it stated something else before.
-    fn set_notice(&mut self, notice: Notice) -> bool {
-        let has_changed = std::mem::replace(&mut self.notice, notice) != notice;
-        if has_changed {
-            self.limit.set(notice.limit.map(Bound::limit));
-        }
-        has_changed
+    fn notice(&self) -> Notice {
+        let stated = self.stated.as_ref();
+        stated.map_or_else(Notice::default, |stated| stated.notice)
+    }
+
+    fn set_stated(&mut self, stated: Stated) {
+        self.limit.set(stated.notice.limit.map(Bound::limit));
+        self.stated = Some(stated);
     }
 
     /// Checks whether the target takes one more request now.
--- a/src/protocol/hop.rs
+++ b/src/protocol/hop.rs
@@ -17,17 +17,21 @@
 use std::{fmt, str::FromStr};
 
 use crate::{
-    id::{Name, Node},
+    id::{Instance, Name, Node},
     protocol::{
         answer::Outcome,
         dialect::{Load, Slowdown},
     },
-    unit::Span,
+    unit::{Rate, Span},
 };
 
 /// The name of the header. Nodes remove it from messages of callers and targets.
 pub const HEADER: &str = "rilltrack-hop";
 
+/// The name of the header with a [`Limit`], on requests. It starts with [`HEADER`], so that nodes
+/// of earlier releases remove it, too.
+pub const LIMIT_HEADER: &str = "rilltrack-hop-limit";
+
 /// The header's value on a request.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Request {
@@ -54,6 +58,24 @@
     pub is_repeat: bool,
 }
 
+/// The limit that an instance of a target stated in an answer that the sender passed on.
+///
+/// ```
+/// use rilltrack::protocol::hop::Limit;
+///
+/// let limit: Limit = "45.9/s;i-7".parse()?;
+/// assert_eq!((limit.rate.per_second(), limit.instance.id()), (45.9, "i-7"));
+/// assert_eq!(limit.to_string(), "45.9/s;i-7");
+/// # Ok::<(), rilltrack::protocol::hop::Error>(())
+/// ```
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Limit {
+    /// The requests per second that the target takes from all nodes together.
+    pub rate: Rate,
+    /// The instance that stated it.
+    pub instance: Instance,
+}
+
 /// The header's value on a response or a refusal.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Reply {
@@ -146,6 +168,28 @@
     }
 }
 
+impl fmt::Display for Limit {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{};{}", self.rate, self.instance)
+    }
+}
+
+impl FromStr for Limit {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self, Error> {
+        let error = || Error {
+            what: "the limit of a target",
+            text: text.into(),
+        };
+        let (rate, instance) = text.split_once(';').ok_or_else(error)?;
+        Ok(Self {
+            rate: rate.parse().map_err(|_| error())?,
+            instance: instance.into(),
+        })
+    }
+}
+
 impl fmt::Display for Reply {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Self {
--- a/src/transport/relay/delivery.rs
+++ b/src/transport/relay/delivery.rs
@@ -66,6 +66,8 @@
     pub fault_permille: u16,
     /// Whether a target has seen the request before.
     pub is_repeat: bool,
+    /// The limit that the target stated to the sender.
+    pub known_limit: Option<hop::Limit>,
 }
 
 /// An attempt that was refused or failed, so that it has no answer of the target.
@@ -125,6 +127,7 @@
             is_trial: false,
             fault_permille: ask.fault_permille,
             is_repeat: ask.is_repeat,
+            known_limit: None,
         }
     }
 }
--- a/src/transport/relay/egress.rs
+++ b/src/transport/relay/egress.rs
@@ -398,12 +398,13 @@
         let member = &choice.member;
         let since = Instant::now();
         let mut guard = AttemptGuard::start(&self.host, member, &call.route.name, &call.service);
-        let (usual_run_time, answer_size) = {
+        let (usual_run_time, answer_size, known_limit) = {
             let balancer = self.host.balancer.lock();
             let route = &call.route.name;
             (
                 balancer.mean_run_time(route),
                 balancer.large_answer_size(route),
+                balancer.stated_limit(member),
             )
         };
         let arrival = attempts.queue_arrival(&call.request(), usual_run_time, since);
@@ -418,6 +419,7 @@
             deadline: call.deadline,
             is_trial,
             is_repeat: attempts.arrivals > 0,
+            known_limit,
             fault_permille: (self.host.rollouts.baseline(&call.route.name) * 1000.0) as u16,
         };
         let is_large = body.length().is_none_or(balance::is_large);
--- a/src/transport/relay/ingress.rs
+++ b/src/transport/relay/ingress.rs
@@ -110,6 +110,9 @@
             // The target's release was not ordered, was rolled back, or is failing on trial.
             return Err(Refused::before_arrival(gate::no_target()));
         }
+        if let Some(limit) = &delivery.known_limit {
+            self.host.gate.assume_limit(limit);
+        }
         let id = head.headers.get(&self.host.decoders.dialect.attempt_id);
         let since = Instant::now();
         self.check_call_budget(delivery)
@@ -426,15 +429,22 @@
 
     /// Returns the delivery that a peer requests; refuses if this node can't accept it.
     fn parse_delivery(&self, head: &request::Parts) -> Result<Delivery, Refusal> {
-        let ask: hop::Request = http::parse(&head.headers, hop::HEADER)
-            .ok_or_else(|| Refusal::rejected(400, "a node says what it asks for"))?;
+        let not_understood = || Refusal::rejected(400, "a node says what it asks for");
+        let ask: hop::Request =
+            http::parse(&head.headers, hop::HEADER).ok_or_else(not_understood)?;
         if ask.to != self.host.settings.node {
             return Err(Refusal::not_run(reasons::OTHER_NODE, Span::from_millis(0)));
         }
         if self.host.is_leaving() {
             return Err(Refusal::not_run(LEAVING, Span::from_millis(0)));
         }
-        Ok(Delivery::from_peer(ask, Instant::now()))
+        let limit = head.headers.get(hop::LIMIT_HEADER);
+        let known_limit = limit.map(|_| http::parse(&head.headers, hop::LIMIT_HEADER));
+        let known_limit = known_limit.map(|limit| limit.ok_or_else(not_understood));
+        Ok(Delivery {
+            known_limit: known_limit.transpose()?,
+            ..Delivery::from_peer(ask, Instant::now())
+        })
     }
 }
 
--- a/src/transport/relay/peer_client.rs
+++ b/src/transport/relay/peer_client.rs
@@ -215,6 +215,9 @@
             is_repeat: delivery.is_repeat,
         };
         http::set(request.headers_mut(), hop::HEADER, ask);
+        if let Some(limit) = &delivery.known_limit {
+            http::set(request.headers_mut(), hop::LIMIT_HEADER, limit);
+        }
         request
     }
 }
--- a/standins/tests/target_notice.rs
+++ b/standins/tests/target_notice.rs
@@ -7,7 +7,7 @@
     cases,
     fleet::{self, Host, version},
     store::{Mode as StoreMode, Store},
-    target::Target,
+    target::{Mode, Target},
     until,
 };
 
@@ -80,6 +80,27 @@
         assert!(served >= LIMIT as usize / 2, "{served} served");
     }
 
+    restarted_node_learns_the_limit_from_nodes_that_were_told => {
+        let limit = 0.25;
+        let (_store, mut one, two) = single().await;
+        one.target.set_notice(&format!("Server-Limit: {limit}\r\n"));
+        served(&two, "told").await;
+        one.stop().await;
+        // The node hears nothing from its target.
+        one.target.set(Mode::Breaks);
+        one.run();
+        one.until_ready().await;
+        let start = Instant::now();
+        until("a request reaches the target again", async || {
+            caller(&two, 8, 1).await;
+            busiest(&one.target, start) > 0
+        })
+        .await;
+        join_all((0..8).map(|number| caller(&two, number, 100))).await;
+        let got = busiest(&one.target, start);
+        assert!(got <= allowed(limit), "{got} requests, {} allowed", allowed(limit));
+    }
+
     leaving_target_gets_no_request_after_it_said_so => {
         let (_store, one, two) = pair().await;
         one.target.set_notice("Server-Leaving: 1\r\n");
