rilltrackd keeps to what targets state in their answers, too

What callers would see: on the daemon's own request path a target that states a limit, or its leave, gets requests on as before.

The inbound proxy drops the headers of the system from a target's answers, and read none.

Why this works: all requests for a target pass the inbound proxy of its node. Its limiter paces them by the limit in the latest answer, with rilltrack-limit, and rejects the rest, and those that wait, as not run. rilltrack-leaving drains the target here and in the member record. Announcements name no instance, so the drain ends a lease after the last such answer, unless it is stated again; a target that was restarted would else stay drained.

--- a/src/coordination/admission.rs
+++ b/src/coordination/admission.rs
@@ -10,7 +10,11 @@
     time::{Duration, Instant},
 };
 
-use crate::{state::resource::Class, unit::Span};
+use crate::{
+    coordination::decision::pace::{Bound, Pace},
+    state::resource::Class,
+    unit::{Rate, Span},
+};
 
 /// The weight of the newest run time in the moving average of run times.
 const NEWEST_WEIGHT: f64 = 0.1;
@@ -39,6 +43,9 @@
     is_bulk_next: bool,
     /// The moving average of run times, in seconds; 0 before the first run ends.
     mean_run_secs: f64,
+    /// The limit that the target states in its responses.
+    limit: Option<Rate>,
+    pace: Pace,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -62,6 +69,9 @@
     },
     /// The request is rejected and may be retried after the span.
     Rejected(Span),
+    /// The request is rejected because the target got all requests that it takes by its own
+    /// statement. It may be retried after the span.
+    AtLimit(Span),
 }
 
 impl Limiter {
@@ -77,6 +87,8 @@
             grants_since_fair: 0,
             is_bulk_next: true,
             mean_run_secs: 0.0,
+            limit: None,
+            pace: Pace::default(),
         }
     }
 
@@ -86,11 +98,21 @@
         self.max_waiting = queue;
     }
 
+    /// Sets the limit that the target states in its responses; `None` if it states none.
+    /// Returns whether it stated another one before.
+    pub fn set_limit(&mut self, limit: Option<Rate>) -> bool {
+        self.pace.set(limit.map(Bound::limit));
+        std::mem::replace(&mut self.limit, limit) != limit
+    }
+
     /// Decides on a request that arrives at `now`.
     pub fn admit(&mut self, class: Class, deadline: Instant, now: Instant) -> Admission {
+        if let Some(wait) = self.pace.wait(now) {
+            return Admission::AtLimit(retry_after(wait));
+        }
         // A free slot is used at once.
         if self.has_slot() {
-            self.running[class as usize] += 1;
+            self.start(class, now);
             return Admission::Admitted;
         }
         let wait = self.expected_wait(class);
@@ -124,10 +146,13 @@
         self.admit_next(now)
     }
 
-    /// Starts waiting requests while slots are free, and returns them.
+    /// Starts waiting requests while slots are free, and returns them. While the target is at
+    /// its limit none starts, whatever slots are free.
     pub fn admit_next(&mut self, now: Instant) -> Vec<Ticket> {
         let mut granted = Vec::new();
-        while let Some(class) = self.next_class() {
+        while !self.is_at_limit(now)
+            && let Some(class) = self.next_class()
+        {
             let Some(waiter) = self.waiting[class as usize].pop_front() else {
                 break;
             };
@@ -135,12 +160,22 @@
                 // The waiter's own timeout rejects it.
                 continue;
             }
-            self.running[class as usize] += 1;
+            self.start(class, now);
             granted.push(waiter.ticket);
         }
         granted
     }
 
+    /// Returns whether the target got all requests that it takes by its own statement.
+    pub fn is_at_limit(&self, now: Instant) -> bool {
+        self.pace.wait(now).is_some()
+    }
+
+    fn start(&mut self, class: Class, now: Instant) {
+        self.running[class as usize] += 1;
+        self.pace.record(now);
+    }
+
     /// Removes a request from the queue. Returns whether it was still waiting.
     pub fn cancel(&mut self, ticket: Ticket) -> bool {
         let before = self.waiting_count();
@@ -164,6 +199,12 @@
         (self.running_count() + self.waiting_count()) * 100 / self.slots
     }
 
+    /// Returns the used share of the target's limit at `now` as a percentage; 0 without one.
+    pub fn limit_usage(&self, now: Instant) -> u32 {
+        let usage = self.pace.usage(now).unwrap_or_default();
+        (usage * 100.0) as u32
+    }
+
     /// Returns the number of running requests.
     pub fn running_count(&self) -> u32 {
         self.running.iter().sum()
--- a/src/coordination/limiter.rs
+++ b/src/coordination/limiter.rs
@@ -20,13 +20,15 @@
     id::Name,
     protocol::answer::Refusal,
     state::resource::{Class, Policy},
-    unit::Span,
+    unit::{Rate, Span},
 };
 
 /// The reason of a refusal by a target that is draining.
 pub const LEAVING: &str = "target is leaving";
 /// The reason of a refusal by a target whose slots and queue are full.
 pub const FULL: &str = "target is full";
+/// The reason of a refusal by a target that got all requests that it takes by its own statement.
+pub const AT_LIMIT: &str = "target is at its limit";
 
 /// The concurrency limiter of one target. Clones share their state.
 #[derive(Clone, Debug)]
@@ -131,9 +133,23 @@
         self.inner.lock().limiter.resize(policy.slots, policy.queue);
     }
 
-    /// Returns the running and waiting requests as a percentage of the slots.
+    /// Sets the limit that the target states in its responses. Returns whether it stated
+    /// another one before.
+    pub fn set_limit(&self, limit: Option<Rate>) -> bool {
+        let mut inner = self.inner.lock();
+        let has_changed = inner.limiter.set_limit(limit);
+        inner.refuse_at_limit(Instant::now());
+        has_changed
+    }
+
+    /// Returns the running and waiting requests as a percentage of the slots, or the used
+    /// share of the target's limit if that is more.
     pub fn load(&self) -> u32 {
-        self.inner.lock().limiter.load()
+        let inner = self.inner.lock();
+        inner
+            .limiter
+            .load()
+            .max(inner.limiter.limit_usage(Instant::now()))
     }
 
     /// Returns the number of running requests.
@@ -171,6 +187,7 @@
         match inner.limiter.admit(class, deadline, Instant::now()) {
             Admission::Admitted => Ok(Entry::Admitted(self.permit(class))),
             Admission::Rejected(retry_after) => Err(Refusal::not_run(FULL, retry_after)),
+            Admission::AtLimit(retry_after) => Err(Refusal::not_run(AT_LIMIT, retry_after)),
             Admission::Queued { ticket, evicted } => {
                 if let Some(evicted) = evicted {
                     inner.refuse(evicted, FULL);
@@ -218,6 +235,16 @@
 }
 
 impl Inner {
+    /// Refuses all waiting requests if the target is at its limit. Nothing would wake them when
+    /// it takes requests again.
+    fn refuse_at_limit(&mut self, now: Instant) {
+        if self.limiter.is_at_limit(now) {
+            for ticket in self.limiter.drain() {
+                self.refuse(ticket, AT_LIMIT);
+            }
+        }
+    }
+
     fn refuse(&mut self, ticket: Ticket, reason: &str) {
         if let Some(waiter) = self.waiters.remove(&ticket) {
             let refusal = Refusal::not_run(reason, Span::from_secs(1));
@@ -252,7 +279,10 @@
             if let Some(is_repeat) = self.is_repeat {
                 inner.runs.end(is_repeat);
             }
-            inner.limiter.release(self.class, run_time, Instant::now())
+            let now = Instant::now();
+            let granted = inner.limiter.release(self.class, run_time, now);
+            inner.refuse_at_limit(now);
+            granted
         };
         self.limiter.send_permits(granted);
     }
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -107,7 +107,13 @@
         });
         let (stop, stopped) = watch::channel(false);
         let threads = vec![
-            requests(&node, listeners.callers, listeners.inbound, stopped.clone())?,
+            requests(
+                &node,
+                targets.clone(),
+                listeners.callers,
+                listeners.inbound,
+                stopped.clone(),
+            )?,
             control(
                 &node,
                 &call,
@@ -219,12 +225,13 @@
 /// Starts the threads of the outbound and inbound proxies.
 fn requests(
     node: &Arc<Node>,
+    targets: Arc<Targets>,
     callers: Listener,
     inbound_at: Listener,
     stopped: watch::Receiver<bool>,
 ) -> Thread {
     let outbound = Outbound::new(node.clone())?;
-    let inbound = Inbound::new(node.clone())?;
+    let inbound = Inbound::new(node.clone(), targets)?;
     let drain = node.settings.requests.drain.duration();
     let leaving = node.clone();
     let runtime = tokio::runtime::Builder::new_multi_thread()
--- a/src/transport/inbound.rs
+++ b/src/transport/inbound.rs
@@ -20,7 +20,11 @@
     },
     event::Event,
     id::Name,
-    protocol::answer::{self, Outcome, Refusal},
+    protocol::{
+        answer::{self, Outcome, Refusal},
+        dialect::Dialect,
+        notice::Notice,
+    },
     state::{
         member::{Status, Target},
         resource::{Class, Policy},
@@ -31,6 +35,7 @@
         http::{self, Failure, Outgoing},
         identity::{self, Identity},
         keyed::{self, Keys},
+        targets::Targets,
     },
     unit::Span,
 };
@@ -49,6 +54,8 @@
     pub node: Arc<Node>,
     /// The idempotency keys issued by this incarnation of the node.
     pub keys: Keys,
+    targets: Arc<Targets>,
+    dialect: Dialect,
     http1: reqwest::Client,
     http2: reqwest::Client,
 }
@@ -68,12 +75,12 @@
 }
 
 impl Inbound {
-    /// Returns the inbound proxy of `node`.
+    /// Returns the inbound proxy of `node`, with the targets on its host.
     ///
     /// # Errors
     ///
     /// Returns an error if an HTTP client can't be built.
-    pub fn new(node: Arc<Node>) -> Result<Arc<Self>, super::Error> {
+    pub fn new(node: Arc<Node>, targets: Arc<Targets>) -> Result<Arc<Self>, super::Error> {
         let http1 = http::client().pool_idle_timeout(IDLE_TIMEOUT).build()?;
         let http2 = http::client()
             .pool_idle_timeout(IDLE_TIMEOUT)
@@ -83,6 +90,8 @@
         Ok(Arc::new(Self {
             node,
             keys,
+            targets,
+            dialect: Dialect::default(),
             http1,
             http2,
         }))
@@ -221,17 +230,34 @@
         let Onward {
             method, headers, ..
         } = req;
-        http::forward(
-            client,
-            Outgoing {
-                method,
-                url,
-                headers,
-                body,
-                deadline: visit.deadline,
-            },
-        )
-        .await
+        let outgoing = Outgoing {
+            method,
+            url,
+            headers,
+            body,
+            deadline: visit.deadline,
+        };
+        let response = http::forward(client, outgoing).await?;
+        let notice = Notice::of(response.headers(), &self.dialect);
+        self.receive_notice(visit, notice);
+        Ok(response)
+    }
+
+    /// Keeps from now on to what the target stated in a response about the requests that it
+    /// takes.
+    fn receive_notice(&self, visit: &Visit, notice: Notice) {
+        let service = &visit.target.service;
+        let limiter = self.node.limiters.get(service, &visit.policy);
+        if limiter.set_limit(notice.limit) {
+            let limit = notice
+                .limit
+                .map_or("none".into(), |limit| limit.to_string());
+            let details = format_args!("service={service} limit={limit}");
+            self.node.journal.write(Event::TargetNotice, details);
+        }
+        if notice.is_leaving {
+            self.targets.note_leaving(&visit.target);
+        }
     }
 
     /// Sets the system's headers on an answer.
--- a/src/transport/targets.rs
+++ b/src/transport/targets.rs
@@ -21,11 +21,29 @@
 /// such as when one drains.
 const ANNOUNCE_TO: usize = 8;
 
-/// The targets on this host with the time at which the lease of each expires.
+/// The targets on this host.
 pub struct Targets {
     node: Arc<Node>,
     call: Call,
-    held: Mutex<HashMap<Name, (Target, Instant)>>,
+    held: Mutex<HashMap<Name, Held>>,
+}
+
+/// A target on this host.
+struct Held {
+    /// As it announced itself, or as an operator drained it.
+    target: Target,
+    /// When its lease expires.
+    expires_at: Instant,
+    /// Until when it counts as leaving, because it stated so in a response. Without an instance
+    /// in announcements, a target that was restarted since can't be told from it, so the
+    /// statement holds for the length of a lease only.
+    leaves_until: Option<Instant>,
+}
+
+impl Held {
+    fn is_draining(&self, now: Instant) -> bool {
+        self.target.draining || self.leaves_until.is_some_and(|until| now < until)
+    }
 }
 
 impl Targets {
@@ -47,30 +65,30 @@
             draining,
         } = announcement;
         let lease = self.node.settings.membership.lease;
-        let until = Instant::now() + lease.duration();
+        let expires_at = Instant::now() + lease.duration();
         {
             let mut held = self.held.lock();
+            let before = held.get(&service);
+            let before = before.filter(|held| held.target.address == address);
             // A later announcement must not undo a drain ordered by an operator.
-            let ordered = held
-                .get(&service)
-                .is_some_and(|(t, _)| t.draining && t.address == address);
-            let draining = draining || ordered;
-            held.insert(
-                service.clone(),
-                (
-                    Target {
-                        service,
-                        address,
-                        http2,
-                        draining,
-                        slots: 0,
-                        instance: Instance::default(),
-                        release: None,
-                        verdict: None,
-                    },
-                    until,
-                ),
-            );
+            let ordered = before.is_some_and(|held| held.target.draining);
+            let leaves_until = before.and_then(|held| held.leaves_until);
+            let target = Target {
+                service: service.clone(),
+                address,
+                http2,
+                draining: draining || ordered,
+                slots: 0,
+                instance: Instance::default(),
+                release: None,
+                verdict: None,
+            };
+            let announced = Held {
+                target,
+                expires_at,
+                leaves_until,
+            };
+            held.insert(service, announced);
         }
         self.publish().await;
         Lease {
@@ -80,19 +98,37 @@
 
     /// Drains the target of `service`, or all targets.
     pub async fn drain(&self, service: Option<&Name>) {
-        for (target, _) in self.held.lock().values_mut() {
+        for Held { target, .. } in self.held.lock().values_mut() {
             target.draining |= service.is_none_or(|wanted| target.service == *wanted);
         }
         self.publish().await;
     }
 
+    /// Drains a target that stated in a response that it leaves. Other nodes are told in a
+    /// task of its own, so that the response needn't wait.
+    pub fn note_leaving(self: &Arc<Self>, target: &Target) {
+        {
+            let mut held = self.held.lock();
+            let held = held.get_mut(&target.service);
+            let Some(held) = held.filter(|held| held.target.address == target.address) else {
+                return;
+            };
+            let lease = self.node.settings.membership.lease;
+            held.leaves_until = Some(Instant::now() + lease.duration());
+        }
+        if self.update_record() {
+            let targets = self.clone();
+            tokio::spawn(async move { targets.tell_peers().await });
+        }
+    }
+
     /// Removes targets whose lease has expired, every second. Never returns.
     pub async fn expire(self: Arc<Self>) {
         loop {
             tokio::time::sleep(Span::from_secs(1).duration()).await;
             self.held
                 .lock()
-                .retain(|_, (_, until)| Instant::now() < *until);
+                .retain(|_, held| Instant::now() < held.expires_at);
             self.publish().await;
         }
     }
@@ -100,12 +136,23 @@
     /// Updates the targets in this node's member record and, if they changed,
     /// announces the record.
     async fn publish(&self) {
-        let mut targets: Vec<Target> = self
-            .held
-            .lock()
-            .values()
-            .map(|(target, _)| target.clone())
-            .collect();
+        if self.update_record() {
+            self.tell_peers().await;
+        }
+    }
+
+    async fn tell_peers(&self) {
+        gossip::announce_now(&self.node, &self.call, ANNOUNCE_TO).await;
+    }
+
+    /// Updates the targets in this node's member record; returns whether they changed.
+    fn update_record(&self) -> bool {
+        let now = Instant::now();
+        let published = |held: &Held| Target {
+            draining: held.is_draining(now),
+            ..held.target.clone()
+        };
+        let mut targets: Vec<Target> = self.held.lock().values().map(published).collect();
         targets.sort_by(|a, b| a.service.cmp(&b.service));
         let stopping = self.node.is_stopping();
         targets
@@ -114,9 +161,7 @@
         for target in targets.iter().filter(|target| target.draining) {
             self.node.limiters.close(&target.service);
         }
-        if self.node.set_targets(targets) {
-            gossip::announce_now(&self.node, &self.call, ANNOUNCE_TO).await;
-        }
+        self.node.set_targets(targets)
     }
 }
 
--- a/tests/coordination.rs
+++ b/tests/coordination.rs
@@ -544,6 +544,7 @@
                     Admission::Rejected(retry_after) => {
                         prop_assert!(waiting.len() as u32 >= queue && retry_after.as_millis() > 0);
                     }
+                    Admission::AtLimit(_) => prop_assert!(false, "no limit is set"),
                 }
             } else if !running.is_empty() {
                 let ended = running.remove(0);
@@ -680,6 +681,7 @@
                         waiting.insert(ticket, class);
                     }
                     Admission::Rejected(_) => {}
+                    Admission::AtLimit(_) => panic!("no limit is set"),
                 }
             }
             // One request ends for every four that arrive.
--- a/tests/requests.rs
+++ b/tests/requests.rs
@@ -2,7 +2,11 @@
 
 mod support;
 
-use std::{path::Path, sync::atomic::Ordering, time::Duration};
+use std::{
+    path::Path,
+    sync::atomic::Ordering,
+    time::{Duration, Instant},
+};
 
 use futures_util::future::join_all;
 use reqwest::Response;
@@ -72,6 +76,50 @@
         assert_eq!((hits.load(Ordering::SeqCst), other.hits()), (2, 0));
     }
 
+    target_gets_no_more_than_the_limit_in_its_answers => {
+        const LIMIT: usize = 5;
+        let mesh = two_nodes(json!({})).await;
+        let answer = format!("HTTP/1.1 200 OK\r\nrilltrack-limit: {LIMIT}\r\ncontent-length: 2\r\n\r\nok");
+        let (address, hits) = raw::target(move |_| Some(answer.clone().into_bytes())).await;
+        mesh.announce(1, "s", address).await;
+        let told = client().get(mesh.url(0, "/s")).send().await.unwrap();
+        assert_eq!(told.status().as_u16(), 200);
+        let since = Instant::now();
+        // No more callers than the slots of the target.
+        let caller = async || {
+            let mut served = 0;
+            for _ in 0..50 {
+                let response = client().get(mesh.url(0, "/s")).send().await.unwrap();
+                served += usize::from(response.status().as_u16() == 200);
+            }
+            served
+        };
+        let served: usize = join_all((0..4).map(|_| caller())).await.into_iter().sum();
+        // Half more than the limit for each second that the requests took, and five.
+        let seconds = since.elapsed().as_secs_f64().max(4.0);
+        let allowed = (LIMIT as f64 * 1.5 * seconds) as usize + 5;
+        assert!((LIMIT - 1..=allowed).contains(&served), "{served} served, {allowed} allowed");
+        assert_eq!(hits.load(Ordering::SeqCst), served as u64 + 1);
+    }
+
+    target_whose_answer_states_its_leave_gets_no_more_requests => {
+        let mesh = two_nodes(json!({})).await;
+        let leaving = b"HTTP/1.1 200 OK\r\nrilltrack-leaving: 1\r\ncontent-length: 2\r\n\r\nok".to_vec();
+        let (address, hits) = raw::target(move |_| Some(leaving.clone())).await;
+        mesh.announce(0, "s", address).await;
+        let told = client().get(mesh.url(0, "/s")).send().await.unwrap();
+        assert_eq!(told.status().as_u16(), 200);
+        // It announces itself again as if it stayed.
+        mesh.announce(0, "s", address).await;
+        // The other target is in a farther failure domain.
+        let other = mesh.target(1, "s").await;
+        for _ in 0..20 {
+            let response = client().get(mesh.url(0, "/s")).send().await.unwrap();
+            assert_eq!(response.status().as_u16(), 200);
+        }
+        assert_eq!((hits.load(Ordering::SeqCst), other.hits()), (1, 20));
+    }
+
     request_to_a_target_that_refuses_connections_is_not_run => {
         let mesh = two_nodes(json!({})).await;
         let closed = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
