Requests that wait when a target reaches its limit are rejected at once

What callers would see: a request that waits for a slot of a target which then takes no more for up to five seconds waits as long as it may, and is rejected then.

Cause: the pace stood beside the queue. Slots that became free were not granted while it was used up, and nothing woke the waiting requests afterwards but the end of another run.

Evidence: target_that_reaches_its_limit_leaves_no_request_waiting; without the change its second request waits to the end of its time and is told that the target is full.

--- a/src/coordination/decision/pace.rs
+++ b/src/coordination/decision/pace.rs
@@ -124,6 +124,57 @@
     }
 }
 
+/// Why a target takes no request now.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Cause {
+    /// It warms up.
+    Warmup,
+    /// It states a limit.
+    Limit,
+}
+
+/// The paces of a target: while it warms up, and by the limit that it states.
+#[derive(Debug, Default)]
+pub struct Paces {
+    warmup: Pace,
+    limit: Pace,
+}
+
+impl Paces {
+    /// Sets the bound while the target warms up; `None` if it needs none.
+    pub fn set_warmup(&mut self, bound: Option<Bound>) {
+        self.warmup.set(bound);
+    }
+
+    /// Sets the limit that the target states; `None` if it states none.
+    pub fn set_limit(&mut self, limit: Option<Rate>) {
+        self.limit.set(limit.map(Bound::limit));
+    }
+
+    /// Records that a request is passed on.
+    pub fn record(&mut self, now: Instant) {
+        self.warmup.record(now);
+        self.limit.record(now);
+    }
+
+    /// Returns how long it takes until a request may be passed on, and why; `None` if one may
+    /// be now.
+    pub fn wait(&self, now: Instant) -> Option<(Duration, Cause)> {
+        let warmup = self.warmup.wait(now).map(|wait| (wait, Cause::Warmup));
+        let limit = self.limit.wait(now).map(|wait| (wait, Cause::Limit));
+        warmup
+            .into_iter()
+            .chain(limit)
+            .max_by_key(|(wait, _)| *wait)
+    }
+
+    /// Returns the used share of what may be passed on within a window; 0 without a bound.
+    pub fn usage(&self, now: Instant) -> f64 {
+        let usages = [&self.warmup, &self.limit].map(|pace| pace.usage(now).unwrap_or_default());
+        usages.into_iter().fold(0.0, f64::max)
+    }
+}
+
 /// Returns the whole requests of a second. At least one is, so that a target is used at all.
 fn whole(rate: Rate) -> usize {
     (rate.per_second() * WINDOW.as_secs_f64()).floor().max(1.0) as usize
--- a/src/coordination/decision/queue.rs
+++ b/src/coordination/decision/queue.rs
@@ -16,6 +16,7 @@
 };
 
 use crate::{
+    coordination::decision::pace::{Cause, Paces},
     protocol::dialect::{Load, Slowdown},
     unit::Span,
 };
@@ -59,6 +60,8 @@
     /// The mean run time, in seconds.
     mean: f64,
     slowdown: Slowdown,
+    /// How many requests the target takes in a second, whatever slots are free.
+    pub paces: Paces,
 }
 
 /// The properties of a request that decide on its admission.
@@ -105,6 +108,8 @@
     },
     /// It is rejected.
     Rejected,
+    /// It is rejected because the target takes no request for this time.
+    Paced(Duration, Cause),
 }
 
 impl<W> Default for Queue<W> {
@@ -116,6 +121,7 @@
             next_sequence: 0,
             mean: INITIAL_MEAN,
             slowdown: Slowdown::default(),
+            paces: Paces::default(),
         }
     }
 }
@@ -135,10 +141,12 @@
         self.slowdown = Slowdown::default();
     }
 
-    /// Returns the target's load.
-    pub fn load(&self) -> Load {
+    /// Returns the target's load. While requests to it are paced, its slots count as used as far
+    /// as the requests of a window are, so that other nodes choose it less.
+    pub fn load(&self, now: Instant) -> Load {
+        let paced = (self.paces.usage(now) * f64::from(self.slots)).ceil() as u32;
         Load {
-            running: self.running,
+            running: self.running.max(paced),
             waiting: self.waiting.len() as u32,
             slots: self.slots,
         }
@@ -159,8 +167,11 @@
 
     /// Decides on a request that arrives; `waiter` is kept if the request waits.
     pub fn admit(&mut self, arrival: &Arrival, waiter: W, now: Instant) -> Admission<W> {
+        if let Some((wait, cause)) = self.paces.wait(now) {
+            return Admission::Paced(wait, cause);
+        }
         if self.has_free_slot() && self.waiting.is_empty() {
-            self.running += 1;
+            self.start(now);
             return Admission::Admitted;
         }
         let Some((place, max_wait)) = self.place(arrival, now) else {
@@ -193,16 +204,30 @@
         is_free || self.place(arrival, now).is_some()
     }
 
-    /// Admits the next waiting request, if a slot is free.
-    pub fn admit_next(&mut self) -> Option<W> {
-        if !self.has_free_slot() {
+    /// Admits the next waiting request, if a slot is free and the target takes a request now.
+    pub fn admit_next(&mut self, now: Instant) -> Option<W> {
+        if !self.has_free_slot() || self.paces.wait(now).is_some() {
             return None;
         }
         let (_, waiter) = self.waiting.pop_first()?;
-        self.running += 1;
+        self.start(now);
         Some(waiter)
     }
 
+    /// Rejects all waiting requests if the target takes none now, and returns their waiters.
+    /// Such a time is longer than most requests may wait, and no run that ends would wake them.
+    pub fn reject_paced(&mut self, now: Instant) -> Vec<W> {
+        match self.paces.wait(now) {
+            Some(_) => std::mem::take(&mut self.waiting).into_values().collect(),
+            None => Vec::new(),
+        }
+    }
+
+    fn start(&mut self, now: Instant) {
+        self.running += 1;
+        self.paces.record(now);
+    }
+
     /// Frees a slot, after a run of this time if there was one.
     pub fn release(&mut self, took: Option<Duration>) {
         self.running = self.running.saturating_sub(1);
--- a/src/coordination/gate.rs
+++ b/src/coordination/gate.rs
@@ -17,7 +17,7 @@
 pub use crate::coordination::decision::queue::Arrival;
 use crate::{
     coordination::decision::{
-        pace::{Bound, Pace},
+        pace::{Bound, Cause},
         queue::{Admission, MIN_RETRY_AFTER, Place, Queue},
         runs::Runs,
     },
@@ -65,10 +65,6 @@
     /// The senders wake waiting tasks. A task whose sender is dropped is rejected.
     queue: Queue<oneshot::Sender<()>>,
     runs: Runs,
-    /// The pace while the target warms up.
-    warmup: Pace,
-    /// The pace by the limit that the target states.
-    limit: Pace,
     /// What is known of what the target states; `None` before it has stated anything.
     stated: Option<Stated>,
 }
@@ -136,7 +132,7 @@
         let is_by_another = |stated: &Stated| stated.by != target.instance;
         if state.stated.as_ref().is_some_and(is_by_another) {
             state.stated = None;
-            state.limit.set(None);
+            state.queue.paces.set_limit(None);
         }
         state.queue.set_slots(target.slots);
         state.target = Some(target);
@@ -146,7 +142,9 @@
 
     /// Sets the bound while the target warms up; `None` if it needs none.
     pub fn set_warmup(&self, warmup: Option<Bound>) {
-        self.state.lock().warmup.set(warmup);
+        let mut state = self.state.lock();
+        state.queue.paces.set_warmup(warmup);
+        state.reject_paced();
     }
 
     /// Takes in what the target stated in a response, and keeps to its limit from now on.
@@ -210,16 +208,7 @@
     /// Returns the target's load. While requests to it are paced, its slots count as used as far
     /// as the requests of a window are, so that other nodes choose it less.
     pub fn load(&self) -> Load {
-        let state = self.state.lock();
-        let load = state.queue.load();
-        let now = Instant::now();
-        let usages = [&state.warmup, &state.limit].map(|pace| pace.usage(now).unwrap_or_default());
-        let usage = usages.into_iter().fold(0.0, f64::max);
-        let paced = (usage * f64::from(load.slots)).ceil() as u32;
-        Load {
-            running: load.running.max(paced),
-            ..load
-        }
+        self.state.lock().queue.load(Instant::now())
     }
 
     /// Returns the slot turnover time: how long it takes until a slot is free, while all are
@@ -258,14 +247,10 @@
             if let Some(unavailable) = state.unavailable() {
                 return Err(unavailable.refusal());
             }
-            let now = Instant::now();
-            state.check_pace(now)?;
-            match state.queue.admit(&arrival, sender, now) {
-                Admission::Admitted => {
-                    state.record_admission(now);
-                    return Ok(self.permit(&state));
-                }
+            match state.queue.admit(&arrival, sender, Instant::now()) {
+                Admission::Admitted => return Ok(self.permit(&state)),
                 Admission::Rejected => return Err(state.reject_full(&arrival)),
+                Admission::Paced(wait, cause) => return Err(reject_paced(wait, cause)),
                 Admission::Queued {
                     place, max_wait, ..
                 } => (place, max_wait),
@@ -292,11 +277,13 @@
             Ok(Err(_)) => {
                 waiter.place = None;
                 let state = self.state.lock();
-                // The gate closed, the target was removed, or a request that goes before this
-                // one displaced it.
-                Err(state
-                    .unavailable()
-                    .map_or_else(|| state.reject_full(&arrival), Unavailable::refusal))
+                // The gate closed, the target was removed or takes no request now, or a request
+                // that goes before this one displaced it.
+                if let Some(unavailable) = state.unavailable() {
+                    return Err(unavailable.refusal());
+                }
+                state.check_pace(Instant::now())?;
+                Err(state.reject_full(&arrival))
             }
             Err(_) => Err(self.state.lock().reject_full(&arrival)),
         }
@@ -360,6 +347,15 @@
     }
 }
 
+/// Returns the refusal of a request while the target takes none for a time.
+fn reject_paced(wait: Duration, cause: Cause) -> Refusal {
+    let reason = match cause {
+        Cause::Warmup => WARMING_UP,
+        Cause::Limit => AT_LIMIT,
+    };
+    Refusal::not_run(reason, Span::from_duration(wait))
+}
+
 impl State {
     fn unavailable(&self) -> Option<Unavailable> {
         if self.is_closed {
@@ -377,23 +373,22 @@
     }
 
     fn set_stated(&mut self, stated: Stated) {
-        self.limit.set(stated.notice.limit.map(Bound::limit));
+        self.queue.paces.set_limit(stated.notice.limit);
         self.stated = Some(stated);
+        self.reject_paced();
     }
 
     /// Checks whether the target takes one more request now.
     fn check_pace(&self, now: Instant) -> Result<(), Refusal> {
-        let paces = [(&self.warmup, WARMING_UP), (&self.limit, AT_LIMIT)];
-        let waits = paces.map(|(pace, reason)| (pace.wait(now), reason));
-        match waits.into_iter().max() {
-            Some((Some(wait), reason)) => Err(Refusal::not_run(reason, Span::from_duration(wait))),
-            _ => Ok(()),
+        match self.queue.paces.wait(now) {
+            Some((wait, cause)) => Err(reject_paced(wait, cause)),
+            None => Ok(()),
         }
     }
 
-    fn record_admission(&mut self, now: Instant) {
-        self.warmup.record(now);
-        self.limit.record(now);
+    /// Rejects all waiting requests if the target takes none now, by dropping their senders.
+    fn reject_paced(&mut self) {
+        drop(self.queue.reject_paced(Instant::now()));
     }
 
     fn reject_full(&self, arrival: &Arrival) -> Refusal {
@@ -406,14 +401,13 @@
     /// Wakes the waiting tasks for which slots are free now.
     fn admit_next(&mut self) {
         let now = Instant::now();
-        while !self.is_closed && self.check_pace(now).is_ok() {
-            let Some(waiter) = self.queue.admit_next() else {
-                return;
+        while !self.is_closed {
+            let Some(waiter) = self.queue.admit_next(now) else {
+                return self.reject_paced();
             };
             // The task has just stopped waiting, so the slot goes to the next one.
-            match waiter.send(()) {
-                Ok(()) => self.record_admission(now),
-                Err(()) => self.queue.release(None),
+            if waiter.send(()).is_err() {
+                self.queue.release(None);
             }
         }
     }
--- a/standins/src/load/file.rs
+++ b/standins/src/load/file.rs
@@ -119,6 +119,7 @@
     Sheds(f64),
     Fails(f64),
     Slows(f64),
+    Limits(f64),
 }
 
 const fn normal_priority() -> u8 {
@@ -273,6 +274,7 @@
                 HarmEntry::Sheds(part) => Harm::Sheds(part),
                 HarmEntry::Fails(part) => Harm::Fails(part),
                 HarmEntry::Slows(by) => Harm::Slows(by),
+                HarmEntry::Limits(per_second) => Harm::Limits(per_second),
             },
         }
     }
--- a/standins/src/load/mod.rs
+++ b/standins/src/load/mod.rs
@@ -160,6 +160,8 @@
     Fails(f64),
     /// Its run times are multiplied by this factor.
     Slows(f64),
+    /// It states in its answers that it takes this many requests a second.
+    Limits(f64),
 }
 
 impl Load {
--- a/standins/src/load/model.rs
+++ b/standins/src/load/model.rs
@@ -16,7 +16,7 @@
     id::Name,
     protocol::answer::{Outcome, Refusal},
     state::{member::Member, region::Regions},
-    unit::Span,
+    unit::{Rate, Span},
 };
 
 use super::{
@@ -27,6 +27,9 @@
 /// The reason of a refusal by a target's queue.
 const FULL: &str = "target is full";
 
+/// The reason of a refusal because a target got all requests that it takes.
+const AT_LIMIT: &str = "target is at its limit";
+
 /// The retry delay that a target asks for when it sheds a request.
 const SHED_AGAIN: Span = Span::from_millis(200);
 
@@ -248,7 +251,7 @@
             domain: &home.member.domain,
             regions: &Regions::default(),
             bytes: of.body,
-            own_load: home.queue.load(),
+            own_load: home.queue.load(now),
         };
         let may_ask = held.attempts.may_ask(&asked, now);
         let tried = &held.attempts.nodes;
@@ -393,6 +396,7 @@
         match host.queue.admit(&arrival, request, now) {
             Admission::Admitted => self.enter(request),
             Admission::Rejected => self.refuse(request),
+            Admission::Paced(wait, _) => self.refuse_paced(request, wait),
             Admission::Queued {
                 place,
                 max_wait,
@@ -440,6 +444,13 @@
         self.answer(request, AttemptEnd::Refused { refusal, arrived }, None);
     }
 
+    /// Rejects a request because the target takes none for a time.
+    fn refuse_paced(&mut self, request: usize, wait: Duration) {
+        let refusal = Refusal::not_run(AT_LIMIT, Span::from_duration(wait));
+        let arrived = false;
+        self.answer(request, AttemptEnd::Refused { refusal, arrived }, None);
+    }
+
     /// Starts a request in its slot.
     fn enter(&mut self, request: usize) {
         self.requests[request].place = None;
@@ -517,6 +528,8 @@
             .harms(self.load, self.now)
             .any(|harm| matches!(harm, Harm::Fails(part) if chance < part));
         let is_fault = fails || held.has_failed_call;
+        self.receive_limit(host);
+        let held = &self.requests[request];
         self.fleet.hosts[host].runs.end(held.attempts.arrivals > 0);
         let queue = &mut self.fleet.hosts[host].queue;
         queue.release(Some(ran));
@@ -532,9 +545,28 @@
     }
 
     fn grant(&mut self, host: usize) {
-        while let Some(request) = self.fleet.hosts[host].queue.admit_next() {
+        let now = self.instant();
+        while let Some(request) = self.fleet.hosts[host].queue.admit_next(now) {
             self.enter(request);
         }
+        let queue = &mut self.fleet.hosts[host].queue;
+        let rejected = queue.reject_paced(now);
+        let wait = queue.paces.wait(now).map(|(wait, _)| wait);
+        for request in rejected {
+            self.requests[request].place = None;
+            self.refuse_paced(request, wait.unwrap_or_default());
+        }
+    }
+
+    /// Takes in the limit that a target states in an answer.
+    fn receive_limit(&mut self, host: usize) {
+        let harms = self.fleet.hosts[host].harms(self.load, self.now);
+        let limits = harms.filter_map(|harm| match harm {
+            Harm::Limits(per_second) => Rate::from_per_second(per_second),
+            _ => None,
+        });
+        let limit = limits.min();
+        self.fleet.hosts[host].queue.paces.set_limit(limit);
     }
 
     /// Sends the result of an attempt back, with the node's report on its target.
@@ -543,7 +575,7 @@
         let body = self.load.kinds[held.kind].body;
         let queue = &self.fleet.hosts[held.at].queue;
         let report = Report {
-            load: Some(queue.load()),
+            load: Some(queue.load(self.instant())),
             slowdown: Some(queue.slowdown()),
             run_time: ran,
             is_large: is_large(body),
@@ -564,6 +596,9 @@
         let (end, arrived) = match &ended {
             AttemptEnd::Answered { is_fault: true, .. } => (AttemptResult::Failed, true),
             AttemptEnd::Answered { .. } => (AttemptResult::Answered(took), true),
+            AttemptEnd::Refused { refusal, arrived } if refusal.reason == AT_LIMIT => {
+                (AttemptResult::AtLimit, *arrived)
+            }
             AttemptEnd::Refused { refusal, arrived } if refusal.outcome == Outcome::NotRun => {
                 (AttemptResult::Refused, *arrived)
             }
--- a/standins/tests/load.rs
+++ b/standins/tests/load.rs
@@ -374,6 +374,32 @@
         }
     }
 
+    limited_targets_are_used_up_to_their_limit_while_others_serve_the_rest => {
+        const LIMIT: f64 = 20.0;
+        let length = ms(10_000);
+        let load = Load {
+            services: vec![Service::default()],
+            kinds: vec![Kind { per_s: 240.0, ..Kind::default() }],
+            troubles: vec![Trouble {
+                service: 0,
+                share: 0.33,
+                during: ms(0)..length,
+                what: Harm::Limits(LIMIT),
+            }],
+            length,
+            ..Load::default()
+        };
+        for seed in 0..SEEDS {
+            let figures = load::run(&load, seed);
+            let limited = LIMIT * length.as_secs_f64();
+            for runs in &figures.runs[0][..2] {
+                let runs = f64::from(*runs);
+                assert!((0.5 * limited..=1.5 * limited + 5.0).contains(&runs), "{runs} runs, seed {seed}");
+            }
+            assert!(served_share(&figures.kinds[0]) > 0.99, "seed {seed}: {figures:?}");
+        }
+    }
+
     no_priority_is_served_less_than_a_lower_one => {
         let mut rng = fastrand::Rng::with_seed(SEED);
         let mut faults = Vec::new();
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -13,7 +13,7 @@
 };
 
 use bytes::BytesMut;
-use futures_util::FutureExt;
+use futures_util::{FutureExt, future::join_all};
 use hyper::{Request, Response};
 use rilltrack::{
     coordination::{
@@ -54,7 +54,7 @@
         pool::{self, Failure, Pool},
         serve::{self, ClientKind, Handler, Phase, Server},
     },
-    unit::{Size, Span},
+    unit::{Rate, Size, Span},
 };
 use support::raw;
 use tokio::{
@@ -1615,6 +1615,25 @@
         assert!(first.now_or_never().is_none());
     }
 
+    target_that_reaches_its_limit_leaves_no_request_waiting => {
+        let gate = Gate::new();
+        gate.set_target(target("i1", 1));
+        let permit = gate.acquire(arrival(1, LONG)).await.ok().unwrap();
+        let mut waiting: Vec<_> = (0..2).map(|_| Box::pin(gate.acquire(arrival(1, LONG)))).collect();
+        for waiter in &mut waiting {
+            assert!(waiter.as_mut().now_or_never().is_none());
+        }
+        let none = Notice { limit: Some(Rate::default()), is_leaving: false };
+        assert!(gate.record_notice(&"i1".into(), none));
+        // The target gets one request, and the other one is rejected although it may wait on.
+        drop(permit);
+        let mut ended = join_all(waiting).await.into_iter();
+        assert!(ended.next().unwrap().is_ok());
+        let refusal = ended.next().unwrap().err().unwrap();
+        assert_eq!((refusal.outcome, refusal.reason.as_str()), (Outcome::NotRun, gate::AT_LIMIT));
+        assert!(refusal.retry_after.is_some());
+    }
+
     full_gate_rejects_at_once_a_request_that_would_wait_too_long => {
         let gate = Gate::new();
         gate.set_target(target("i1", 1));
