A health answer that states a leave or a limit is kept to

What callers would see: a node that starts beside a leaving target, and asks its health because the warm-up isn't known, opens the gate although the answer states the leave.

Cause: the same as for answers to requests; the health answer was read for the warm-up alone.

Why this works: what a health answer restricts is taken in. It lifts nothing, since a target may state its limit in answers to requests alone.

--- a/src/transport/relay/health.rs
+++ b/src/transport/relay/health.rs
@@ -18,6 +18,7 @@
     coordination::{gate, host::Host},
     event::Event,
     journal::note,
+    protocol::{hop::Limit, notice::Notice},
     transport::{
         http,
         relay::{
@@ -46,11 +47,12 @@
         let Some((target, path)) = host.unknown_warmup() else {
             continue;
         };
-        if let Some(left) = ask(&host, &pool, &target, &path).await {
+        if let Some((left, notice)) = ask(&host, &pool, &target, &path).await {
             host.local
                 .lock()
                 .set_warmup(&target.instance, left, Instant::now());
             host.set_gate();
+            receive_notice(&host, &target, notice);
             note!(
                 host.journal,
                 Event::TargetChanged,
@@ -61,9 +63,28 @@
     }
 }
 
-/// Returns how long the target still warms up, or `None` if it doesn't answer or another
-/// instance does.
-async fn ask(host: &Host, pool: &Pool, target: &gate::Target, path: &str) -> Option<Span> {
+/// Takes in what a health answer restricts. It lifts nothing: a target may state its limit in
+/// answers to requests alone.
+fn receive_notice(host: &Host, target: &gate::Target, notice: Notice) {
+    if let Some(rate) = notice.limit {
+        host.gate.assume_limit(&Limit {
+            rate,
+            instance: target.instance.clone(),
+        });
+    }
+    if notice.is_leaving {
+        host.note_leaving(&target.instance);
+    }
+}
+
+/// Returns how long the target still warms up and what it states, or `None` if it doesn't
+/// answer or another instance does.
+async fn ask(
+    host: &Host,
+    pool: &Pool,
+    target: &gate::Target,
+    path: &str,
+) -> Option<(Span, Notice)> {
     let dialect = &host.decoders.dialect;
     let mut request = Request::new(Body::whole(""));
     *request.uri_mut() = path.parse().ok()?;
@@ -74,5 +95,6 @@
     let headers = exchange.response.headers();
     let instance = http::get(headers, dialect.instance.as_str())?;
     let left = http::parse(headers, dialect.warmup.as_str()).unwrap_or(0);
-    (instance == target.instance.id()).then(|| Span::from_millis(left))
+    let notice = Notice::of(headers, dialect);
+    (instance == target.instance.id()).then(|| (Span::from_millis(left), notice))
 }
--- a/standins/src/target.rs
+++ b/standins/src/target.rs
@@ -265,9 +265,10 @@
             let mode = *self.mode.lock();
             if seen.line.starts_with("GET /health ") {
                 let left = self.cold_left();
+                let notice = self.notice.lock().clone();
                 let health = format!(
                     "HTTP/1.1 200 OK\r\nRilltrack-Instance-Id: i1\r\n\
-                     Rilltrack-Warmup-Ms: {left}\r\nContent-Length: 0\r\n\r\n"
+                     Rilltrack-Warmup-Ms: {left}\r\n{notice}Content-Length: 0\r\n\r\n"
                 );
                 stream.write_all(health.as_bytes()).await.ok()?;
                 continue;
--- a/standins/tests/warmup.rs
+++ b/standins/tests/warmup.rs
@@ -105,6 +105,15 @@
         }
     }
 
+    restarted_node_learns_of_a_leave_from_the_health_answer => {
+        let (_store, mut one, two) = pair().await;
+        one.target.set_notice("Server-Leaving: 1\r\n");
+        one.stop().await;
+        one.run();
+        until("the other node knows the leave", async || !two.knows("n1")).await;
+        assert!(one.target.seen().is_empty(), "no request was needed");
+    }
+
     target_that_becomes_cold_again_is_paced_from_its_next_heartbeat => {
         let (_store, one, two) = pair().await;
         heartbeat(&one, 2, "0ms").await;
