Host, egress and the shared quarantine in smaller modules

The shared quarantine no longer depends on Host, which holds it; the task that reviews it does, in quarantine::review. The nodes that count as unreachable are no type of watch any more. Behaviour as before.

--- a/src/coordination/host.rs
+++ b/src/coordination/host.rs
@@ -1,7 +1,7 @@
 //! The state that the tasks of one node share, on a platform with its own store.
 
 use std::{
-    collections::VecDeque,
+    collections::HashMap,
     net::SocketAddr,
     sync::{
         Arc,
@@ -10,7 +10,6 @@
     time::{Duration, Instant},
 };
 
-use arc_swap::ArcSwapOption;
 use parking_lot::{Mutex, RwLock};
 use tokio::sync::Notify;
 
@@ -27,6 +26,7 @@
         drain::SharedDrains,
         flow::Flow,
         gate::{self, Gate},
+        hint::Hint,
         interface::{Decoders, Stream},
         local::{Change, Local},
         quarantine::SharedQuarantine,
@@ -34,7 +34,7 @@
         rollout::Rollouts,
         shared_answer::Answers,
         streams::Streams,
-        watch::Skipped,
+        versions::Versions,
     },
     event::{Event, Journal},
     host::{
@@ -52,15 +52,6 @@
     unit::Span,
 };
 
-/// The shortest time between two hints that are followed; hints in between are ignored.
-/// It is about the duration of one request to a peer.
-const MIN_HINT_INTERVAL: Duration = Duration::from_millis(50);
-
-/// Recent versions of the routes that are kept, to compute deltas for peers. A burst
-/// of changes brings five versions a second; a node that is further behind receives a
-/// whole version.
-const MAX_PAST_VERSIONS: usize = 8;
-
 /// Members in one batch up to which each member has its own log line; a larger batch has one
 /// line. With hundreds of lines of members, a starting node of a large fleet dropped the log
 /// lines of its first requests.
@@ -114,25 +105,16 @@
     pub warmup_unknown: Notify,
     grace: Mutex<Span>,
     is_leaving: AtomicBool,
-    routes: ArcSwapOption<routing::Table>,
-    past_versions: Mutex<VecDeque<Arc<routing::Table>>>,
-    in_force_since: Mutex<Option<Instant>>,
-    unreachable: Mutex<Skipped>,
-    hint: Mutex<Hint>,
-    hint_arrived: Notify,
+    versions: Versions,
+    /// The nodes that did not answer, each with the time until which it counts as unreachable.
+    unreachable: Mutex<HashMap<Node, Instant>>,
+    hint: Hint,
 }
 
 /// A record that could not be decoded.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Unusable;
 
-/// The latest hint that a peer has something newer.
-#[derive(Default)]
-struct Hint {
-    from: Option<SocketAddr>,
-    at: Option<Instant>,
-}
-
 impl Host {
     /// Applies the settings that can change while the process runs. Logs the names of the
     /// changed settings that need a restart.
@@ -199,41 +181,32 @@
             node_unreachable: Notify::new(),
             warmup_unknown: Notify::new(),
             is_leaving: AtomicBool::new(false),
-            routes: ArcSwapOption::empty(),
-            past_versions: Mutex::default(),
-            in_force_since: Mutex::default(),
+            versions: Versions::default(),
             unreachable: Mutex::default(),
-            hint: Mutex::default(),
-            hint_arrived: Notify::new(),
+            hint: Hint::default(),
             settings,
         }
     }
 
     /// Returns the version of the routes in force, if there is one.
     pub fn routes(&self) -> Option<Arc<routing::Table>> {
-        self.routes.load_full()
+        self.versions.current()
     }
 
     /// Returns the number of the version in force, or 0 if there is none.
     pub fn version(&self) -> u64 {
-        self.routes.load().as_ref().map_or(0, |table| table.version)
+        self.versions.number()
     }
 
     /// Returns the limits on requests of callers, from the version in force.
     pub fn limits(&self) -> routing::Limits {
-        let routes = self.routes.load();
-        routes
-            .as_ref()
-            .map_or_else(Default::default, |table| table.limits)
+        self.versions.limits()
     }
 
     /// Returns the delta from version `base` to the version in force, or the whole version
     /// if `base` is no longer kept. Returns nothing if no version is in force.
     pub fn routes_since(&self, base: u64) -> Option<Delta> {
-        let table = self.routes()?;
-        let past_versions = self.past_versions.lock();
-        let base = past_versions.iter().find(|past| past.version == base);
-        Some(table.delta_since(base.map(AsRef::as_ref)))
+        self.versions.since(base)
     }
 
     /// Puts the version in `record` in force if it is newer than the current one.
@@ -283,15 +256,9 @@
         let (version, routes) = (table.version, table.len());
         // Only the task that follows the store and peers puts versions in force, so no newer
         // one can have come into force since the check above.
-        self.routes.store(Some(Arc::new(table)));
-        *self.in_force_since.lock() = Some(Instant::now());
+        self.versions.put(table);
         self.version_changed.notify_one();
         self.set_gate();
-        let mut past_versions = self.past_versions.lock();
-        past_versions.extend(self.routes());
-        if past_versions.len() > MAX_PAST_VERSIONS {
-            past_versions.pop_front();
-        }
         note!(
             self.journal,
             Event::InForce,
@@ -443,7 +410,7 @@
     /// Returns whether the process can serve requests: routes and members are loaded, and
     /// the evidence about quarantined requests was reviewed once.
     pub fn is_ready(&self) -> bool {
-        self.routes.load().is_some()
+        self.routes().is_some()
             && self.streams.offset(Stream::Members).is_some()
             && self.quarantine.is_reviewed()
     }
@@ -453,26 +420,14 @@
     pub fn note_newer(&self, version: u64, members: u64, peer: SocketAddr) {
         let is_behind =
             version > self.version() || Some(members) > self.streams.offset(Stream::Members);
-        if !is_behind {
-            return;
-        }
-        let now = Instant::now();
-        let mut hint = self.hint.lock();
-        if hint.at.is_none_or(|at| now - at > MIN_HINT_INTERVAL) {
-            hint.from = Some(peer);
-            hint.at = Some(now);
-            self.hint_arrived.notify_one();
+        if is_behind {
+            self.hint.record(peer);
         }
     }
 
     /// Waits for a hint, and returns the address of the peer that has something newer.
     pub async fn next_hint(&self) -> SocketAddr {
-        loop {
-            self.hint_arrived.notified().await;
-            if let Some(peer) = self.hint.lock().from.take() {
-                return peer;
-            }
-        }
+        self.hint.next().await
     }
 
     /// Opens or closes the gate, according to the state of the target on this host.
@@ -532,6 +487,7 @@
         self.metrics.text(&metrics::Readings {
             version: self.version(),
             version_age: self
+                .versions
                 .in_force_since()
                 .map_or(Duration::ZERO, |since| now - since),
             load: self.gate.load(),
@@ -543,11 +499,6 @@
         })
     }
 
-    /// Returns when the current version came into force.
-    fn in_force_since(&self) -> Option<Instant> {
-        *self.in_force_since.lock()
-    }
-
     /// Waits until the network link has capacity for a response of `bytes`. Small responses
     /// and those of unknown size don't wait.
     pub async fn until_bandwidth_free(&self, bytes: Option<usize>) {
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -24,6 +24,7 @@
 //!
 //! * [`host`]: the state that its tasks share;
 //! * [`streams`]: how far this node has come along the store's streams;
+//! * [`versions`], [`hint`]: the routes in force, and hints that a peer has newer ones;
 //! * [`start`]: how a starting node learns of the fleet;
 //! * [`source`]: loads whole versions of the routes, and the members, from the store;
 //! * [`sync`]: what nodes ask of each other while they can't have it from the store;
@@ -53,6 +54,7 @@
 pub mod gate;
 pub mod gossip;
 pub mod health;
+pub mod hint;
 pub mod host;
 pub mod idempotency;
 pub mod interface;
@@ -78,6 +80,7 @@
 pub mod start;
 pub mod streams;
 pub mod sync;
+pub mod versions;
 pub mod watch;
 
 use crate::{protocol, state};
--- a/src/coordination/presence.rs
+++ b/src/coordination/presence.rs
@@ -9,7 +9,7 @@
 use tokio::sync::watch;
 
 use crate::{
-    coordination::{host::Host, interface::Store, quarantine, source},
+    coordination::{host::Host, interface::Store, quarantine::review, source},
     event::Event,
     id::Incarnation,
     journal::note,
@@ -43,7 +43,7 @@
         .lock()
         .restore(recorded.as_deref(), Instant::now());
     host.set_gate();
-    quarantine::restore(&host);
+    review::restore(&host);
     let mut member = recorded.as_deref().cloned();
     if member.is_none() {
         // Avoids a second write: the first record then already has the target.
--- a/src/coordination/watch.rs
+++ b/src/coordination/watch.rs
@@ -182,7 +182,3 @@
         .next()
         .cloned()
 }
-
-/// The nodes that did not answer, each with the time until which it is left out of the
-/// ranking.
-pub type Skipped = std::collections::HashMap<Node, Instant>;
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -21,7 +21,9 @@
         host,
         interface::{CallPeer, Decoders, Store, Stream},
         presence::{self, Recorded},
-        probe, quarantine, rate_limit, rollout, source, sync, watch as reader,
+        probe,
+        quarantine::review,
+        rate_limit, rollout, source, sync, watch as reader,
     },
     event::{Event, Journal},
     journal::note,
@@ -270,7 +272,7 @@
     tokio::spawn(sync::follow_hints(host.clone(), call_peer.clone()));
     tokio::spawn(reader::run(host.clone(), call_peer.clone()));
     tokio::spawn(rate_limit::run(rate_limit_exchange(&host, &call_peer)));
-    tokio::spawn(quarantine::run(host.clone()));
+    tokio::spawn(review::run(host.clone()));
     tokio::spawn(rollout::controller::run(host.clone(), store.clone()));
     tokio::spawn(probe::run(host.clone(), call_peer));
     tokio::spawn(presence::maintain_record(host, store, recorded));
--- a/src/transport/relay/call.rs
+++ b/src/transport/relay/call.rs
@@ -132,6 +132,11 @@
         }
     }
 
+    /// Returns the id that the caller gave the request, or `-`.
+    pub fn id(&self, host: &Host) -> &str {
+        request_id(host, &self.head)
+    }
+
     /// Returns whether the request may run in a region; `None` is one that isn't known.
     pub fn may_run_in(&self, region: Option<&Name>) -> bool {
         access::may_run_in(&self.route, self.team.as_deref(), region)
--- a/src/transport/relay/egress.rs
+++ b/src/transport/relay/egress.rs
@@ -16,22 +16,17 @@
     coordination::{
         decision::{
             attempts,
-            balance::{self, Choice, Criteria, Report},
+            balance::{self, Choice, Report},
             quarantine::QUARANTINED,
         },
         host::Host,
-        interface::Stream,
-        rollout::{Answer, Subset},
+        rollout::Answer,
     },
     event::Event,
     host::metrics,
-    id::Node,
     journal::note,
-    protocol::{
-        answer::{Outcome, Refusal},
-        notice::Notice,
-    },
-    state::{fingerprint::Fingerprint, member::Member},
+    protocol::{answer::Refusal, notice::Notice},
+    state::member::Member,
     transport::{
         http,
         relay::{
@@ -39,10 +34,11 @@
             attempt::{AttemptGuard, AttemptOutcome},
             body::{self, Body, ReadError, ReadResult},
             call::Call,
+            completion::{Attempts, finish},
             delivery::Delivery,
             ingress::{Ingress, RunTime},
             peer_client::{self, PeerClient},
-            refusal_response, request_fingerprint,
+            refusal_response, request_fingerprint, selection,
             serve::Handler,
         },
     },
@@ -56,9 +52,6 @@
     peers: PeerClient,
 }
 
-/// The attempts made for a request so far.
-type Attempts = attempts::Attempts<Response<Body>>;
-
 impl Egress {
     /// Returns the egress side of `host`. Requests for the host's own target are passed
     /// directly to `ingress`.
@@ -126,7 +119,15 @@
         };
         let body = match self.read_body(incoming, &call).await {
             Ok(body) => body,
-            Err(refusal) => return self.finish(&call, version, &Attempts::default(), Err(refusal)),
+            Err(refusal) => {
+                return finish(
+                    &self.host,
+                    &call,
+                    version,
+                    &Attempts::default(),
+                    Err(refusal),
+                );
+            }
         };
         let mut attempts = Attempts::default();
         let result = self.run_attempts(&call, body, &mut attempts).await;
@@ -135,7 +136,7 @@
                 .until_bandwidth_free(response.body().length())
                 .await;
         }
-        self.finish(&call, version, &attempts, result)
+        finish(&self.host, &call, version, &attempts, result)
     }
 
     /// Reads a small body whole, and the start of a larger one.
@@ -190,13 +191,13 @@
         while attempts.may_ask(&call.request(), Instant::now()) {
             let is_quarantined = self.host.quarantine.is_quarantined(&content);
             let choice = match is_quarantined {
-                true => self.trial_target(call, &content, attempts),
-                false => self.choose_target(call, bytes, attempts),
+                true => selection::choose_for_trial(&self.host, call, &content, &attempts.nodes),
+                false => selection::choose(&self.host, call, bytes, &attempts.nodes),
             };
             let Some(choice) = choice else {
                 match is_quarantined {
                     true => attempts.keep_refusal(Refusal::rejected(503, QUARANTINED)),
-                    false => self.log_no_target(call, attempts),
+                    false => selection::log_no_target(&self.host, call, attempts.nodes.len()),
                 }
                 break;
             };
@@ -242,45 +243,6 @@
         attempts.final_result()
     }
 
-    /// Returns the target for the next attempt. During a roll-out, the subsets of targets are
-    /// searched in order of preference.
-    fn choose_target(&self, call: &Call, bytes: usize, attempts: &Attempts) -> Option<Choice> {
-        let criteria = Criteria {
-            node: &self.host.settings.node,
-            route: &call.route.name,
-            service: &call.service,
-            domain: &self.host.settings.domain,
-            regions: &self.host.settings.regions,
-            bytes,
-            own_load: self.host.gate.load(),
-        };
-        let members = self.host.members.read();
-        let service = &call.service;
-        let subsets = self
-            .host
-            .rollouts
-            .subsets(service, &members, attempts.nodes.is_empty());
-        let drains = self.host.drains.current();
-        let regions = &self.host.settings.regions;
-        let mut balancer = self.host.balancer.lock();
-        for subset in subsets.into_iter().flatten() {
-            let is_eligible = |member: &Member| {
-                !drains.is_drained(&member.domain)
-                    && call.may_run_in(regions.of(&member.domain))
-                    && !attempts.nodes.contains(&member.node)
-                    && subset.admits(member, service)
-            };
-            let choice = balancer.choose(&members, criteria, is_eligible, Instant::now());
-            if choice.is_some() {
-                return choice;
-            }
-            if matches!(subset, Subset::Trial(_)) {
-                self.host.rollouts.refund(service);
-            }
-        }
-        None
-    }
-
     /// Records the outcome of an attempt as evidence for release roll-outs.
     fn record_attempt(
         &self,
@@ -317,28 +279,6 @@
         );
     }
 
-    /// Logs the numbers of known, draining and excluded targets when none can be chosen.
-    fn log_no_target(&self, call: &Call, attempts: &Attempts) {
-        let members = self.host.members.read();
-        let count = self.host.balancer.lock().count_targets(
-            &members,
-            &call.service,
-            &self.host.settings.node,
-            Instant::now(),
-        );
-        note!(
-            self.host.journal,
-            Event::NoTarget,
-            id = self.request_id(call),
-            service = call.service,
-            known = count.known,
-            draining = count.draining,
-            passed_over = count.excluded,
-            tried = attempts.nodes.len(),
-            members_at = self.host.streams.offset(Stream::Members).unwrap_or(0),
-        );
-    }
-
     /// Returns whether a request may be sent to one more target, and takes the cost of a
     /// retry from the retry budget. A retry is free if no target has seen the request yet.
     fn may_send(&self, call: &Call, attempts: &Attempts) -> bool {
@@ -361,31 +301,6 @@
         is_allowed
     }
 
-    /// Returns the target on this host, if a trial of a quarantined request may start at it
-    /// now.
-    fn trial_target(
-        &self,
-        call: &Call,
-        content: &Fingerprint,
-        attempts: &Attempts,
-    ) -> Option<Choice> {
-        let is_eligible = attempts.nodes.is_empty() && call.service == *self.host.service();
-        let members = self.host.members.read();
-        let member = members
-            .get(&self.host.settings.node)
-            .filter(|_| is_eligible)?;
-        if !self.host.quarantine.start_trial(content) {
-            return None;
-        }
-        note!(self.host.journal, Event::TriedAgain, content = content);
-        Some(Choice {
-            member: member.clone(),
-            usage: 0.0,
-            candidates: 1,
-            cost: 0.0,
-        })
-    }
-
     /// Sends a request to the chosen node and returns how the attempt ended.
     async fn attempt(
         &self,
@@ -458,7 +373,7 @@
             note!(
                 self.host.journal,
                 Event::Retried,
-                id = self.request_id(call),
+                id = call.id(&self.host),
                 route = call.route.name,
                 service = call.service,
                 to = member.node,
@@ -473,115 +388,6 @@
         }
         outcome
     }
-
-    /// Logs and counts the result of a request, and returns the response for its caller.
-    fn finish(
-        &self,
-        call: &Call,
-        version: u64,
-        attempts: &Attempts,
-        result: Result<Response<Body>, Refusal>,
-    ) -> Response<Body> {
-        let remaining = call.deadline.saturating_duration_since(Instant::now());
-        let took = call.arrived.elapsed().as_millis();
-        let id = self.request_id(call);
-        let (route, service) = (&call.route.name, &call.service);
-        let priority = call.priority;
-        let nodes = NodeList(&attempts.nodes);
-        self.count_result(call, &result);
-        if let (Some(team), Err(refusal)) = (&call.team, &result)
-            && refusal.outcome == Outcome::NotRun
-        {
-            self.host.rate_limits.refund(&team.name);
-        }
-        match result {
-            Ok(response) => {
-                let status = response.status().as_u16();
-                note!(
-                    self.host.journal,
-                    Event::Routed,
-                    id = id,
-                    route = route,
-                    service = service,
-                    priority = priority,
-                    version = version,
-                    tries = nodes,
-                    arrivals = attempts.arrivals,
-                    outcome = Outcome::Answered,
-                    status = status,
-                    took = took,
-                );
-                response
-            }
-            Err(refusal) => {
-                let Refusal {
-                    outcome,
-                    status,
-                    reason,
-                    ..
-                } = &refusal;
-                note!(
-                    self.host.journal,
-                    Event::Refused,
-                    id = id,
-                    route = route,
-                    service = service,
-                    priority = priority,
-                    version = version,
-                    tries = nodes,
-                    arrivals = attempts.arrivals,
-                    outcome = outcome,
-                    status = status,
-                    reason = reason,
-                    left = remaining.as_millis(),
-                    took = took,
-                );
-                refusal_response(&refusal, remaining)
-            }
-        }
-    }
-
-    /// Counts the result of a request in the metrics.
-    fn count_result(&self, call: &Call, result: &Result<Response<Body>, Refusal>) {
-        let (outcome, reason) = match result {
-            Ok(_) => (Outcome::Answered, ""),
-            Err(refusal) => (refusal.outcome, refusal.reason.as_str()),
-        };
-        let metrics = &self.host.metrics;
-        let request = metrics::Request {
-            route: call.route.name.to_string(),
-            outcome: outcome.to_string(),
-            reason: reason.into(),
-        };
-        metrics.requests.get_or_create(&request).inc();
-        let outcome = metrics::Outcome {
-            outcome: outcome.to_string(),
-        };
-        let took = call.arrived.elapsed().as_secs_f64();
-        metrics.latency.get_or_create(&outcome).observe(took);
-    }
-
-    /// Returns the id that the caller gave the request, or `-`.
-    fn request_id<'a>(&self, call: &'a Call) -> &'a str {
-        http::get(
-            &call.head.headers,
-            self.host.decoders.dialect.attempt_id.as_str(),
-        )
-        .unwrap_or("-")
-    }
-}
-
-/// Displays node names, separated by commas.
-struct NodeList<'a>(&'a [Node]);
-
-impl std::fmt::Display for NodeList<'_> {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        for (i, node) in self.0.iter().enumerate() {
-            let comma = if i > 0 { "," } else { "" };
-            write!(f, "{comma}{node}")?;
-        }
-        Ok(())
-    }
 }
 
 fn too_large_reason(max: Size) -> String {
--- a/src/transport/relay/mod.rs
+++ b/src/transport/relay/mod.rs
@@ -14,6 +14,7 @@
 pub mod body;
 pub mod call;
 pub mod codec;
+pub mod completion;
 pub mod control;
 pub mod delivery;
 pub mod egress;
@@ -26,6 +27,7 @@
 pub mod pool;
 pub mod request_fingerprint;
 pub mod run;
+pub mod selection;
 pub mod serve;
 
 use std::time::Duration;
