Quarantine: the evidence that a node reports is a type of its own

Own holds the evidence with the times at which parts of it were reported, and the bounds on their number; reviews change it through three functions.

--- a/src/coordination/decision/quarantine/mod.rs
+++ b/src/coordination/decision/quarantine/mod.rs
@@ -49,6 +49,7 @@
 //! ```
 
 mod culprits;
+mod own;
 mod recent;
 mod reports;
 
@@ -60,13 +61,14 @@
 pub use self::reports::PeerEvidence;
 use self::{
     culprits::{MIN_CRASHES, culprits},
+    own::Own,
     recent::RecentAnswers,
     reports::{OpenCrash, Reported, all_crashes, clear_counts, reported, suspected_since},
 };
 use crate::{
     id::{Instance, Node},
     state::{
-        evidence::{Cleared, Crash, Evidence, QuarantineEntry},
+        evidence::{Cleared, Evidence, QuarantineEntry},
         fingerprint::Fingerprint,
     },
 };
@@ -110,16 +112,6 @@
 /// the first seed, the latter with all twenty).
 const OBJECTION_WINDOW: Duration = Duration::from_millis(1500);
 
-/// The most crashes of its own target that a node remembers; the oldest is forgotten first.
-/// More than that within [`CRASH_RETENTION`] means that the target crashes by itself.
-const MAX_CRASHES: usize = 8;
-
-/// The most requests that are recorded for one crash: several times the slots of a target.
-const MAX_CONTENTS: usize = 256;
-
-/// The most requests that a node reports as quarantined. Each has crashed its target.
-const MAX_ENTRIES: usize = 64;
-
 /// The most explained crashes that a node remembers, so that a late report of one doesn't count
 /// as a new crash.
 const MAX_EXPLAINED: usize = 8;
@@ -127,17 +119,13 @@
 /// What a node knows of requests under which targets crash.
 #[derive(Debug, Default)]
 pub struct Quarantine {
-    own: Evidence,
+    own: Own,
     /// The evidence of this node as of the last review.
     last_own: Evidence,
     is_restored: bool,
     /// When this node learned of each crash. Crashes of its own target have no node.
     learned: HashMap<(Option<Node>, Instance), Instant>,
     explained: VecDeque<Instance>,
-    /// When this node last reported each request as quarantined.
-    own_entries_at: HashMap<Fingerprint, Instant>,
-    /// When this node last reported each request as cleared.
-    own_cleared_at: HashMap<Fingerprint, Instant>,
     /// When a target last answered each request under which others had crashed.
     answered: BTreeMap<Fingerprint, Instant>,
     /// How often a request was cleared according to each peer, and when that report arrived.
@@ -174,7 +162,7 @@
 impl Quarantine {
     /// Returns the evidence that this node reports to its peers.
     pub fn evidence(&self) -> &Evidence {
-        &self.own
+        &self.own.evidence
     }
 
     /// Restores the crashes and quarantined requests that an earlier incarnation of this node
@@ -190,7 +178,7 @@
             }
         }
         for entry in &evidence.held {
-            self.report_entry(*entry, now);
+            self.own.add_entry(*entry, now);
         }
     }
 
@@ -200,22 +188,7 @@
             return;
         }
         self.learned.entry((None, instance.clone())).or_insert(now);
-        let crashes = &mut self.own.ends;
-        let at = crashes.iter().position(|crash| crash.instance == *instance);
-        let at = at.unwrap_or_else(|| {
-            if crashes.len() >= MAX_CRASHES {
-                crashes.remove(0);
-            }
-            crashes.push(Crash {
-                instance: instance.clone(),
-                contents: Vec::new(),
-            });
-            crashes.len() - 1
-        });
-        let contents = &mut crashes[at].contents;
-        if contents.len() < MAX_CONTENTS && !contents.contains(&content) {
-            contents.push(content);
-        }
+        self.own.add_crash(instance, content);
         self.suspects.insert(content);
     }
 
@@ -230,7 +203,7 @@
     /// Returns whether any request is suspected or quarantined, or this node has evidence to
     /// report. If not, requests needn't be checked and reviews can wait for new evidence.
     pub fn is_active(&self) -> bool {
-        !(self.suspects.is_empty() && self.quarantined.is_empty() && self.own.is_empty())
+        !(self.suspects.is_empty() && self.quarantined.is_empty() && self.own.evidence.is_empty())
     }
 
     /// Returns whether a request is quarantined and has not been answered since.
@@ -254,7 +227,7 @@
             * TRIAL_DELAY_FACTOR.pow(u32::from(crashes).saturating_sub(MIN_CRASHES as u32));
         let is_due = |since: &Instant| now - *since >= delay;
         let is_over = |since: &Instant| now - *since >= TRIAL_TIMEOUT;
-        let may_start = self.own_entries_at.get(content).is_some_and(is_due)
+        let may_start = self.own.entries_at.get(content).is_some_and(is_due)
             && self.trials.get(content).is_none_or(is_over);
         if may_start {
             self.trials.insert(*content, now);
@@ -292,7 +265,7 @@
         mut draw: impl FnMut() -> f64,
         now: Instant,
     ) -> Review {
-        let own = self.own.clone();
+        let own = self.own.evidence.clone();
         self.record_times(&own, peers, now);
         let crashes = self.open_crashes(&own, peers, now);
         self.clear_counts = clear_counts(&own, peers);
@@ -330,8 +303,8 @@
             .copied()
             .collect();
         self.forget_times(peers, now);
-        let has_new_evidence = self.own != self.last_own;
-        self.last_own.clone_from(&self.own);
+        let has_new_evidence = self.own.evidence != self.last_own;
+        self.last_own.clone_from(&self.own.evidence);
         Review {
             has_new_evidence,
             ..review
@@ -428,29 +401,33 @@
                 .count()
                 >= MIN_CRASHES
         };
-        let (answered, learned, entries_at) = (&self.answered, &self.learned, &self.own_entries_at);
+        let (answered, learned) = (&self.answered, &self.learned);
+        let Own {
+            evidence,
+            entries_at,
+            cleared_at,
+        } = &mut self.own;
         let may_be_quarantined = |content: &Fingerprint| is_reported(content) || is_common(content);
-        for crash in &mut self.own.ends {
+        for crash in &mut evidence.ends {
             let learned = learned.get(&(None, crash.instance.clone()));
             crash.contents.retain(|content| {
                 let answered = answered.get(content);
                 answered < learned || answered.is_none() || !may_be_quarantined(content)
             });
         }
-        self.own.ends.retain(|crash| {
+        evidence.ends.retain(|crash| {
             let learned = learned.get(&(None, crash.instance.clone()));
             let is_recent = learned.is_none_or(|learned| now - *learned < CRASH_RETENTION);
             is_recent && !crash.contents.is_empty()
         });
         let clear_counts = &self.clear_counts;
-        self.own.held.retain(|entry| {
+        evidence.held.retain(|entry| {
             let answered = answered.get(&entry.content);
             let clear_count = clear_counts.get(&entry.content).copied().unwrap_or(0);
             entry.round >= clear_count
                 && (answered.is_none() || answered <= entries_at.get(&entry.content))
         });
-        let cleared_at = &self.own_cleared_at;
-        self.own.cleared.retain(|cleared| {
+        evidence.cleared.retain(|cleared| {
             let since = cleared_at.get(&cleared.content);
             since.is_some_and(|since| now - *since < CLEARED_RETENTION)
                 || peers
@@ -476,7 +453,7 @@
             let theirs = self.cleared_by.iter().filter(|((_, c), _)| c == content);
             let theirs = theirs.map(|(_, (_, at))| *at);
             theirs
-                .chain(self.own_cleared_at.get(content).copied())
+                .chain(self.own.cleared_at.get(content).copied())
                 .max()
         };
         let to_report = self.answered.iter().filter(|(content, at)| {
@@ -550,7 +527,7 @@
                 let content = **content;
                 let round = self.clear_counts.get(&content).copied().unwrap_or(0);
                 self.trials.remove(&content);
-                self.report_entry(
+                self.own.add_entry(
                     QuarantineEntry {
                         content,
                         ends,
@@ -564,7 +541,7 @@
             }
             let since = explains
                 .iter()
-                .filter_map(|content| self.own_entries_at.get(content));
+                .filter_map(|content| self.own.entries_at.get(content));
             if since
                 .max()
                 .is_some_and(|since| now - *since >= OBJECTION_WINDOW)
@@ -573,29 +550,13 @@
             }
         }
         self.own
+            .evidence
             .ends
             .retain(|crash| !settled.contains(&&crash.instance));
         let beyond = self.explained.len().saturating_sub(MAX_EXPLAINED);
         self.explained.drain(..beyond);
     }
 
-    fn report_entry(&mut self, entry: QuarantineEntry, now: Instant) {
-        let own = &mut self.own.held;
-        match own.iter_mut().find(|own| own.content == entry.content) {
-            Some(known) => {
-                known.ends = known.ends.max(entry.ends);
-                known.round = known.round.max(entry.round);
-            }
-            None => {
-                if own.len() >= MAX_ENTRIES {
-                    own.remove(0);
-                }
-                own.push(entry);
-            }
-        }
-        self.own_entries_at.insert(entry.content, now);
-    }
-
     fn report_cleared(&mut self, content: Fingerprint, now: Instant) {
         let times = self.clear_counts.entry(content).or_default();
         *times += 1;
@@ -603,16 +564,12 @@
             content,
             times: *times,
         };
-        self.own
-            .cleared
-            .retain(|cleared| cleared.content != content);
-        self.own.cleared.push(cleared);
-        self.own_cleared_at.insert(content, now);
+        self.own.add_cleared(cleared, now);
     }
 
     /// Removes the times of requests that are not known any more.
     fn forget_times(&mut self, peers: &[PeerEvidence<'_>], now: Instant) {
-        let (suspects, quarantined, own) = (&self.suspects, &self.quarantined, &self.own);
+        let (suspects, quarantined) = (&self.suspects, &self.quarantined);
         // The report of a crash may arrive after the one that clears the request.
         let is_implicated =
             |content: &Fingerprint| peers.iter().any(|peer| peer.evidence.implicates(content));
@@ -620,10 +577,7 @@
             let is_known = suspects.contains(content) || quarantined.contains_key(content);
             is_known || is_implicated(content) || now - *at < CLEARED_RETENTION
         });
-        self.own_entries_at
-            .retain(|content, _| own.held.iter().any(|entry| entry.content == *content));
-        self.own_cleared_at
-            .retain(|content, _| own.cleared.iter().any(|c| c.content == *content));
+        self.own.forget_times();
         self.trials
             .retain(|content, _| quarantined.contains_key(content));
     }
