--- a/standins/examples/soak.rs
+++ b/standins/examples/soak.rs
@@ -57,6 +57,16 @@
 /// reader's pause between reads, 30 ms, so that the older one is read by itself.
 const OLDER_VERSION_DELAY: Duration = Duration::from_millis(80);
 
+/// The limit that a target states, in requests per second; its callers send several times as
+/// many.
+const STATED_LIMIT: f64 = 5.0;
+
+/// The time after a limit was first stated from which the platform holds nodes to it.
+const LIMIT_GRACE: Duration = Duration::from_secs(3);
+
+/// The span within which a target may get half more than its limit, and five requests.
+const LIMIT_SPAN: Duration = Duration::from_secs(4);
+
 /// The number of callers that send during the faults.
 const CALLERS: usize = 8;
 
@@ -625,6 +635,49 @@
         }
     }
 
+    /// After the faults, lets a target state a limit, kills its node, and checks what the target
+    /// gets while the node starts anew.
+    async fn check_stated_limit(&self) {
+        let node = &self.nodes[0];
+        node.target
+            .set_notice(&format!("Server-Limit: {STATED_LIMIT}\r\n"));
+        tokio::time::sleep(LIMIT_GRACE).await;
+        node.signal(libc::SIGKILL);
+        let start = Instant::now();
+        tokio::time::sleep(LIMIT_SPAN).await;
+        let got = node.target.busiest(LIMIT_SPAN, |at| at >= start);
+        let allowed = (STATED_LIMIT * 1.5 * LIMIT_SPAN.as_secs_f64()) as usize + 5;
+        if got > allowed {
+            self.report_violation(format!(
+                "n0's target got {got} requests in {LIMIT_SPAN:?}, {allowed} allowed by its limit"
+            ));
+        }
+        node.target.set_notice("");
+    }
+
+    /// Lets a target state its leave in its answers alone, kills its node, and checks that the
+    /// target gets nothing more. Another instance takes its place then.
+    async fn check_stated_leave(&self) {
+        let node = &self.nodes[1];
+        node.target.set_notice("Server-Leaving: 1\r\n");
+        tokio::time::sleep(DRAIN_LIMIT).await;
+        node.signal(libc::SIGKILL);
+        let start = Instant::now();
+        tokio::time::sleep(DRAIN_LIMIT).await;
+        let late = node.target.busiest(DRAIN_LIMIT, |at| at >= start);
+        if late > 0 {
+            self.report_violation(format!(
+                "{late} requests reached n1's target after it stated its leave"
+            ));
+        }
+        node.target.set_notice("");
+        let mut current = node.instance.lock();
+        *current = Instance {
+            id: current.id + 1,
+            ..Instance::default()
+        };
+    }
+
     /// Restarts nodes whose process has ended, as the platform does.
     async fn restart_nodes(self: Arc<Self>) {
         while !self.done.load(Ordering::Relaxed) {
@@ -785,6 +838,8 @@
         fault.await.expect("a fault does not panic");
     }
     fleet.check_recovery().await;
+    fleet.check_stated_limit().await;
+    fleet.check_stated_leave().await;
     fleet.stop_gracefully().await;
     fleet.done.store(true, Ordering::Relaxed);
     for task in tasks {
