A limit stays while the instance of the target may be the same; names, comments

The gate dropped the limit when the start time of its target became known, until the next answer. Usage of a pace is found by a binary search, as it is asked for several times a request. Read once more: a refusal has a noun, a target's statement is looked up once.

--- a/src/coordination/decision/balance/peer.rs
+++ b/src/coordination/decision/balance/peer.rs
@@ -114,24 +114,24 @@
 
     /// Returns whether the target of `member` stated to this node that it leaves.
     pub(super) fn is_leaving(&self, member: &Member) -> bool {
-        self.notice(member).is_some_and(|notice| notice.is_leaving)
+        self.stated_by(member)
+            .is_some_and(|(_, notice)| notice.is_leaving)
     }
 
     /// Returns the limit that the target of `member` stated to this node.
     pub(super) fn limit(&self, member: &Member) -> Option<Limit> {
-        let rate = self.notice(member)?.limit?;
-        let (instance, _) = self.stated.as_ref()?;
+        let (instance, notice) = self.stated_by(member)?;
         Some(Limit {
-            rate,
+            rate: notice.limit?,
             instance: instance.clone(),
         })
     }
 
     /// Returns what the target of `member` stated to this node, if it is still that instance.
-    fn notice(&self, member: &Member) -> Option<Notice> {
-        let (instance, notice) = self.stated.as_ref()?;
+    fn stated_by(&self, member: &Member) -> Option<&(Instance, Notice)> {
+        let stated = self.stated.as_ref()?;
         let target = member.targets.first()?;
-        target.instance.may_match(instance).then_some(*notice)
+        target.instance.may_match(&stated.0).then_some(stated)
     }
 
     pub(super) fn is_excluded(&self, now: Instant) -> bool {
--- a/src/coordination/decision/pace.rs
+++ b/src/coordination/decision/pace.rs
@@ -27,13 +27,14 @@
 pub struct Bound {
     most: usize,
     window: Duration,
-    /// When it ends; `None` if that isn't known.
+    /// When it ends; `None` if it holds until another one is set.
     until: Option<Instant>,
 }
 
 impl Bound {
-    /// Returns the bound for a target that warms up until a time, if that is known: within any
-    /// second, no more than the whole requests of `rate`, but at least one.
+    /// Returns the bound for a target that warms up until a time: within any second, no more
+    /// than the whole requests of `rate`, but at least one. A target of which it isn't known
+    /// until when it warms up counts as if it did.
     pub fn warmup(rate: Rate, until: Option<Instant>) -> Self {
         Self {
             most: whole(rate),
@@ -113,8 +114,8 @@
     /// bound.
     pub fn usage(&self, now: Instant) -> Option<f64> {
         let bound = self.bound_at(now)?;
-        let is_recent = |at: &&Instant| now.saturating_duration_since(**at) < bound.window;
-        let recent = self.passed.iter().filter(is_recent).count();
+        let is_over = |at: &Instant| now.saturating_duration_since(*at) >= bound.window;
+        let recent = self.passed.len() - self.passed.partition_point(is_over);
         Some(recent as f64 / bound.most as f64)
     }
 
--- a/src/coordination/gate.rs
+++ b/src/coordination/gate.rs
@@ -129,7 +129,7 @@
         if current.is_none_or(|current| current.instance != target.instance) {
             state.queue.reset_run_times();
         }
-        let is_by_another = |stated: &Stated| stated.by != target.instance;
+        let is_by_another = |stated: &Stated| !stated.by.may_match(&target.instance);
         if state.stated.as_ref().is_some_and(is_by_another) {
             state.stated = None;
             state.queue.paces.set_limit(None);
@@ -250,7 +250,7 @@
             match state.queue.admit(&arrival, sender, Instant::now()) {
                 Admission::Admitted => return Ok(self.permit(&state)),
                 Admission::Rejected => return Err(state.reject_full(&arrival)),
-                Admission::Paced(wait, cause) => return Err(reject_paced(wait, cause)),
+                Admission::Paced(wait, cause) => return Err(paced_refusal(wait, cause)),
                 Admission::Queued {
                     place, max_wait, ..
                 } => (place, max_wait),
@@ -348,7 +348,7 @@
 }
 
 /// Returns the refusal of a request while the target takes none for a time.
-fn reject_paced(wait: Duration, cause: Cause) -> Refusal {
+fn paced_refusal(wait: Duration, cause: Cause) -> Refusal {
     let reason = match cause {
         Cause::Warmup => WARMING_UP,
         Cause::Limit => AT_LIMIT,
@@ -381,7 +381,7 @@
     /// Checks whether the target takes one more request now.
     fn check_pace(&self, now: Instant) -> Result<(), Refusal> {
         match self.queue.paces.wait(now) {
-            Some((wait, cause)) => Err(reject_paced(wait, cause)),
+            Some((wait, cause)) => Err(paced_refusal(wait, cause)),
             None => Ok(()),
         }
     }
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -1634,6 +1634,22 @@
         assert!(refusal.retry_after.is_some());
     }
 
+    limit_lasts_while_the_instance_may_be_the_same => {
+        let gate = Gate::new();
+        let limit = Notice { limit: Rate::from_per_second(9.0), is_leaving: false };
+        gate.set_target(target("i1", 1));
+        assert!(gate.record_notice(&"i1".into(), limit));
+        // The target has been silent for a while, and its start time becomes known.
+        gate.remove_target();
+        gate.set_target(target("i1@7", 1));
+        assert_eq!(gate.limit(), limit.limit);
+        assert!(gate.record_notice(&"i1@7".into(), Notice::default()));
+        assert_eq!(gate.limit(), None);
+        assert!(gate.record_notice(&"i1@7".into(), limit));
+        gate.set_target(target("i1@8", 1));
+        assert_eq!(gate.limit(), None);
+    }
+
     full_gate_rejects_at_once_a_request_that_would_wait_too_long => {
         let gate = Gate::new();
         gate.set_target(target("i1", 1));
