--- a/standins/tests/target_notice.rs
+++ b/standins/tests/target_notice.rs
@@ -80,6 +80,28 @@
         assert!(served >= LIMIT as usize / 2, "{served} served");
     }
 
+    limit_holds_while_the_store_turns_all_nodes_away => {
+        let (store, one, two) = single().await;
+        store.set(StoreMode::Refusing);
+        one.target.set_notice(&format!("Server-Limit: {LIMIT}\r\n"));
+        served(&one, "told1").await;
+        served(&two, "told2").await;
+        let start = Instant::now();
+        herd(&one, &two, 4).await;
+        let got = busiest(&one.target, start);
+        assert!(got <= allowed(LIMIT), "{got} requests, {} allowed", allowed(LIMIT));
+    }
+
+    withdrawn_limit_ends_with_the_first_answer_without_it => {
+        let (_store, one, two) = single().await;
+        one.target.set_notice("Server-Limit: 0\r\n");
+        served(&one, "told").await;
+        one.target.set_notice("");
+        served(&two, "untold").await;
+        // No more callers than the slots of the target.
+        assert_eq!(herd(&one, &two, 2).await, 400);
+    }
+
     restarted_node_learns_the_limit_from_nodes_that_were_told => {
         let limit = 0.25;
         let (_store, mut one, two) = single().await;
--- a/tests/notice.rs
+++ b/tests/notice.rs
@@ -1,6 +1,7 @@
 //! What targets state in the headers of their responses.
 
-use http::{HeaderMap, HeaderName};
+use http::{HeaderMap, HeaderName, HeaderValue};
+use proptest::{collection::vec, prelude::*, test_runner::RngSeed};
 use rilltrack::protocol::{dialect::Dialect, notice::Notice};
 
 /// Returns the notice in headers given as lines; the part before the first space is `limit` or
@@ -50,3 +51,35 @@
     unknown_word_is_a_leave: ["leaving soon"] => None, true;
     leave_beside_a_denial_counts: ["leaving 0", "leaving 1"] => None, true;
 }
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(52), failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Whatever a header says, it restricts: it has a limit, and none above the lowest of the
+    /// numbers in it.
+    #[test]
+    fn no_value_of_the_header_lifts_a_limit(values in vec("[ -~]{0,12}", 1..4), limit in 0.0..1e6f64) {
+        let dialect = Dialect::default();
+        let mut headers = HeaderMap::new();
+        for value in &values {
+            headers.append(&dialect.limit, HeaderValue::from_str(value).unwrap());
+        }
+        prop_assert!(Notice::of(&headers, &dialect).limit.is_some());
+        headers.append(&dialect.limit, HeaderValue::from_str(&limit.to_string()).unwrap());
+        let stated = Notice::of(&headers, &dialect).limit.unwrap();
+        prop_assert!(stated.per_second() <= limit + 0.001);
+    }
+
+    /// Bytes that are no text are a limit and a leave, too.
+    #[test]
+    fn bytes_that_are_no_text_restrict(bytes in vec(0x80u8..=0xff, 1..8)) {
+        let dialect = Dialect::default();
+        let mut headers = HeaderMap::new();
+        let value = HeaderValue::from_bytes(&bytes).unwrap();
+        headers.insert(&dialect.limit, value.clone());
+        headers.insert(&dialect.leaving, value);
+        let notice = Notice::of(&headers, &dialect);
+        prop_assert_eq!(notice.limit.map(|limit| limit.per_second()), Some(0.0));
+        prop_assert!(notice.is_leaving);
+    }
+}
