--- a/src/coordination/decision/balance/mod.rs
+++ b/src/coordination/decision/balance/mod.rs
@@ -476,6 +476,16 @@
         }
     }
 
+    /// Records the load of a target as its node reported it at `at`, unless a later report is
+    /// known.
+    pub fn record_load(&mut self, member: &Member, load: Load, at: Instant) {
+        let peer = self.peer(member, at);
+        if peer.report.is_none_or(|(_, known_at)| known_at < at) {
+            peer.report = Some((load, at));
+            peer.sent_since_report = 0;
+        }
+    }
+
     /// Forgets nodes that `is_known` rejects, except those with outstanding requests.
     pub fn retain(&mut self, is_known: impl Fn(&Node) -> bool) {
         self.peers
