Log lines are written into one buffer

Each field of a JSON line was formatted into a string of its own, and again to be appended. On hosts with a tenth of a core, log lines are a good part of the processor time. A value of digits with a leading zero was written unquoted, which isn't JSON: the new test json_lines_quote_all_but_whole_numbers guards against it. Its effect on processor time was not measured by itself.

--- a/src/journal.rs
+++ b/src/journal.rs
@@ -7,7 +7,7 @@
 //! expensive, only this makes a line per request affordable.
 
 use std::{
-    fmt::{Arguments, Display},
+    fmt::{Arguments, Display, Write as _},
     io::Write,
     sync::{
         Arc, OnceLock,
@@ -311,9 +311,15 @@
     fields.collect::<Vec<_>>().join(" ")
 }
 
+/// Capacity of a new JSON line in bytes; most lines are shorter.
+const JSON_LINE_BYTES: usize = 384;
+
 /// Returns a line of JSON. Values that are whole numbers of up to 15 digits are not quoted.
 fn json_line(node: &str, event: Event, time: SystemTime, fields: &[Field<'_>]) -> String {
-    let mut text = format!(
+    let mut text = String::with_capacity(JSON_LINE_BYTES);
+    // Writing to a `String` can't fail.
+    let _ = write!(
+        text,
         "{{\"ms\":{},\"code\":{},\"event\":\"{}\",\"level\":\"{}\",\"node\":\"{node}\"",
         unix_millis(time),
         event.code(),
@@ -321,18 +327,42 @@
         event.level()
     );
     for (name, value) in fields {
-        let value = value.to_string();
-        let is_number = value.len() < 16 && value.parse::<u64>().is_ok();
-        text.push_str(&format!(",\"{name}\":"));
-        match serde_json::to_string(&value) {
-            Ok(quoted) if !is_number => text.push_str(&quoted),
-            _ => text.push_str(&value),
-        }
+        let _ = write!(text, ",\"{name}\":\"");
+        let start = text.len();
+        let _ = write!(text, "{value}");
+        close_value(&mut text, start);
     }
     text.push_str("}\n");
     text
 }
 
+/// Ends the value that was written from `start` on, after a quotation mark: a whole number
+/// loses that mark, and any other text is escaped where necessary and quoted.
+fn close_value(text: &mut String, start: usize) {
+    let value = &text[start..];
+    if is_json_number(value) {
+        text.remove(start - 1);
+        return;
+    }
+    let needs_escape = |byte: u8| byte < 0x20 || byte == b'"' || byte == b'\\';
+    if value.bytes().any(needs_escape) {
+        let quoted = serde_json::to_string(value).expect("text always encodes");
+        text.truncate(start - 1);
+        text.push_str(&quoted);
+    } else {
+        text.push('"');
+    }
+}
+
+/// Returns whether a text is a whole number of up to 15 digits, as JSON writes it: without a
+/// sign and without leading zeros, which an id that consists of digits may have.
+fn is_json_number(text: &str) -> bool {
+    let has_leading_zero = text.len() > 1 && text.starts_with('0');
+    (1..16).contains(&text.len())
+        && !has_leading_zero
+        && text.bytes().all(|byte| byte.is_ascii_digit())
+}
+
 fn unix_millis(time: SystemTime) -> u128 {
     time.duration_since(SystemTime::UNIX_EPOCH)
         .unwrap_or_default()
--- a/tests/product.rs
+++ b/tests/product.rs
@@ -243,6 +243,23 @@
         assert_eq!(line["event"], "Refused");
     }
 
+    // An id of digits with a leading zero was written without quotes, which isn't JSON.
+    json_lines_quote_all_but_whole_numbers => {
+        let buffer = SlowBuffer::default();
+        let journal = rilltrack::journal::Journal::start_json("n1", Box::new(buffer.clone()));
+        for text in ["0123", "+5", "", "1234567890123456", "2.5", "a\\b", "0", "87"] {
+            journal.record(Event::Refused, &[("id", &text)]);
+        }
+        journal.stop();
+        let output = String::from_utf8(buffer.0.lock().unwrap().clone()).unwrap();
+        let ids = output.lines().map(|line| {
+            let line: serde_json::Value = serde_json::from_str(line).unwrap();
+            line["id"].to_string()
+        });
+        let expected = ["\"0123\"", "\"+5\"", "\"\"", "\"1234567890123456\"", "\"2.5\"", "\"a\\\\b\"", "0", "87"];
+        assert_eq!(ids.collect::<Vec<_>>(), expected);
+    }
+
     quantities_round_trip_through_text => {
         for text in ["0ms", "250ms", "17s", "10min", "3h", "2d"] {
             assert_eq!(text.parse::<Span>().unwrap().to_string(), text);
