Priority is the team's, then the route's

A team's priority replaced its routes', so a payment queued as an equal of the same team's confirmations, behind those that were due earlier. Where some team of the version has a priority, requests are now compared by team and then by route, in one byte: team times 16 plus route. Versions without team priorities keep their numbers. The header between nodes and the log fields have the same form.

--- a/src/coordination/decision/attempts.rs
+++ b/src/coordination/decision/attempts.rs
@@ -11,6 +11,7 @@
 
 use crate::{
     coordination::decision::{
+        priority::Priority,
         queue::Arrival,
         retry_budget::{Retry, RetryBudget},
     },
@@ -64,8 +65,8 @@
     pub service: &'a Name,
     /// Whether it may run more than once.
     pub kind: Kind,
-    /// Its priority; 0 is the highest.
-    pub priority: u8,
+    /// Its priority under overload.
+    pub priority: Priority,
     /// The number of targets that may see it.
     pub attempts: u32,
     /// The probability that it is a call made by a run that is a repeat.
--- a/src/coordination/decision/mod.rs
+++ b/src/coordination/decision/mod.rs
@@ -6,6 +6,7 @@
 //!
 //! * [`access`]: whether a caller may send a request, and on whose behalf;
 //! * [`rate_limit`]: how many requests of a team all nodes together admit;
+//! * [`priority`]: who goes first when slots are short;
 //! * [`queue`]: slots of a target, and the requests that wait for one;
 //! * [`pace`]: the pace of requests to a target that warms up or states a limit;
 //! * [`balance`]: which node a request goes to;
@@ -26,6 +27,7 @@
 pub mod balance;
 pub mod link_share;
 pub mod pace;
+pub mod priority;
 pub mod quarantine;
 pub mod queue;
 pub mod rate_limit;
--- a/src/coordination/decision/queue.rs
+++ b/src/coordination/decision/queue.rs
@@ -16,7 +16,10 @@
 };
 
 use crate::{
-    coordination::decision::pace::{Cause, Paces},
+    coordination::decision::{
+        pace::{Cause, Paces},
+        priority::Priority,
+    },
     protocol::dialect::{Load, Slowdown},
     unit::Span,
 };
@@ -67,8 +70,8 @@
 /// The properties of a request that decide on its admission.
 #[derive(Clone, Copy, Debug)]
 pub struct Arrival {
-    /// Its priority; 0 goes first.
-    pub priority: u8,
+    /// Its priority; the highest goes first.
+    pub priority: Priority,
     /// Its due time, by which it should be answered. Among requests of equal priority, the
     /// earliest goes first. So the short calls that a target makes during a request go before
     /// whole requests. Otherwise, under load, requests could hold all slots while the calls
@@ -83,7 +86,7 @@
 /// A position in the queue, in the order of admission.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct Place {
-    priority: u8,
+    priority: Priority,
     /// Whether the request is expected to miss its due time. If due times alone decided, slots
     /// would go to requests that end late anyway, while new requests become late behind them.
     is_late: bool,
--- a/src/protocol/hop.rs
+++ b/src/protocol/hop.rs
@@ -17,6 +17,7 @@
 use std::{fmt, str::FromStr};
 
 use crate::{
+    coordination::decision::priority::Priority,
     id::{Instance, Name, Node},
     protocol::{
         answer::Outcome,
@@ -39,8 +40,8 @@
     pub to: Node,
     /// The service whose target runs the request.
     pub service: Name,
-    /// The priority of the request under overload; 0 is the highest.
-    pub priority: u8,
+    /// The priority of the request under overload.
+    pub priority: Priority,
     /// The maximum wait for a slot at the target.
     pub max_wait: Span,
     /// The time left until the deadline of the objective; zero if it has passed.
--- a/src/state/team.rs
+++ b/src/state/team.rs
@@ -59,7 +59,8 @@
     pub name: Name,
     /// The digests of its keys. A team without a key can send nothing.
     pub keys: Vec<Digest>,
-    /// The priority of its requests, in place of their routes' priority.
+    /// The priority of its requests. Its requests of different routes are ordered by the routes'
+    /// priorities.
     pub priority: Option<u8>,
     /// The limit on its requests at all nodes together.
     pub limit: Option<RateLimit>,
@@ -94,6 +95,7 @@
 pub struct Teams {
     by_name: BTreeMap<Name, Arc<Team>>,
     by_key: HashMap<Digest, Arc<Team>>,
+    has_priorities: bool,
 }
 
 impl Teams {
@@ -116,6 +118,7 @@
                     });
                 }
             }
+            all.has_priorities |= team.priority.is_some();
             all.by_name.insert(team.name.clone(), team);
         }
         Ok(all)
@@ -141,6 +144,11 @@
         self.by_name.is_empty()
     }
 
+    /// Returns whether any team has a priority.
+    pub fn has_priorities(&self) -> bool {
+        self.has_priorities
+    }
+
     /// Returns whether any team has a limit on its requests.
     pub fn has_limits(&self) -> bool {
         self.iter().any(|team| team.limit.is_some())
--- a/src/transport/relay/call.rs
+++ b/src/transport/relay/call.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     coordination::{
-        decision::{access, attempts, rate_limit::Exceeded},
+        decision::{access, attempts, priority::Priority, rate_limit::Exceeded},
         host::Host,
     },
     event::Event,
@@ -44,8 +44,8 @@
     pub service: Name,
     /// The team on whose behalf the request is sent, if there is one.
     pub team: Option<Arc<Team>>,
-    /// The priority under overload: the team's, or else the route's; 0 is the highest.
-    pub priority: u8,
+    /// The priority under overload, by the team and the route.
+    pub priority: Priority,
     /// When the request arrived.
     pub arrived: Instant,
     /// The probability that the request was made by a run of the target on this host that is
@@ -97,11 +97,15 @@
         let remaining = deadline.map_or(timeout, |remaining| remaining.min(timeout));
         let due = (arrived + route.objective.duration()).checked_sub(age);
         let service = host.split.lock().next(&route);
-        let priority = team.as_ref().and_then(|team| team.priority);
+        let priority = Priority::of_request(
+            table.teams.has_priorities(),
+            team.as_ref().and_then(|team| team.priority),
+            route.priority,
+        );
         let mut call = Self {
             head,
             team,
-            priority: priority.unwrap_or(route.priority),
+            priority,
             route,
             service,
             arrived,
--- a/standins/src/load/file.rs
+++ b/standins/src/load/file.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use rilltrack::{
+    coordination::decision::priority::Priority,
     document::{Document, Fault},
     state::routing,
     unit::Span,
@@ -65,6 +66,8 @@
     once: bool,
     #[serde(default = "normal_priority")]
     priority: u8,
+    /// The priority of the team that sends it; without it, only the route's orders requests.
+    team: Option<u8>,
     work: Span,
     spread: f64,
     objective: Span,
@@ -246,7 +249,10 @@
                 true => routing::Kind::Once,
                 false => routing::Kind::Idempotent,
             },
-            priority: entry.priority,
+            priority: match entry.team {
+                Some(team) => Priority::of_team_and_route(team, entry.priority),
+                None => Priority::of_route(entry.priority),
+            },
             work: entry.work.duration(),
             spread: entry.spread,
             objective: entry.objective.duration(),
--- a/standins/src/load/mod.rs
+++ b/standins/src/load/mod.rs
@@ -34,7 +34,10 @@
 
 use std::{ops::Range, time::Duration};
 
-use rilltrack::{coordination::decision::retry_budget::Rule, state::routing};
+use rilltrack::{
+    coordination::decision::{priority::Priority, retry_budget::Rule},
+    state::routing,
+};
 
 pub use figures::{Arrivals, Count, Figures, Took};
 pub use file::Experiment;
@@ -95,8 +98,8 @@
     pub per_s: f64,
     /// Whether it is idempotent or may run at most once.
     pub kind: routing::Kind,
-    /// The priority; 0 is the highest.
-    pub priority: u8,
+    /// The priority.
+    pub priority: Priority,
     /// The mean run time.
     pub work: Duration,
     /// The coefficient of variation of the run time: standard deviation over mean.
@@ -212,7 +215,7 @@
             service: 0,
             per_s: 0.0,
             kind: routing::Kind::Idempotent,
-            priority: 1,
+            priority: Priority::of_route(1),
             work: Duration::from_millis(120),
             spread: 0.5,
             objective: Duration::from_millis(400),
--- a/standins/tests/load.rs
+++ b/standins/tests/load.rs
@@ -3,7 +3,7 @@
 
 use std::{ops::Range, time::Duration};
 
-use rilltrack::{document::Document, state::routing};
+use rilltrack::{coordination::decision::priority::Priority, document::Document, state::routing};
 use rilltrack_standins::load::{
     self, Calls, Crossing, Experiment, Figures, Harm, Kind, Load, Service, Trouble,
 };
@@ -132,7 +132,7 @@
     };
     let calls = Kind {
         service: 1,
-        priority: 2,
+        priority: Priority::of_route(2),
         work: ms(39),
         objective: ms(150),
         deadline: ms(500),
@@ -155,7 +155,7 @@
 fn short_beside_long(load: f64) -> Load {
     let lookups = Kind {
         per_s: 600.0 * load,
-        priority: 2,
+        priority: Priority::of_route(2),
         work: ms(63),
         objective: ms(200),
         deadline: ms(1_200),
@@ -163,7 +163,7 @@
     };
     let short = Kind {
         per_s: 20.0,
-        priority: 0,
+        priority: Priority::of_route(0),
         work: ms(1),
         objective: ms(1_000),
         deadline: ms(1_000),
@@ -200,7 +200,7 @@
         let share = overload / count as f64;
         Kind {
             per_s: (slots * share * 1_000.0 / work).min(1_500.0),
-            priority: rng.u8(0..3),
+            priority: Priority::of_route(rng.u8(0..3)),
             work: Duration::from_secs_f64(work / 1_000.0),
             objective: Duration::from_secs_f64(objective / 1_000.0),
             deadline: Duration::from_secs_f64(deadline / 1_000.0),
@@ -235,7 +235,7 @@
     };
     let lookups = Kind {
         per_s: 700.0,
-        priority: 2,
+        priority: Priority::of_route(2),
         deadline: ms(1_500),
         retries: 1,
         calls: Some(Calls {
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -21,6 +21,7 @@
         decision::{
             age::Ages,
             balance::{AttemptResult, Balancer, Choice, Criteria, Report},
+            priority::Priority,
             reach,
             retry_budget::{Retry, RetryBudget, Rule},
             split::Split,
@@ -295,7 +296,7 @@
 /// A request that waits `max_wait` milliseconds at most and is due in 1 s.
 fn arrival(priority: u8, max_wait: u64) -> Arrival {
     Arrival {
-        priority,
+        priority: Priority::of_route(priority),
         max_wait: Duration::from_millis(max_wait),
         due: Instant::now() + Duration::from_secs(1),
         usual_run_time: None,
@@ -488,7 +489,7 @@
             let request = hop::Request {
                 to: format!("n-{i}").parse().unwrap(),
                 service: name(&format!("s{i}.x")),
-                priority: rng.u8(..),
+                priority: Priority::of_route(rng.u8(..)),
                 max_wait: span(&mut rng),
                 due_in: span(&mut rng),
                 deadline: span(&mut rng),
