--- a/src/coordination/decision/mod.rs
+++ b/src/coordination/decision/mod.rs
@@ -6,6 +6,7 @@
 //!
 //! * [`access`]: whether a caller may send a request, and on whose behalf;
 //! * [`rate_limit`]: how many requests of a team all nodes together admit;
+//! * [`priority`]: who goes first when slots are short;
 //! * [`queue`]: slots of a target, and the requests that wait for one;
 //! * [`pace`]: the pace of requests to a target that warms up or states a limit;
 //! * [`balance`]: which node a request goes to;
@@ -14,6 +15,7 @@
 //! * [`retry_budget`]: how many retries may be sent;
 //! * [`runs`]: which share of the requests that a target runs are repeats;
 //! * [`age`]: how long callers have been trying;
+//! * [`nested_call`]: how long the calls that targets make during a run may wait;
 //! * [`attempts`]: how many attempts a request gets, and which response its caller gets;
 //! * [`quarantine`]: which requests are quarantined because targets crash under them;
 //! * [`rollout`]: how a new release of a service is put on trial, judged, and completed or
@@ -25,7 +27,9 @@
 pub mod attempts;
 pub mod balance;
 pub mod link_share;
+pub mod nested_call;
 pub mod pace;
+pub mod priority;
 pub mod quarantine;
 pub mod queue;
 pub mod rate_limit;
--- a/src/transport/relay/call.rs
+++ b/src/transport/relay/call.rs
@@ -13,7 +13,9 @@
 
 use crate::{
     coordination::{
-        decision::{access, attempts, rate_limit::Exceeded},
+        decision::{
+            access, attempts, nested_call::is_nested_call, priority::Priority, rate_limit::Exceeded,
+        },
         host::Host,
     },
     event::Event,
@@ -44,8 +46,10 @@
     pub service: Name,
     /// The team on whose behalf the request is sent, if there is one.
     pub team: Option<Arc<Team>>,
-    /// The priority under overload: the team's, or else the route's; 0 is the highest.
-    pub priority: u8,
+    /// The priority under overload, by the team and the route.
+    pub priority: Priority,
+    /// Whether it is a call that a target makes during a run.
+    pub is_nested: bool,
     /// When the request arrived.
     pub arrived: Instant,
     /// The probability that the request was made by a run of the target on this host that is
@@ -97,11 +101,18 @@
         let remaining = deadline.map_or(timeout, |remaining| remaining.min(timeout));
         let due = (arrived + route.objective.duration()).checked_sub(age);
         let service = host.split.lock().next(&route);
-        let priority = team.as_ref().and_then(|team| team.priority);
+        let priority = Priority::of_request(
+            table.teams.has_priorities(),
+            team.as_ref().and_then(|team| team.priority),
+            route.priority,
+        );
+        let has_key = head.headers.contains_key(AUTHORIZATION);
+        let is_nested = is_nested_call(!table.teams.is_empty(), has_key, route.is_anonymous);
         let mut call = Self {
             head,
             team,
-            priority: priority.unwrap_or(route.priority),
+            priority,
+            is_nested,
             route,
             service,
             arrived,
@@ -148,6 +159,7 @@
             service: &self.service,
             kind: self.route.kind,
             priority: self.priority,
+            is_nested: self.is_nested,
             attempts: self.route.attempts,
             repeat_chance: self.repeat_chance,
             due: self.due,
