Load reports: messages and decision

Nodes don't know which targets are full: a node sends to a given target about every 2 s, and a reported load is valid for 0.5 s. Adds the messages in which nodes report the loads of their targets, and the decision on what a report implies for a request: the time until a target would admit it, from its slots, running and waiting requests by priority, slot turnover and the report's age.

The bounds on a request's wait move from the queue's place into a function of their own, so that the prediction and the gate use the same ones.

--- a/src/coordination/decision/mod.rs
+++ b/src/coordination/decision/mod.rs
@@ -6,6 +6,7 @@
 //!
 //! * [`access`]: whether a caller may send a request, and on whose behalf;
 //! * [`rate_limit`]: how many requests of a team all nodes together admit;
+//! * [`load_report`]: what reports of targets' loads imply for a request;
 //! * [`queue`]: slots of a target, and the requests that wait for one;
 //! * [`pace`]: the pace of requests to a target that warms up or states a limit;
 //! * [`balance`]: which node a request goes to;
@@ -25,6 +26,7 @@
 pub mod attempts;
 pub mod balance;
 pub mod link_share;
+pub mod load_report;
 pub mod pace;
 pub mod quarantine;
 pub mod queue;
--- a/src/coordination/decision/queue.rs
+++ b/src/coordination/decision/queue.rs
@@ -17,7 +17,10 @@
 
 use crate::{
     coordination::decision::pace::{Cause, Paces},
-    protocol::dialect::{Load, Slowdown},
+    protocol::{
+        dialect::{Load, Slowdown},
+        load_report::{DUE_UNIT_MILLIS, MAX_DUE_UNITS, MAX_PRIORITIES, Queued, State},
+    },
     unit::Span,
 };
 
@@ -157,6 +160,51 @@
         self.slowdown
     }
 
+    /// Returns the target's load with what else decides whether it would admit a request, as it
+    /// is reported to other nodes. The lowest priorities beyond [`MAX_PRIORITIES`] are left out.
+    pub fn state(&self, now: Instant) -> State {
+        let load = self.load(now);
+        let mut queue: Vec<Queued> = Vec::new();
+        for place in self.waiting.keys() {
+            let priority = place.priority;
+            if queue.last().is_none_or(|last| last.priority != priority) {
+                if queue.len() == MAX_PRIORITIES {
+                    break;
+                }
+                queue.push(Queued {
+                    priority,
+                    waiting: 0,
+                    late: 0,
+                    first_due: u16::MAX,
+                    last_due: 0,
+                });
+            }
+            let Some(queued) = queue.last_mut() else {
+                break;
+            };
+            queued.waiting += 1;
+            queued.late += u32::from(place.is_late);
+            if !place.is_late {
+                let due = place.due.saturating_duration_since(now).as_millis();
+                let due = (due / u128::from(DUE_UNIT_MILLIS)).min(MAX_DUE_UNITS.into()) as u16;
+                queued.first_due = queued.first_due.min(due);
+                queued.last_due = queued.last_due.max(due);
+            }
+        }
+        for queued in &mut queue {
+            queued.first_due = queued.first_due.min(queued.last_due);
+        }
+        State {
+            running: load.running,
+            waiting: load.waiting,
+            slots: load.slots,
+            turnover_micros: self.slot_turnover().as_micros().max(1) as u32,
+            slowdown: (self.slowdown.factor() * 100.0).round() as u16,
+            queue,
+            slowness: None,
+        }
+    }
+
     /// Records the run time of a request whose `usual` run time was observed by the node that
     /// sent it.
     pub fn record_run(&mut self, took: Duration, usual: Duration) {
@@ -296,13 +344,9 @@
             sequence: self.next_sequence,
         };
         let slack = self.slack(arrival, now).unwrap_or_default();
-        // A request waits for the runs of others, so the bounds on its wait are no shorter
-        // than those take: a full queue takes `QUEUE_PER_SLOT` mean runs, and the next slot is
-        // free after one turnover.
         let mean_run = Duration::from_secs_f64(self.mean);
-        let own_run = arrival.usual_run_time.unwrap_or(mean_run);
-        let longest = (own_run.max(mean_run) * QUEUE_PER_SLOT as u32).min(arrival.max_wait);
-        let max_wait = (slack / SLACK_DIVISOR).min(longest);
+        let bounds = bounds(arrival, self.slots, mean_run, slack);
+        let max_wait = bounds.max_wait;
         if self.wait(&place) <= max_wait {
             return Some((place, max_wait));
         }
@@ -310,17 +354,46 @@
             is_late: true,
             ..place
         };
-        let late_places = (self.slots as usize / SLOTS_PER_LATE).max(1);
-        let max_wait = own_run
-            .clamp(self.slot_turnover() * late_places as u32, mean_run)
-            .min(arrival.max_wait);
+        let max_wait = bounds.late_max_wait;
         // Waiting requests of lower priority are not counted. Counting them starved requests
         // whose objective is close to their run time behind requests of lower priority.
         let ahead = self
             .waiting
             .keys()
             .take_while(|p| p.priority <= place.priority);
-        let has_place = ahead.count() < late_places && self.wait(&place) <= max_wait;
+        let has_place = ahead.count() < bounds.late_places && self.wait(&place) <= max_wait;
         has_place.then_some((place, max_wait))
     }
 }
+
+/// How long a request may wait at a target.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Bounds {
+    /// Its maximum wait, if it is then expected to end by its due time.
+    pub max_wait: Duration,
+    /// Its maximum wait as a late request.
+    pub late_max_wait: Duration,
+    /// The waiting requests of its priority or a higher one with which the queue has no place
+    /// for a late request.
+    pub late_places: usize,
+}
+
+/// Returns the bounds on the wait of a request with this slack at a target with this many slots
+/// and this mean run time.
+///
+/// A request waits for the runs of others, so the bounds on its wait are no shorter than those
+/// take: a full queue takes `QUEUE_PER_SLOT` mean runs, and the next slot is free after one
+/// turnover.
+pub fn bounds(arrival: &Arrival, slots: u32, mean_run: Duration, slack: Duration) -> Bounds {
+    let own_run = arrival.usual_run_time.unwrap_or(mean_run);
+    let longest = (own_run.max(mean_run) * QUEUE_PER_SLOT as u32).min(arrival.max_wait);
+    let late_places = (slots as usize / SLOTS_PER_LATE).max(1);
+    let turnover = mean_run / slots.max(1);
+    Bounds {
+        max_wait: (slack / SLACK_DIVISOR).min(longest),
+        late_max_wait: own_run
+            .clamp(turnover * late_places as u32, mean_run)
+            .min(arrival.max_wait),
+        late_places,
+    }
+}
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -8,6 +8,7 @@
 //! * [`answer`]: the headers and outcomes that callers see;
 //! * [`operator`]: messages of the command-line tool;
 //! * [`rollout`]: orders for roll-outs and their status;
+//! * [`load_report`]: the loads of targets that nodes report to each other;
 //! * [`announce`]: messages of targets to their node;
 //! * [`dialect`]: the headers of callers and targets, whose names depend on the platform;
 //! * [`notice`]: what a target states in its responses about the requests that it takes.
@@ -17,6 +18,7 @@
 pub mod contact;
 pub mod dialect;
 pub mod hop;
+pub mod load_report;
 pub mod log;
 pub mod notice;
 pub mod operator;
