Load reports: the exchange

Each node reports its target's load every 200 ms to the first-ranked node of its failure domain, which answers with the loads of the services that the node sent to within 10 s. First-ranked nodes report their domains to each other. The loads feed the balancer; those in responses count like reports of that moment.

Nothing is sent while no team of the version in force has a priority or a limit and the setting load_reports isn't true.

--- a/src/coordination/gate.rs
+++ b/src/coordination/gate.rs
@@ -26,6 +26,7 @@
         answer::Refusal,
         dialect::{Load, Slowdown},
         hop::Limit,
+        load_report,
         notice::Notice,
     },
     unit::{Rate, Span},
@@ -211,6 +212,16 @@
         self.state.lock().queue.load(Instant::now())
     }
 
+    /// Returns the target's load as it is reported to other nodes; `None` if no request is
+    /// admitted.
+    pub fn state(&self) -> Option<load_report::State> {
+        let state = self.state.lock();
+        match state.unavailable() {
+            Some(_) => None,
+            None => Some(state.queue.state(Instant::now())),
+        }
+    }
+
     /// Returns the slot turnover time: how long it takes until a slot is free, while all are
     /// in use.
     pub fn slot_turnover(&self) -> Duration {
--- a/src/coordination/host.rs
+++ b/src/coordination/host.rs
@@ -28,6 +28,7 @@
         gate::{self, Gate},
         hint::Hint,
         interface::{Decoders, Stream},
+        load_report::LoadReports,
         local::{Change, Local},
         quarantine::SharedQuarantine,
         rate_limit::RateLimits,
@@ -93,6 +94,8 @@
     pub drains: SharedDrains,
     /// The limits on teams' requests.
     pub rate_limits: Arc<RateLimits>,
+    /// The loads of other nodes' targets, as reported.
+    pub load_reports: Arc<LoadReports>,
     /// Is notified when a version comes into force.
     pub version_changed: Arc<Notify>,
     /// Which release of a service receives its requests.
@@ -134,6 +137,7 @@
             differs("advertise", current.advertise == new.advertise),
             differs("store", current.store == new.store),
             differs("descriptors", current.descriptors == new.descriptors),
+            differs("load_reports", current.load_reports == new.load_reports),
             differs("bandwidth", current.bandwidth() == new.bandwidth()),
         ]
         .into_iter()
@@ -175,6 +179,7 @@
             answers: Answers::default(),
             drains: SharedDrains::default(),
             rate_limits: Arc::default(),
+            load_reports: Arc::default(),
             version_changed: Arc::default(),
             rollouts: Rollouts::new(settings.exposure.map(|exposure| exposure.share)),
             own_record_changed: Notify::new(),
@@ -258,6 +263,7 @@
         // one can have come into force since the check above.
         self.versions.put(table);
         self.version_changed.notify_one();
+        self.load_reports.changed.notify_one();
         self.set_gate();
         note!(
             self.journal,
@@ -484,6 +490,10 @@
             .iter()
             .filter(|m| self.is_unreachable(&m.node, now))
             .count();
+        let present = (members.len() - unreachable, unreachable);
+        drop(members);
+        let providers = |service: &Name| self.members.read().providers(service).to_vec();
+        let load_reports = self.load_reports.counts(providers, now);
         self.metrics.text(&metrics::Readings {
             version: self.version(),
             version_age: self
@@ -494,8 +504,9 @@
             limit: self.gate.limit(),
             is_reader: self.streams.is_reading(),
             dropped_lines: self.journal.dropped(),
-            members: (members.len() - unreachable, unreachable),
+            members: present,
             quarantined: self.quarantine.quarantined(now).len(),
+            load_reports,
         })
     }
 
--- a/src/coordination/interface.rs
+++ b/src/coordination/interface.rs
@@ -13,6 +13,7 @@
     protocol::{
         self, announce,
         dialect::Dialect,
+        load_report,
         log::Batch,
         rollout::{Order, Status},
         update::Update,
@@ -137,6 +138,9 @@
     /// Reports a node's counts of teams' requests. The answer is the
     /// [`Shares`](crate::coordination::decision::rate_limit::Shares) to admit.
     Counts(Report),
+    /// Reports the loads of targets. The answer is a
+    /// [`Reply`](crate::protocol::load_report::Reply).
+    Loads(load_report::Message),
     /// Delivers records that another node read, to apply and to forward.
     Deliver(Box<Update>),
 }
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -36,6 +36,7 @@
 //! * [`local`], [`presence`]: the target on this host, and what is published about it;
 //! * [`gate`], [`flow`]: admission to that target, and of large bodies to the host's link;
 //! * [`drain`]: which failure domains an operator has drained;
+//! * [`load_report`]: the exchange of the loads of targets;
 //! * [`rate_limit`]: the exchange of counts behind the limits on teams' requests;
 //! * [`quarantine`]: which requests are quarantined because targets crash under them;
 //! * [`rollout`]: which release of a service receives its requests;
@@ -59,6 +60,7 @@
 pub mod idempotency;
 pub mod interface;
 pub mod limiter;
+pub mod load_report;
 pub mod local;
 pub mod log_reader;
 pub mod node;
--- a/src/coordination/watch.rs
+++ b/src/coordination/watch.rs
@@ -21,7 +21,7 @@
     coordination::{
         host::Host,
         interface::{CallPeer, PeerRequest},
-        rank, rate_limit,
+        load_report, rank, rate_limit,
     },
     event::Event,
     id::Node,
@@ -156,6 +156,17 @@
     }
 }
 
+/// Returns what the exchange of loads needs to know of the fleet: the first-ranked nodes are those
+/// of the exchange of rate limits.
+pub fn load_report_view(host: &Host) -> load_report::View {
+    let view = rate_limit_view(host);
+    load_report::View {
+        routes: view.routes,
+        first: view.pool,
+        others: view.others,
+    }
+}
+
 /// Records that a node did not answer: it is left out of the ranking for a while.
 pub fn note_silent(host: &Host, node: &Node) {
     host.note_unreachable(node, Instant::now() + SKIP_TIME);
--- a/src/host/metrics.rs
+++ b/src/host/metrics.rs
@@ -40,6 +40,8 @@
     pub attempts: Family<Attempt, Counter<u64, AtomicU64>>,
     /// Retries that were refused because the retry budget was used up, by service.
     pub rejected_retries: Family<Service, Counter<u64, AtomicU64>>,
+    /// Requests that were rejected because no target has room, by service.
+    pub no_room: Family<Service, Counter<u64, AtomicU64>>,
     /// Calls to the store by kind and result.
     pub store_calls: Family<Call, Counter<u64, AtomicU64>>,
     /// Seconds that calls to the store took, without calls that may wait at the store for new
@@ -51,6 +53,8 @@
     pub admitted: Counter<u64, AtomicU64>,
     /// Known members, by whether they answered the last check.
     pub members: Family<State, Gauge<i64, AtomicI64>>,
+    /// Targets of the services that this node uses, by whether their load is known.
+    pub load_reports: Family<State, Gauge<i64, AtomicI64>>,
     gauges: Gauges,
 }
 
@@ -87,6 +91,8 @@
     pub members: (usize, usize),
     /// Quarantined requests, under which targets crashed.
     pub quarantined: usize,
+    /// The numbers of targets with a fresh load report, and without.
+    pub load_reports: (usize, usize),
 }
 
 /// The labels of [`Metrics::requests`].
@@ -116,7 +122,7 @@
     pub end: &'static str,
 }
 
-/// The labels of [`Metrics::rejected_retries`].
+/// The labels of [`Metrics::rejected_retries`] and [`Metrics::no_room`].
 #[derive(Clone, Debug, Eq, Hash, PartialEq, EncodeLabelSet)]
 pub struct Service {
     /// The service.
@@ -135,14 +141,14 @@
 /// The labels of [`Metrics::unusable`].
 #[derive(Clone, Debug, Eq, Hash, PartialEq, EncodeLabelSet)]
 pub struct Unusable {
-    /// `version`, `member`, `heartbeat` or `news`.
+    /// `version`, `member`, `heartbeat`, `news` or `loads`.
     pub what: &'static str,
 }
 
-/// The labels of [`Metrics::members`].
+/// The labels of [`Metrics::members`] and [`Metrics::load_reports`].
 #[derive(Clone, Debug, Eq, Hash, PartialEq, EncodeLabelSet)]
 pub struct State {
-    /// `present` or `silent`.
+    /// `present` or `silent`; `fresh` or `unknown`.
     pub state: &'static str,
 }
 
@@ -165,6 +171,8 @@
             latency: Family::new_with_constructor(histogram),
             attempts: Family::default(),
             rejected_retries: Family::default(),
+            no_room: Family::default(),
+            load_reports: Family::default(),
             store_calls: Family::default(),
             store_latency: histogram(),
             unusable: Family::default(),
@@ -195,6 +203,16 @@
             "Further sends refused for want of allowance",
             self.rejected_retries.clone(),
         );
+        registry.register(
+            "no_room",
+            "Requests refused because no target has room, without asking one",
+            self.no_room.clone(),
+        );
+        registry.register(
+            "load_reports",
+            "Targets of the services used here, by whether their load is known",
+            self.load_reports.clone(),
+        );
         registry.register(
             "store_calls",
             "Calls to the store",
@@ -284,6 +302,12 @@
                 .get_or_create(&State { state })
                 .set(count as i64);
         }
+        let (fresh, unknown) = now.load_reports;
+        for (state, count) in [("fresh", fresh), ("unknown", unknown)] {
+            self.load_reports
+                .get_or_create(&State { state })
+                .set(count as i64);
+        }
         let mut text = String::new();
         encode(&mut text, &self.registry.lock()).expect("writing to a String can't fail");
         text
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -20,6 +20,7 @@
     coordination::{
         host,
         interface::{CallPeer, Decoders, Store, Stream},
+        load_report,
         presence::{self, Recorded},
         probe,
         quarantine::review,
@@ -96,6 +97,7 @@
         let ingress = Ingress::new(host.clone());
         let egress = Egress::new(host.clone(), ingress.clone());
         let call_peer = control::call_peer();
+        let intake = load_intake(&host);
         let listen = &host.settings.listen;
         let request_servers = [
             (listen.callers, ClientKind::Callers, egress.handler()),
@@ -105,7 +107,7 @@
             (
                 listen.peers,
                 ClientKind::Internal,
-                control::peers(host.clone(), call_peer.clone()),
+                control::peers(host.clone(), call_peer.clone(), intake.clone()),
             ),
             (
                 listen.targets,
@@ -142,7 +144,14 @@
             )?,
             control_thread: spawn_thread(
                 "control",
-                run_control(host.clone(), store, call_peer, recorded, control_listeners),
+                run_control(
+                    host.clone(),
+                    store,
+                    call_peer,
+                    intake,
+                    recorded,
+                    control_listeners,
+                ),
             )?,
             host,
         })
@@ -262,6 +271,7 @@
     host: Arc<host::Host>,
     store: Store,
     call_peer: CallPeer,
+    intake: Arc<load_report::Intake>,
     recorded: watch::Sender<Recorded>,
     listeners: Listeners,
 ) {
@@ -272,6 +282,9 @@
     tokio::spawn(sync::follow_hints(host.clone(), call_peer.clone()));
     tokio::spawn(reader::run(host.clone(), call_peer.clone()));
     tokio::spawn(rate_limit::run(rate_limit_exchange(&host, &call_peer)));
+    tokio::spawn(load_report::run(load_report_exchange(
+        &host, &call_peer, intake,
+    )));
     tokio::spawn(review::run(host.clone()));
     tokio::spawn(rollout::controller::run(host.clone(), store.clone()));
     tokio::spawn(probe::run(host.clone(), call_peer));
@@ -291,6 +304,55 @@
     }
 }
 
+fn load_intake(host: &Arc<host::Host>) -> Arc<load_report::Intake> {
+    let (listing, loading, noting) = (host.clone(), host.clone(), host.clone());
+    Arc::new(load_report::Intake {
+        reports: host.load_reports.clone(),
+        members: Arc::new(move || listing.members.read().iter().cloned().collect()),
+        on_loads: Arc::new(move |loads| {
+            let mut balancer = loading.balancer.lock();
+            for (member, load, at) in loads {
+                balancer.record_load(&member, load, at);
+            }
+        }),
+        on_unusable: Arc::new(move |from, count, why| {
+            noting.count_unusable("loads");
+            note!(
+                noting.journal,
+                Event::ChangeRejected,
+                what = "loads",
+                from = from,
+                count = count,
+                why = why
+            );
+        }),
+    })
+}
+
+fn load_report_exchange(
+    host: &Arc<host::Host>,
+    call_peer: &CallPeer,
+    intake: Arc<load_report::Intake>,
+) -> load_report::Exchange {
+    let (viewing, noting, loading) = (host.clone(), host.clone(), host.clone());
+    load_report::Exchange {
+        node: host.settings.node.clone(),
+        domain: host.settings.domain.clone(),
+        setting: host.settings.load_reports,
+        intake,
+        view: Arc::new(move || reader::load_report_view(&viewing)),
+        own: Arc::new(move || {
+            let members = loading.members.read();
+            let member = members.get(&loading.settings.node)?.clone();
+            Some((member, loading.gate.state()?))
+        }),
+        // Statements of slowness aren't read yet.
+        states_slowness: Arc::new(|| false),
+        call_peer: call_peer.clone(),
+        on_silent: Arc::new(move |node| reader::note_silent(&noting, node)),
+    }
+}
+
 async fn serve_all(listeners: Listeners) {
     let servers = listeners
         .into_iter()
--- a/src/host/settings.rs
+++ b/src/host/settings.rs
@@ -48,6 +48,11 @@
     /// The bandwidth of the host's link in Mbit/s; 0 if unknown.
     #[serde(default)]
     pub bandwidth: f64,
+    /// Whether nodes report the loads of their targets to each other. Without it, they do while a
+    /// team of the version in force has a priority or a limit, or the target here states its
+    /// slowness.
+    #[serde(default)]
+    pub load_reports: Option<bool>,
     /// The most file descriptors that the process may have open.
     pub descriptors: usize,
     /// The limit on requests to a new release before it has proven good. Without it,
--- a/src/transport/relay/attempt.rs
+++ b/src/transport/relay/attempt.rs
@@ -129,6 +129,9 @@
 impl Drop for AttemptGuard<'_> {
     fn drop(&mut self) {
         let now = Instant::now();
+        if let Some(load) = self.report.load {
+            self.host.load_reports.observe(self.member, load, now);
+        }
         let labels = metrics::Attempt {
             service: self.service.to_string(),
             end: self.result.name(),
--- a/src/transport/relay/control.rs
+++ b/src/transport/relay/control.rs
@@ -21,6 +21,7 @@
         Error,
         host::Host,
         interface::{CallPeer, PeerRequest},
+        load_report::Intake,
         local::Change,
         presence::Recorded,
         records,
@@ -29,7 +30,7 @@
     },
     event::Event,
     journal::note,
-    protocol::announce::TargetCall,
+    protocol::{announce::TargetCall, load_report::Message},
     state::fingerprint::Fingerprint,
     transport::relay::{
         body::{self, Body, ReadResult},
@@ -54,6 +55,10 @@
 /// each.
 const MAX_PEER_MESSAGE: usize = 8 << 20;
 
+/// The largest report of loads from a peer, in bytes: 256 entries of at most 150 bytes, and 32
+/// names of services.
+const MAX_LOADS: usize = 64 << 10;
+
 /// The largest body of any other request, in bytes; heartbeats of targets have a few hundred.
 const MAX_CALL: usize = 16 << 10;
 
@@ -76,6 +81,9 @@
 /// The path where peers report their counts of teams' requests.
 const COUNTS: &str = "/counts";
 
+/// The path where peers report the loads of targets.
+const LOADS: &str = "/loads";
+
 /// The path where peers deliver the records that they read from the store.
 const NEWS: &str = "/news";
 
@@ -88,6 +96,9 @@
 /// The path that returns the quarantined requests to operators.
 const HELD: &str = "/held";
 
+/// The path that returns the known loads of targets to operators.
+const ROOM: &str = "/room";
+
 /// The path where operators release a quarantined request.
 const LET_GO: &str = "/let-go";
 
@@ -110,6 +121,7 @@
         PeerRequest::Members(hashes) => (MEMBERS, encode(&hashes)),
         PeerRequest::Progress => (SEEN, Bytes::new()),
         PeerRequest::Counts(report) => (COUNTS, encode(&report)),
+        PeerRequest::Loads(message) => (LOADS, encode_compact(&message)),
         PeerRequest::Deliver(news) => (NEWS, encode(&news)),
     };
     let peer = || address.to_string();
@@ -149,20 +161,29 @@
         .into()
 }
 
+/// Returns a message without field names, for those that are sent several times a second.
+fn encode_compact(value: &impl serde::Serialize) -> Bytes {
+    rmp_serde::to_vec(value)
+        .expect("a message to a peer always encodes")
+        .into()
+}
+
 /// Returns the handler of requests from peers and operators.
-pub fn peers(host: Arc<Host>, call_peer: CallPeer) -> Handler {
+pub fn peers(host: Arc<Host>, call_peer: CallPeer, intake: Arc<Intake>) -> Handler {
     Arc::new(move |request: Request<Body>| {
-        let (host, call_peer) = (host.clone(), call_peer.clone());
+        let (host, call_peer, intake) = (host.clone(), call_peer.clone(), intake.clone());
         async move {
             match request.uri().path() {
                 ROUTES => routes(&host, request.into_body()).await,
                 MEMBERS => members(&host, request.into_body()).await,
                 SEEN => Response::new(Body::whole(encode(&host.progress()))),
                 COUNTS => counts(&host, request.into_body()).await,
+                LOADS => loads(&host, &intake, request.into_body()).await,
                 NEWS => news(&host, &call_peer, request.into_body()).await,
                 ROLLOUTS => json(&controller::progress(&host)),
                 DRAINS => json(&host.drains.latest()),
                 HELD => json(&host.quarantine.quarantined(Instant::now())),
+                ROOM => json(&host.load_reports.reported(Instant::now())),
                 LET_GO => let_go(&host, request.into_body()).await,
                 _ => empty_response(StatusCode::NOT_FOUND),
             }
@@ -227,6 +248,21 @@
     }
 }
 
+async fn loads(host: &Host, intake: &Intake, body: Body) -> Response<Body> {
+    let read = body::read(body, MAX_LOADS, PEER_TIMEOUT).await;
+    let Ok(ReadResult::Whole(bytes)) = read else {
+        return empty_response(StatusCode::BAD_REQUEST);
+    };
+    if host.settings.load_reports == Some(false) {
+        return empty_response(StatusCode::NOT_FOUND);
+    }
+    let Some(message) = records::decode::<Message>(host, &bytes, "loads", "peer") else {
+        return empty_response(StatusCode::BAD_REQUEST);
+    };
+    let reply = intake.receive(message, Instant::now());
+    Response::new(Body::whole(encode_compact(&reply)))
+}
+
 async fn let_go(host: &Host, body: Body) -> Response<Body> {
     let read = body::read(body, MAX_CALL, PEER_TIMEOUT).await;
     let Ok(ReadResult::Whole(bytes)) = read else {
