Load reports: reject early, and ask only targets with room

A request for which every eligible target is reported full is refused without asking one (E415 NoRoom, reason `no target has room`). After a refusal for lack of capacity, only targets are asked that are expected to admit the request or whose load is unknown.

--- a/src/coordination/decision/balance/mod.rs
+++ b/src/coordination/decision/balance/mod.rs
@@ -286,7 +286,9 @@
         })
     }
 
-    fn is_excluded(&mut self, member: &Member, me: &Node, now: Instant) -> bool {
+    /// Returns whether a member gets no requests for now: it is unreachable or ejected, has left
+    /// requests unanswered for too long, or its target leaves. `me` is the node that chooses.
+    pub fn is_excluded(&mut self, member: &Member, me: &Node, now: Instant) -> bool {
         let is_unreachable = member.node != *me && self.reachability.is_unreachable(member);
         let peer = self.peer(member, now);
         is_unreachable || peer.is_excluded(now) || peer.is_leaving(member)
--- a/src/event.rs
+++ b/src/event.rs
@@ -96,6 +96,7 @@
     412 Warn  Misplaced: "A request came that this node's view doesn't allow here; it was refused.";
     413 Warn  CutShort: "A target ended midway through an answer; the caller is told by a broken body.";
     414 Info  BodyTaken: "A request's body was taken in over the host's link, or could not be in time.";
+    415 Info  NoRoom: "A request was refused without asking any target: by the load reports, none has room for it.";
     420 Info  KeyIssued: "Idempotency keys were issued.";
     421 Info  Replayed: "A keyed request came again and got the recorded answer.";
     422 Warn  KeyRefused: "A keyed request could not be run or replayed.";
--- a/src/transport/relay/egress.rs
+++ b/src/transport/relay/egress.rs
@@ -18,7 +18,9 @@
             attempts,
             balance::{self, Choice, Report},
             quarantine::QUARANTINED,
+            queue::Arrival,
         },
+        gate,
         host::Host,
         rollout::Answer,
     },
@@ -45,6 +47,9 @@
     unit::Size,
 };
 
+/// The reason of a refusal because, by the load reports, no target has room for a request.
+pub const NO_ROOM: &str = "no target has room";
+
 /// Routes requests of callers and sends them to targets here or on other hosts.
 pub struct Egress {
     host: Arc<Host>,
@@ -188,15 +193,26 @@
         // A body that isn't buffered whole has at least the size of the buffer.
         let bytes = whole.as_ref().map_or(MAX_BUFFERED_BODY, Bytes::len);
         let content = request_fingerprint::fingerprint(&call.head, whole.as_deref());
+        self.host
+            .load_reports
+            .note_sent(&call.service, call.arrived);
+        if !self.host.quarantine.is_quarantined(&content) {
+            self.check_room(call, attempts)?;
+        }
+        // The request as a target last refused it for lack of capacity.
+        let mut refused: Option<Arrival> = None;
         while attempts.may_ask(&call.request(), Instant::now()) {
             let is_quarantined = self.host.quarantine.is_quarantined(&content);
             let choice = match is_quarantined {
                 true => selection::choose_for_trial(&self.host, call, &content, &attempts.nodes),
-                false => selection::choose(&self.host, call, bytes, &attempts.nodes),
+                false => {
+                    selection::choose(&self.host, call, bytes, &attempts.nodes, refused.as_ref())
+                }
             };
             let Some(choice) = choice else {
                 match is_quarantined {
                     true => attempts.keep_refusal(Refusal::rejected(503, QUARANTINED)),
+                    false if refused.is_some() => {}
                     false => selection::log_no_target(&self.host, call, attempts.nodes.len()),
                 }
                 break;
@@ -215,6 +231,12 @@
             let outcome = self
                 .attempt(call, &choice, body, attempts, is_quarantined)
                 .await;
+            if let AttemptOutcome::Refused(refusal) = &outcome
+                && refusal.refusal.reason == gate::FULL
+                && self.host.load_reports.is_enabled()
+            {
+                refused = Some(self.arrival(call, attempts));
+            }
             if attempts.arrivals == 0 && outcome.has_arrived() {
                 let mut budget = self.host.retry_budget.lock();
                 budget.note_arrival(&call.service, Instant::now());
@@ -243,6 +265,41 @@
         attempts.final_result()
     }
 
+    /// Returns the queue entry of a request that is sent now.
+    fn arrival(&self, call: &Call, attempts: &Attempts) -> Arrival {
+        let usual = self.host.balancer.lock().mean_run_time(&call.route.name);
+        attempts.queue_arrival(&call.request(), usual, Instant::now())
+    }
+
+    /// Refuses a request for which no target has room by the load reports, before any is asked.
+    fn check_room(&self, call: &Call, attempts: &Attempts) -> Result<(), Refusal> {
+        if !self.host.load_reports.is_enabled() {
+            return Ok(());
+        }
+        let arrival = self.arrival(call, attempts);
+        let Some(no_room) = selection::no_room(&self.host, call, &arrival) else {
+            return Ok(());
+        };
+        let service = metrics::Service {
+            service: call.service.to_string(),
+        };
+        self.host.metrics.no_room.get_or_create(&service).inc();
+        let known = self.host.members.read().providers(&call.service).len();
+        note!(
+            self.host.journal,
+            Event::NoRoom,
+            id = call.id(&self.host),
+            route = call.route.name,
+            service = call.service,
+            priority = call.priority,
+            known = known,
+            fresh = no_room.full,
+            oldest = no_room.oldest.as_millis(),
+            wait = no_room.wait.as_millis(),
+        );
+        Err(Refusal::not_run(NO_ROOM, no_room.retry_after()))
+    }
+
     /// Records the outcome of an attempt as evidence for release roll-outs.
     fn record_attempt(
         &self,
--- a/src/transport/relay/selection.rs
+++ b/src/transport/relay/selection.rs
@@ -1,10 +1,15 @@
 //! Selection of the target for the next attempt at a request.
 
-use std::time::Instant;
+use std::{sync::Arc, time::Instant};
 
 use crate::{
     coordination::{
-        decision::balance::{Choice, Criteria},
+        decision::{
+            balance::{Choice, Criteria},
+            load_report::NoRoom,
+            queue::Arrival,
+        },
+        gate,
         host::Host,
         interface::Stream,
         rollout::Subset,
@@ -12,14 +17,27 @@
     event::Event,
     id::Node,
     journal::note,
-    state::{fingerprint::Fingerprint, member::Member},
+    state::{
+        fingerprint::Fingerprint,
+        member::{Member, Status},
+    },
     transport::relay::call::Call,
+    unit::Span,
 };
 
 /// Returns the target for the next attempt at a request with a body of `bytes`, other than
 /// those beside the nodes in `asked`. During a roll-out, the subsets of targets are searched in
 /// order of preference.
-pub fn choose(host: &Host, call: &Call, bytes: usize, asked: &[Node]) -> Option<Choice> {
+///
+/// With `refused`, the request as it was refused for lack of capacity, only targets are asked
+/// that are expected to admit it, or whose load is unknown.
+pub fn choose(
+    host: &Host,
+    call: &Call,
+    bytes: usize,
+    asked: &[Node],
+    refused: Option<&Arrival>,
+) -> Option<Choice> {
     let criteria = Criteria {
         node: &host.settings.node,
         route: &call.route.name,
@@ -42,10 +60,25 @@
                 && !asked.contains(&member.node)
                 && subset.admits(member, service)
         };
-        let choice = balancer.choose(&members, criteria, is_eligible, Instant::now());
+        let now = Instant::now();
+        let has_room = |member: &Member| match refused {
+            Some(arrival) if member.node == host.settings.node => host.gate.check(arrival).is_ok(),
+            Some(arrival) => host.load_reports.may_ask(member, arrival, now),
+            None => true,
+        };
+        let may_be_asked = |member: &Member| is_eligible(member) && has_room(member);
+        let choice = balancer.choose(&members, criteria, may_be_asked, now);
         if choice.is_some() {
             return choice;
         }
+        // A full subset doesn't move requests to the next one.
+        let is_full = refused.is_some()
+            && balancer
+                .choose(&members, criteria, is_eligible, now)
+                .is_some();
+        if is_full {
+            return None;
+        }
         if matches!(subset, Subset::Trial(_)) {
             host.rollouts.refund(service);
         }
@@ -53,6 +86,50 @@
     None
 }
 
+/// Returns what is known of the targets of a service if no target that the request could be sent
+/// to has room for it.
+///
+/// Targets are eligible as in [`choose`]; those on trial of a new release don't count, because
+/// few requests may go to them.
+pub fn no_room(host: &Host, call: &Call, arrival: &Arrival) -> Option<NoRoom> {
+    let now = Instant::now();
+    let (me, service) = (&host.settings.node, &call.service);
+    let members = host.members.read();
+    let subsets = host.rollouts.subsets(service, &members, false);
+    let drains = host.drains.current();
+    let regions = &host.settings.regions;
+    let mut balancer = host.balancer.lock();
+    let own_wait = || {
+        let refusal = host.gate.check(arrival).err()?;
+        // Without a target or while it leaves, nothing is known of when it would admit a request.
+        let has_target = ![gate::NO_TARGET, gate::LEAVING].contains(&refusal.reason.as_str());
+        refusal
+            .retry_after
+            .filter(|_| has_target)
+            .map(Span::duration)
+    };
+    for subset in subsets.into_iter().flatten() {
+        let is_eligible = |member: &&Arc<Member>| {
+            member.status == Status::Alive
+                && member
+                    .target(service)
+                    .is_some_and(|target| !target.draining)
+                && !drains.is_drained(&member.domain)
+                && call.may_run_in(regions.of(&member.domain))
+                && subset.admits(member, service)
+                && !balancer.is_excluded(member, me, now)
+        };
+        let targets = members.providers(service).iter().filter(is_eligible);
+        let mut targets = targets.peekable();
+        if targets.peek().is_some() {
+            return host
+                .load_reports
+                .no_room(targets, me, own_wait, arrival, now);
+        }
+    }
+    None
+}
+
 /// Returns the target on this host, if a trial of a quarantined request may start at it now.
 pub fn choose_for_trial(
     host: &Host,
