--- a/src/tool/mod.rs
+++ b/src/tool/mod.rs
@@ -89,6 +89,7 @@
     Drained(DrainedArgs),
     Held(HeldArgs),
     LetGo(LetGoArgs),
+    Room(RoomArgs),
     Trace(TraceArgs),
 }
 
@@ -245,6 +246,12 @@
 #[argh(subcommand, name = "drained")]
 struct DrainedArgs {}
 
+/// Show the loads of targets that a node on the users' platform knows from reports; --daemon is
+/// the node's address for peers.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "room")]
+struct RoomArgs {}
+
 /// Release a quarantined request on all nodes.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "let-go")]
@@ -320,6 +327,7 @@
         Command::Rollout(_) => show::rollouts(&client.get::<Vec<_>>("rollouts").await?, json),
         Command::Drained(_) => show::drains(&client.get::<Vec<_>>("drains").await?, json),
         Command::Held(_) => show::quarantined(&client.get::<Vec<_>>("held").await?, json),
+        Command::Room(_) => show::room(&client.get::<Vec<_>>("room").await?, json),
         Command::LetGo(args) => {
             let was_quarantined: bool = client.post("let-go", &args.content).await?;
             show::released(&args.content, was_quarantined)
--- a/src/tool/show.rs
+++ b/src/tool/show.rs
@@ -4,6 +4,7 @@
 use serde::Serialize;
 
 use crate::{
+    coordination::decision::load_report::Reported,
     files::{Difference, Files},
     id,
     protocol::operator::{
@@ -107,6 +108,42 @@
     Ok(Code::Accepted)
 }
 
+/// Prints the loads of targets that a node knows from reports.
+pub fn room(reported: &[Reported], json: bool) -> CommandResult {
+    if json {
+        print_json(&reported);
+        return Ok(Code::Accepted);
+    }
+    for Reported {
+        node,
+        service,
+        age_ms,
+        is_fresh,
+        state,
+    } in reported
+    {
+        let queue = state.queue.iter();
+        let queue: Vec<String> = queue
+            .map(|queued| format!("{} of priority {}", queued.waiting, queued.priority))
+            .collect();
+        let waiting = match queue.is_empty() {
+            true => state.waiting.to_string(),
+            false => format!("{} ({})", state.waiting, queue.join(", ")),
+        };
+        let turnover = f64::from(state.turnover_micros) / 1000.0;
+        let freshness = if *is_fresh { "" } else { ", unknown by now" };
+        println!(
+            "{service} beside {node}: {} of {} slots used, {waiting} waiting, a slot free each \
+             {turnover:.1} ms, {age_ms} ms ago{freshness}",
+            state.running, state.slots
+        );
+    }
+    if reported.is_empty() {
+        println!("no load is reported");
+    }
+    Ok(Code::Accepted)
+}
+
 /// Prints that a request was released from quarantine.
 ///
 /// # Errors
