--- a/standins/examples/soak.rs
+++ b/standins/examples/soak.rs
@@ -76,6 +76,12 @@
 /// The number of callers with a persistent connection to each of those nodes.
 const CALLERS_PER_STOP: usize = 6;
 
+/// How long a target must have had free slots before no request may be refused for lack of room.
+const FREE_SPAN: Duration = Duration::from_secs(1);
+
+/// Callers that together take more than the slots of a service's other targets.
+const FILLING_CALLERS: usize = 24;
+
 const SERVICES: [&str; 2] = ["a", "b"];
 
 /// A request and its answer, as its caller saw them.
@@ -344,6 +350,7 @@
                 "advertise": {"inbound": proxies.inbound.address, "peers": proxies.peers.address},
                 "store": proxies.store.address, "heartbeat": "400ms", "grace": "6s",
                 "resend": {"ratio": 0.2, "slack": 62, "window": "10s"}, "descriptors": 1024,
+                "load_reports": true,
             });
             let path = folder.join(format!("n{i}.json"));
             std::fs::write(&path, settings.to_string()).unwrap();
@@ -635,6 +642,44 @@
         }
     }
 
+    /// After the faults, lets all targets of service `a` but n0's hang while more requests come than
+    /// they have slots, and checks that none is refused at the entry once n0's has had free slots
+    /// for [`FREE_SPAN`].
+    async fn check_room(self: &Arc<Self>) {
+        let set_others = |mode| {
+            let others = self.nodes.iter().skip(2).step_by(SERVICES.len());
+            others.for_each(|node| node.target.set(mode));
+        };
+        set_others(Mode::Hangs);
+        let start = Instant::now();
+        let mut callers = tokio::task::JoinSet::new();
+        for caller in 0..FILLING_CALLERS {
+            let fleet = self.clone();
+            callers.spawn(async move {
+                for number in 0.. {
+                    let sent = start.elapsed();
+                    if sent > FREE_SPAN * 3 {
+                        return;
+                    }
+                    let request = format!(
+                        "GET /get/a/ HTTP/1.1\r\nHost: fares.example\r\nConnection: close\r\n\
+                         Rilltrack-Attempt-Id: f{caller}-{number}\r\nRilltrack-Deadline-Ms: 500\r\n\r\n"
+                    );
+                    let node = &fleet.nodes[caller % fleet.nodes.len()];
+                    let answer = exchange(node.at(7001), &request, FREE_SPAN).await;
+                    if sent > FREE_SPAN && answer.contains("no target has room") {
+                        fleet.report_violation(format!(
+                            "f{caller}-{number} was refused {sent:?} after n0's target had free slots"
+                        ));
+                    }
+                    tokio::time::sleep(Duration::from_millis(20)).await;
+                }
+            });
+        }
+        callers.join_all().await;
+        set_others(Mode::Serves);
+    }
+
     /// After the faults, lets a target state a limit, kills its node, and checks what the target
     /// gets while the node starts anew.
     async fn check_stated_limit(&self) {
@@ -838,6 +883,7 @@
         fault.await.expect("a fault does not panic");
     }
     fleet.check_recovery().await;
+    fleet.check_room().await;
     fleet.check_stated_limit().await;
     fleet.check_stated_leave().await;
     fleet.stop_gracefully().await;
--- a/tests/load_report.rs
+++ b/tests/load_report.rs
@@ -31,6 +31,7 @@
         team::{Team, Teams},
     },
 };
+use tokio::io::AsyncReadExt;
 
 fn millis(millis: u64) -> Duration {
     Duration::from_millis(millis)
@@ -538,6 +539,29 @@
     }
 }
 
+// Guards against message heads that cost more than docs/CAPACITY.md says.
+#[tokio::test]
+async fn request_of_a_report_has_the_stated_size() {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let report = message(vec![entry(&member(1), 1, full(12))]);
+    let body = rmp_serde::to_vec(&report).unwrap().len();
+    let call = rilltrack::transport::relay::control::call_peer();
+    let sending = tokio::spawn(call(address, PeerRequest::Loads(report)));
+    let (mut stream, _) = listener.accept().await.unwrap();
+    let mut bytes = Vec::new();
+    while !bytes.windows(4).any(|end| end == b"\r\n\r\n") {
+        stream.read_buf(&mut bytes).await.unwrap();
+    }
+    let head = bytes.windows(4).position(|end| end == b"\r\n\r\n").unwrap() + 4;
+    println!(
+        "head {head} bytes, body {body} bytes: {}",
+        String::from_utf8_lossy(&bytes[..head])
+    );
+    assert!(head <= 80, "{head}");
+    sending.abort();
+}
+
 // Guards against a balancer that takes the targets which it doesn't ask for empty.
 #[test]
 fn reports_feed_the_choice_of_targets() {
