--- a/src/coordination/load_report.rs
+++ b/src/coordination/load_report.rs
@@ -130,9 +130,12 @@
     pub on_loads: Arc<dyn Fn(Loads) + Send + Sync>,
     /// Is called at most once in [`LOG_PAUSE`] with a node whose entries were out of bounds,
     /// their number since the last call, from all nodes, and what was wrong with the first.
-    pub on_unusable: Arc<dyn Fn(&Node, usize, &str) + Send + Sync>,
+    pub on_unusable: OnUnusable,
 }
 
+/// Is called with a node, a number of entries and what is wrong with them.
+pub type OnUnusable = Arc<dyn Fn(&Node, usize, &str) + Send + Sync>;
+
 /// Returns all members of the table.
 pub type Members = Arc<dyn Fn() -> Vec<Arc<Member>> + Send + Sync>;
 
@@ -385,7 +388,7 @@
             // While the target has no slots, others know nothing of it.
             entry.check().is_ok().then_some((member, service, entry))
         });
-        if sequence % PRUNE_ROUNDS == 0 {
+        if sequence.is_multiple_of(PRUNE_ROUNDS) {
             let members = (self.intake.members)();
             let known: HashSet<&Node> = members.iter().map(|member| &member.node).collect();
             let mut board = self.reports().board.lock();
