--- a/tests/load_report.rs
+++ b/tests/load_report.rs
@@ -259,7 +259,7 @@
             for number in 0..30 {
                 // All of one due time, so that the order among them is known.
                 let arrival = draw(350);
-                drop(queue.admit(&arrival, number, start));
+                let _ = queue.admit(&arrival, number, start);
             }
             let member = member(1);
             let mut board = Board::default();
@@ -457,8 +457,7 @@
         _ = load_report::run(exchange) => {}
         _ = end => {}
     }
-    let result = (sent.lock().clone(), silent.lock().clone());
-    result
+    (Mutex::lock(&sent).clone(), Mutex::lock(&silent).clone())
 }
 
 /// Returns a version with one team.
