--- a/src/coordination/decision/attempts.rs
+++ b/src/coordination/decision/attempts.rs
@@ -12,13 +12,12 @@
 use crate::{
     coordination::decision::{
         nested_call,
-        priority::Priority,
         queue::Arrival,
         retry_budget::{Retry, RetryBudget},
     },
     id::{Name, Node},
     protocol::answer::{Outcome, Refusal},
-    state::routing::Kind,
+    state::{priority::Priority, routing::Kind},
     unit::Span,
 };
 
--- a/src/protocol/hop.rs
+++ b/src/protocol/hop.rs
@@ -17,12 +17,12 @@
 use std::{fmt, str::FromStr};
 
 use crate::{
-    coordination::decision::priority::Priority,
     id::{Instance, Name, Node},
     protocol::{
         answer::Outcome,
         dialect::{Load, Slowdown},
     },
+    state::priority::Priority,
     unit::{Rate, Span},
 };
 
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -13,6 +13,7 @@
 //! * [`region`]: the regions of failure domains, and how far they are apart;
 //! * [`evidence`], [`fingerprint`]: what nodes report about requests under which
 //!   targets crashed;
+//! * [`priority`]: who goes first when slots are short;
 //! * [`routing`]: a complete version of routes from an external source;
 //! * [`team`]: the teams whose callers may send requests, and their keys;
 //! * [`drain`]: which failure domains an operator has drained;
@@ -26,6 +27,7 @@
 pub mod fingerprint;
 pub mod machine;
 pub mod member;
+pub mod priority;
 pub mod region;
 pub mod resource;
 pub mod rollout;
--- a/src/coordination/decision/priority.rs
+++ b/src/state/priority.rs
@@ -6,7 +6,7 @@
 //! long and have 800 ms.
 //!
 //! ```
-//! use rilltrack::coordination::decision::priority::Priority;
+//! use rilltrack::state::priority::Priority;
 //!
 //! let payment = Priority::of_team_and_route(1, 0);
 //! let confirmation = Priority::of_team_and_route(1, 2);
@@ -17,6 +17,8 @@
 
 use std::{fmt, str::FromStr};
 
+use serde::{Deserialize, Serialize};
+
 /// The number of priorities of routes that are told apart within one of a team. Both parts take
 /// half of the byte that nodes of earlier releases read from the header between nodes.
 const ROUTES_PER_TEAM: u8 = 16;
@@ -25,7 +27,8 @@
 const LOWEST: u8 = ROUTES_PER_TEAM - 1;
 
 /// The priority of a request under overload. A lower value goes first, and 0 is the highest.
-#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(transparent)]
 pub struct Priority(u8);
 
 /// A text that is not a [`Priority`].
--- a/src/transport/relay/call.rs
+++ b/src/transport/relay/call.rs
@@ -13,9 +13,7 @@
 
 use crate::{
     coordination::{
-        decision::{
-            access, attempts, nested_call::is_nested_call, priority::Priority, rate_limit::Exceeded,
-        },
+        decision::{access, attempts, nested_call::is_nested_call, rate_limit::Exceeded},
         host::Host,
     },
     event::Event,
@@ -23,6 +21,7 @@
     journal::note,
     protocol::answer::Refusal,
     state::{
+        priority::Priority,
         routing::{Route, Table},
         team::Team,
     },
--- a/standins/src/load/file.rs
+++ b/standins/src/load/file.rs
@@ -3,9 +3,8 @@
 use std::time::Duration;
 
 use rilltrack::{
-    coordination::decision::priority::Priority,
     document::{Document, Fault},
-    state::routing,
+    state::{priority::Priority, routing},
     unit::Span,
 };
 use serde::Deserialize;
--- a/standins/src/load/mod.rs
+++ b/standins/src/load/mod.rs
@@ -38,8 +38,8 @@
 use std::{ops::Range, time::Duration};
 
 use rilltrack::{
-    coordination::decision::{priority::Priority, retry_budget::Rule},
-    state::routing,
+    coordination::decision::retry_budget::Rule,
+    state::{priority::Priority, routing},
 };
 
 pub use figures::{Arrivals, Count, Figures, Took};
--- a/standins/tests/load.rs
+++ b/standins/tests/load.rs
@@ -3,7 +3,10 @@
 
 use std::{ops::Range, time::Duration};
 
-use rilltrack::{coordination::decision::priority::Priority, document::Document, state::routing};
+use rilltrack::{
+    document::Document,
+    state::{priority::Priority, routing},
+};
 use rilltrack_standins::load::{
     self, Calls, Crossing, Experiment, Figures, Harm, Kind, Load, Service, Trouble,
 };
--- a/tests/priority.rs
+++ b/tests/priority.rs
@@ -3,11 +3,11 @@
 use std::time::{Duration, Instant};
 
 use rilltrack::{
-    coordination::decision::{
+    coordination::decision::queue::{Admission, Arrival, Queue},
+    state::{
         priority::Priority,
-        queue::{Admission, Arrival, Queue},
+        team::{Team, Teams},
     },
-    state::team::{Team, Teams},
 };
 
 /// Defines one test for each named case.
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -21,7 +21,6 @@
         decision::{
             age::Ages,
             balance::{AttemptResult, Balancer, Choice, Criteria, Report},
-            priority::Priority,
             reach,
             retry_budget::{Retry, RetryBudget, Rule},
             split::Split,
@@ -44,6 +43,7 @@
     },
     state::{
         member::{Member, Status, Table, Target},
+        priority::Priority,
         region::Regions,
         routing::{self, Kind, Limits, Part, Route},
         selector::Labels,
