Read a target's slowness in its load header

A target may state as the fourth figure of the load header how long work currently takes on its machine. Nothing read it. Notice has it as an optional slowness of 0.2 to 8 times; what can't be parsed counts as not stated and restricts nothing. The names of the two headers between nodes are defined.

Tests: 14 cases and a property in tests/notice.rs.

--- a/src/protocol/dialect.rs
+++ b/src/protocol/dialect.rs
@@ -30,7 +30,7 @@
     /// On a target's response: the request has not run.
     pub not_run: HeaderName,
     /// On a target's response: its running requests, waiting requests and slots,
-    /// separated by commas.
+    /// separated by commas. A fourth figure is its [`Slowness`].
     pub load: HeaderName,
     /// On a target's response: the requests per second that it takes from all nodes together.
     pub limit: HeaderName,
@@ -123,6 +123,56 @@
     }
 }
 
+/// How long work currently takes on a target's machine, by the target's own statement, in
+/// relation to the usual time.
+///
+/// It is exchanged in hundredths of the usual time. A figure out of bounds counts as the nearest
+/// bound.
+///
+/// ```
+/// use rilltrack::protocol::dialect::Slowness;
+///
+/// let slowness: Slowness = "250".parse()?;
+/// assert_eq!((slowness.factor(), slowness.to_string()), (2.5, "250".into()));
+/// assert_eq!("100000".parse::<Slowness>()?.factor(), 8.0);
+/// # Ok::<(), rilltrack::protocol::dialect::SlownessError>(())
+/// ```
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Slowness(u32);
+
+impl Slowness {
+    /// The bounds, in hundredths; the same as those of a [`Slowdown`], so that a wrong statement
+    /// has no more effect than a wrong observation.
+    const HUNDREDTHS_BOUNDS: (u32, u32) = (20, 800);
+
+    /// Returns the ratio of the current time to the usual time.
+    pub fn factor(self) -> f64 {
+        f64::from(self.0) / 100.0
+    }
+}
+
+impl std::fmt::Display for Slowness {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+/// A text that is not a [`Slowness`].
+#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+#[error("`{0}` is not a slowness: expected hundredths of the usual time, above zero")]
+pub struct SlownessError(String);
+
+impl std::str::FromStr for Slowness {
+    type Err = SlownessError;
+
+    fn from_str(text: &str) -> Result<Self, SlownessError> {
+        let hundredths = text.parse().ok().filter(|hundredths| *hundredths > 0);
+        let hundredths: u32 = hundredths.ok_or_else(|| SlownessError(text.into()))?;
+        let (min, max) = Self::HUNDREDTHS_BOUNDS;
+        Ok(Self(hundredths.clamp(min, max)))
+    }
+}
+
 /// The utilization of a target.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Load {
--- a/src/protocol/hop.rs
+++ b/src/protocol/hop.rs
@@ -32,6 +32,18 @@
 /// of earlier releases remove it, too.
 pub const LIMIT_HEADER: &str = "rilltrack-hop-limit";
 
+/// The name of the header on requests that are sent to another node if this one refuses them
+/// because its target is slow; its value is [`SLOW`]. Nodes of earlier releases remove it, as they
+/// do [`SLOWNESS_HEADER`], because the name starts with [`HEADER`].
+pub const SLOW_HEADER: &str = "rilltrack-hop-slow";
+
+/// The value of [`SLOW_HEADER`].
+pub const SLOW: &str = "1";
+
+/// The name of the header with the [`Slowness`](super::dialect::Slowness) that the node's target
+/// stated last, on responses and refusals while that is fresh.
+pub const SLOWNESS_HEADER: &str = "rilltrack-hop-slowness";
+
 /// The header's value on a request.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Request {
--- a/src/protocol/notice.rs
+++ b/src/protocol/notice.rs
@@ -1,11 +1,18 @@
 //! What a target states in its responses about the requests that it takes.
 //!
-//! A statement restricts what may be sent to the target. One that can't be understood counts
-//! as the strictest of its kind, never as absent.
+//! A statement of a limit or a leave restricts what may be sent to the target. One that can't be
+//! understood counts as the strictest of its kind, never as absent. A slowness restricts nothing
+//! by itself, and counts as absent if it can't be understood.
 
-use http::{HeaderMap, HeaderName};
+use http::{HeaderMap, HeaderName, HeaderValue};
 
-use crate::{protocol::dialect::Dialect, unit::Rate};
+use crate::{
+    protocol::dialect::{Dialect, Slowness},
+    unit::Rate,
+};
+
+/// The position of the slowness in the load header, after running, waiting and slots.
+const SLOWNESS_POSITION: usize = 3;
 
 /// What one response of a target states.
 ///
@@ -36,6 +43,8 @@
     pub limit: Option<Rate>,
     /// Whether the target is about to leave.
     pub is_leaving: bool,
+    /// How long work currently takes on the target's machine; `None` if it doesn't state that.
+    pub slowness: Option<Slowness>,
 }
 
 impl Notice {
@@ -48,6 +57,7 @@
         Self {
             limit: limits.map(parse_limit).min(),
             is_leaving: leaves.any(|value| value != "0"),
+            slowness: parse_slowness(headers.get(&dialect.load)),
         }
     }
 }
@@ -66,3 +76,9 @@
     let rate = text.parse().ok().and_then(Rate::from_per_second);
     rate.unwrap_or_default()
 }
+
+/// Returns the slowness in a load header, whether or not its other figures can be understood.
+fn parse_slowness(load: Option<&HeaderValue>) -> Option<Slowness> {
+    let mut figures = load?.to_str().ok()?.split(',');
+    figures.nth(SLOWNESS_POSITION)?.trim().parse().ok()
+}
--- a/tests/notice.rs
+++ b/tests/notice.rs
@@ -4,8 +4,8 @@
 use proptest::{collection::vec, prelude::*, test_runner::RngSeed};
 use rilltrack::protocol::{dialect::Dialect, notice::Notice};
 
-/// Returns the notice in headers given as lines; the part before the first space is `limit` or
-/// `leaving`.
+/// Returns the notice in headers given as lines; the part before the first space is `limit`,
+/// `leaving` or `load`.
 fn notice(lines: &[&str]) -> Notice {
     let dialect = Dialect::default();
     let mut headers = HeaderMap::new();
@@ -14,6 +14,7 @@
         let name: &HeaderName = match kind {
             "limit" => &dialect.limit,
             "leaving" => &dialect.leaving,
+            "load" => &dialect.load,
             other => panic!("no header {other}"),
         };
         headers.append(name, value.parse().unwrap());
@@ -52,6 +53,36 @@
     leave_beside_a_denial_counts: ["leaving 0", "leaving 1"] => None, true;
 }
 
+/// Each case: the load header, and the ratio of the current time to the usual one that it states.
+macro_rules! slowness_cases {
+    ($($name:ident: [$($line:literal),*] => $factor:expr;)*) => {
+        $(#[test] fn $name() {
+            let notice = notice(&[$($line),*]);
+            let factor: Option<f64> = $factor;
+            assert_eq!(notice.slowness.map(|slowness| slowness.factor()), factor);
+            // Whatever the load header says, it restricts nothing.
+            assert_eq!((notice.limit, notice.is_leaving), (None, false));
+        })*
+    };
+}
+
+slowness_cases! {
+    fourth_figure_is_the_slowness: ["load 3,0,9,250"] => Some(2.5);
+    spaces_around_the_figure_are_ignored: ["load 3, 0, 9, 90 "] => Some(0.9);
+    three_figures_state_no_slowness: ["load 3,0,9"] => None;
+    figures_after_the_fourth_are_ignored: ["load 3,0,9,250,7"] => Some(2.5);
+    other_figures_need_not_be_readable: ["load ?,,x,250"] => Some(2.5);
+    figure_above_the_bounds_counts_as_the_bound: ["load 3,0,9,100000"] => Some(8.0);
+    figure_below_the_bounds_counts_as_the_bound: ["load 3,0,9,1"] => Some(0.2);
+    zero_is_not_a_slowness: ["load 3,0,9,0"] => None;
+    negative_figure_is_not_stated: ["load 3,0,9,-250"] => None;
+    word_is_not_stated: ["load 3,0,9,slow"] => None;
+    empty_figure_is_not_stated: ["load 3,0,9,"] => None;
+    fraction_of_a_hundredth_is_not_stated: ["load 3,0,9,250.5"] => None;
+    figure_too_long_for_a_number_is_not_stated: ["load 3,0,9,99999999999999999999"] => None;
+    empty_header_states_nothing: ["load  "] => None;
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(52), failure_persistence: None, ..ProptestConfig::default() })]
 
@@ -70,6 +101,20 @@
         prop_assert!(stated.per_second() <= limit + 0.001);
     }
 
+    /// No value of the load header makes a node fail, restricts, or states a slowness out of bounds.
+    #[test]
+    fn no_value_of_the_load_header_restricts(bytes in vec(0x20u8..=0xff, 0..16), figure in any::<u64>()) {
+        let dialect = Dialect::default();
+        let figure = format!("1,0,4,{figure}").into_bytes();
+        for bytes in [bytes, figure] {
+            let mut headers = HeaderMap::new();
+            headers.insert(&dialect.load, HeaderValue::from_bytes(&bytes).unwrap_or(HeaderValue::from_static("")));
+            let Notice { limit, is_leaving, slowness } = Notice::of(&headers, &dialect);
+            prop_assert_eq!((limit, is_leaving), (None, false));
+            prop_assert!(slowness.is_none_or(|slowness| (0.2..=8.0).contains(&slowness.factor())));
+        }
+    }
+
     /// Bytes that are no text are a limit and a leave, too.
     #[test]
     fn bytes_that_are_no_text_restrict(bytes in vec(0x80u8..=0xff, 1..8)) {
