Redirect requests that only a slow machine makes late

The slowdown is averaged over runs and follows that too late, at the gate as at the senders.

The gate keeps the slowness that its target stated last, for 300 ms, and expects usual run time x slowdown x slowness of a run. The slowdown that it learns leaves out the slowness stated at the end of the run. It refuses a request as not run, with the reason 'target is slow now', if it could be admitted, would be late here and not at usual slowness, and its sender asks another node.

The sender asks for that with rilltrack-hop-slow once it has seen a slowness of the service, if the body is whole, the service has another target, no target has seen the request, and it may ask a further node. A redirect is no result for the caller and no failure of the target; the request goes back to the node that redirected it when no other is left, or as the last node that may be asked. rilltrack-hop-slowness has the figure on responses; the balancer keeps it apart from the averaged slowdown.

E410 and E411 have the field slowness where one is fresh, rilltrack_gate_slowness shows it, and rilltrack_tries counts redirects as end 'slow'.

--- a/src/coordination/decision/attempts.rs
+++ b/src/coordination/decision/attempts.rs
@@ -53,6 +53,8 @@
     pub nodes: Vec<Node>,
     /// The number of targets that have seen the request.
     pub arrivals: u32,
+    /// The node that redirected the request because its target is slow, if one did.
+    redirected_by: Option<Node>,
     /// The result for the caller unless a later attempt gives a better one.
     fallback: Option<Fallback<A>>,
 }
@@ -95,6 +97,9 @@
     },
     /// The target's process terminated while it ran the request.
     TargetCrashed(Refusal),
+    /// The node refused the request because its target is slow now. Another node is asked, so
+    /// this is no result for the caller.
+    Redirected,
 }
 
 #[derive(Debug)]
@@ -108,6 +113,7 @@
         Self {
             nodes: Vec::new(),
             arrivals: 0,
+            redirected_by: None,
             fallback: None,
         }
     }
@@ -119,6 +125,36 @@
         self.nodes.len() < MAX_ASKED_NODES && (self.nodes.is_empty() || now < request.deadline)
     }
 
+    /// Returns whether the node that is asked now may redirect the request because its target is
+    /// slow. A request is redirected once, and only while another node may be asked at no cost.
+    fn may_redirect(&self) -> bool {
+        self.redirected_by.is_none() && self.arrivals == 0 && self.nodes.len() < MAX_ASKED_NODES
+    }
+
+    /// Returns the node that redirected the request, unless it was asked again since. It had a
+    /// free slot or a place in its queue, so the request goes back to it if no other node is
+    /// left to be asked.
+    pub fn redirecting_node(&self) -> Option<&Node> {
+        let node = self.redirected_by.as_ref()?;
+        let asked = self.nodes.iter().filter(|asked| *asked == node).count();
+        (asked < 2).then_some(node)
+    }
+
+    /// Returns whether the request goes back to the node that redirected it, because it is the
+    /// last one that may be asked.
+    pub fn is_going_back(&self) -> bool {
+        self.redirecting_node().is_some() && self.nodes.len() + 1 == MAX_ASKED_NODES
+    }
+
+    /// Returns whether the next attempt may go to a node: it was not asked yet. A request that
+    /// goes back goes to the node that redirected it, and to no other.
+    pub fn may_go_to(&self, node: &Node, goes_back: bool) -> bool {
+        match goes_back {
+            true => self.redirecting_node() == Some(node),
+            false => !self.nodes.contains(node),
+        }
+    }
+
     /// Returns whether the request may be sent to one more target, and takes the cost from
     /// the `budget` of a fleet of `nodes`. Until a target has seen the request, sending it
     /// costs nothing.
@@ -168,6 +204,7 @@
                 self.keep_refusal(refusal);
                 return Some(self.final_result());
             }
+            AttemptEnd::Redirected => self.redirected_by = self.nodes.last().cloned(),
             AttemptEnd::Refused { refusal, arrived } => {
                 self.arrivals += u32::from(arrived);
                 if refusal.outcome != Outcome::NotRun && kind == Kind::Once {
@@ -219,6 +256,7 @@
             max_wait: max_wait(request.due).max(max_wait(request.deadline).min(MAX_LATE_WAIT)),
             due: request.due,
             usual_run_time: usual,
+            may_redirect: self.may_redirect(),
         }
     }
 
--- a/src/coordination/decision/balance/mod.rs
+++ b/src/coordination/decision/balance/mod.rs
@@ -27,10 +27,13 @@
 
 use self::peer::{Peer, Process};
 use crate::{
-    coordination::decision::reach::{Failure, Reachability},
+    coordination::decision::{
+        reach::{Failure, Reachability},
+        slowness::Services,
+    },
     id::{Name, Node},
     protocol::{
-        dialect::{Load, Slowdown},
+        dialect::{Load, Slowdown, Slowness},
         hop::Limit,
         notice::Notice,
     },
@@ -107,6 +110,8 @@
     /// The mean response time of requests with a large body or response on each route, in
     /// seconds.
     transfer_times: HashMap<Name, f64>,
+    /// The services whose targets state their slowness.
+    stating: Services,
     /// Which nodes are unreachable.
     pub reachability: Reachability,
 }
@@ -124,6 +129,8 @@
     WarmingUp,
     /// The node reported that its target got all requests that it takes.
     AtLimit,
+    /// The node redirected the request because its target is slow now.
+    Slow,
     /// Another node answered at its address.
     Replaced,
     /// The target failed: it closed the connection, or sent an invalid response or an error.
@@ -145,6 +152,7 @@
             Self::Leaving => "leaving",
             Self::WarmingUp => "warming-up",
             Self::AtLimit => "at-limit",
+            Self::Slow => "slow",
             Self::Replaced => "replaced",
             Self::Failed => "failed",
             Self::Late => "late",
@@ -207,6 +215,8 @@
     pub is_large: bool,
     /// What the target stated in its answer, if there is one.
     pub notice: Option<Notice>,
+    /// The slowness that the target stated last, if its node knows it.
+    pub slowness: Option<Slowness>,
 }
 
 /// The node that was chosen, and the figures that it was chosen by.
@@ -346,7 +356,7 @@
         } else {
             peer.slowdown(now)
         };
-        let run_time = mean * slowdown * f64::from(1 + peer.failures);
+        let run_time = mean * slowdown * peer.slowness.factor(now) * f64::from(1 + peer.failures);
         let crowding = CROWDING_COST * (usage - CROWDED_USAGE).max(0.0);
         let time = run_time * (1.0 + USAGE_COST * usage + crowding);
         // `FAR_TRIP_COST` includes the bytes of an ordinary response.
@@ -413,6 +423,12 @@
         if let Some(notice) = report.notice {
             peer.record_notice(member, notice);
         }
+        // A node of an earlier release reports no slowness, but passes the target's answer on.
+        let in_answer = report.notice.and_then(|notice| notice.slowness);
+        if let Some(slowness) = report.slowness.or(in_answer) {
+            self.record_slowness(member, slowness, now);
+        }
+        let peer = self.peer(member, now);
         if let Some(load) = report.load {
             peer.report = Some((load, now));
             peer.sent_since_report = 0;
@@ -441,7 +457,7 @@
                 peer.failures = peer.failures.saturating_sub(1);
                 false
             }
-            AttemptResult::Refused | AttemptResult::Abandoned => false,
+            AttemptResult::Refused | AttemptResult::Slow | AttemptResult::Abandoned => false,
             AttemptResult::Leaving => {
                 peer.eject(now);
                 true
@@ -486,6 +502,19 @@
         }
     }
 
+    /// Records the slowness that the target beside a node stated.
+    pub fn record_slowness(&mut self, member: &Member, slowness: Slowness, now: Instant) {
+        if let Some(target) = member.targets.first() {
+            self.stating.record(&target.service, now);
+        }
+        self.peer(member, now).slowness.record(slowness, now);
+    }
+
+    /// Returns whether targets of the service state their slowness.
+    pub fn knows_slowness(&self, service: &Name, now: Instant) -> bool {
+        self.stating.contains(service, now)
+    }
+
     /// Forgets nodes that `is_known` rejects, except those with outstanding requests.
     pub fn retain(&mut self, is_known: impl Fn(&Node) -> bool) {
         self.peers
--- a/src/coordination/decision/balance/peer.rs
+++ b/src/coordination/decision/balance/peer.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use crate::{
+    coordination::decision::slowness::Stated,
     id::{Incarnation, Instance},
     protocol::{
         dialect::{Load, Slowdown},
@@ -47,6 +48,8 @@
     pub(super) slowdown: Slowdown,
     /// When `slowdown` was last updated.
     pub(super) slowdown_at: Instant,
+    /// The slowness that its target stated.
+    pub(super) slowness: Stated,
     /// The slowdown of requests with a large body or response, network path included, as this
     /// node observed it.
     pub(super) transfer_slowdown: Slowdown,
@@ -90,6 +93,7 @@
             sent_since_report: 0,
             slowdown: Slowdown::default(),
             slowdown_at: now,
+            slowness: Stated::default(),
             transfer_slowdown: Slowdown::default(),
             failures: 0,
             ejections: 0,
--- a/src/coordination/decision/mod.rs
+++ b/src/coordination/decision/mod.rs
@@ -18,6 +18,7 @@
 //! * [`quarantine`]: which requests are quarantined because targets crash under them;
 //! * [`rollout`]: how a new release of a service is put on trial, judged, and completed or
 //!   rolled back;
+//! * [`slowness`]: how slow a target is by its own statement;
 //! * [`split`]: how the requests of a split route are shared among its services.
 
 pub mod access;
@@ -33,4 +34,5 @@
 pub mod retry_budget;
 pub mod rollout;
 pub mod runs;
+pub mod slowness;
 pub mod split;
--- a/src/coordination/decision/queue.rs
+++ b/src/coordination/decision/queue.rs
@@ -16,7 +16,10 @@
 };
 
 use crate::{
-    coordination::decision::pace::{Cause, Paces},
+    coordination::decision::{
+        pace::{Cause, Paces},
+        slowness::Stated,
+    },
     protocol::dialect::{Load, Slowdown},
     unit::Span,
 };
@@ -49,6 +52,11 @@
 /// keep all slots in use.
 const SLOTS_PER_LATE: usize = 4;
 
+/// Stated slowness above which requests are redirected. Below it a run takes less than half as
+/// long again, which is within the spread of run times (standard deviations of 0.3 to 0.8 of the
+/// mean), and a further round trip and a wait elsewhere would take up most of the gain.
+const MIN_REDIRECT_FACTOR: f64 = 1.5;
+
 /// The slots of a target, and the requests that wait for one.
 #[derive(Debug)]
 pub struct Queue<W> {
@@ -62,6 +70,8 @@
     slowdown: Slowdown,
     /// How many requests the target takes in a second, whatever slots are free.
     pub paces: Paces,
+    /// How slow the target is by its own statement.
+    pub slowness: Stated,
 }
 
 /// The properties of a request that decide on its admission.
@@ -78,6 +88,8 @@
     pub max_wait: Duration,
     /// The usual run time of such a request, as observed by the node that sent it.
     pub usual_run_time: Option<Duration>,
+    /// Whether its sender asks another node if this one refuses it because the target is slow.
+    pub may_redirect: bool,
 }
 
 /// A position in the queue, in the order of admission.
@@ -110,6 +122,9 @@
     Rejected,
     /// It is rejected because the target takes no request for this time.
     Paced(Duration, Cause),
+    /// It is refused because it would be late here, where the target is slow now, and its sender
+    /// asks another node.
+    Redirected,
 }
 
 impl<W> Default for Queue<W> {
@@ -122,6 +137,7 @@
             mean: INITIAL_MEAN,
             slowdown: Slowdown::default(),
             paces: Paces::default(),
+            slowness: Stated::default(),
         }
     }
 }
@@ -134,11 +150,12 @@
         self.slots = slots;
     }
 
-    /// Resets the mean run time and the slowdown, because another instance runs the requests
-    /// from now on.
+    /// Resets the mean run time, the slowdown and the stated slowness, because another instance
+    /// runs the requests from now on.
     pub fn reset_run_times(&mut self) {
         self.mean = INITIAL_MEAN;
         self.slowdown = Slowdown::default();
+        self.slowness = Stated::default();
     }
 
     /// Returns the target's load. While requests to it are paced, its slots count as used as far
@@ -152,14 +169,17 @@
         }
     }
 
-    /// Returns the target's slowdown, the ratio of run times to usual run times.
+    /// Returns the target's slowdown, the ratio of run times to usual run times, apart from the
+    /// slowness that it states.
     pub fn slowdown(&self) -> Slowdown {
         self.slowdown
     }
 
-    /// Records the run time of a request whose `usual` run time was observed by the node that
-    /// sent it.
-    pub fn record_run(&mut self, took: Duration, usual: Duration) {
+    /// Records the run time of a request that ends now and whose `usual` run time was observed
+    /// by the node that sent it. What the stated slowness explains is no slowdown: it ends much
+    /// sooner than a mean over runs would follow.
+    pub fn record_run(&mut self, took: Duration, usual: Duration, now: Instant) {
+        let usual = usual.mul_f64(self.slowness.factor(now));
         self.slowdown = self
             .slowdown
             .lerp(Slowdown::from_run(took, usual), NEWEST_WEIGHT);
@@ -170,6 +190,9 @@
         if let Some((wait, cause)) = self.paces.wait(now) {
             return Admission::Paced(wait, cause);
         }
+        if self.is_redirected(arrival, now) {
+            return Admission::Redirected;
+        }
         if self.has_free_slot() && self.waiting.is_empty() {
             self.start(now);
             return Admission::Admitted;
@@ -204,6 +227,30 @@
         is_free || self.place(arrival, now).is_some()
     }
 
+    /// Returns whether a request that arrived now would be refused only because the target is
+    /// slow now: a slot is free or the request would wait for one, it would be late here and in
+    /// time at usual slowness, and its sender asks another node.
+    pub fn is_redirected(&self, arrival: &Arrival, now: Instant) -> bool {
+        let (true, Some(usual)) = (arrival.may_redirect, arrival.usual_run_time) else {
+            return false;
+        };
+        let factor = self.slowness.factor(now);
+        if factor <= MIN_REDIRECT_FACTOR {
+            return false;
+        }
+        let wait = if self.has_free_slot() && self.waiting.is_empty() {
+            Duration::ZERO
+        } else {
+            match self.place(arrival, now) {
+                Some((place, _)) => self.wait(&place),
+                None => return false,
+            }
+        };
+        let run = usual.mul_f64(self.slowdown.factor());
+        let left = arrival.due.saturating_duration_since(now);
+        wait + run <= left && wait + run.mul_f64(factor) > left
+    }
+
     /// Admits the next waiting request, if a slot is free and the target takes a request now.
     pub fn admit_next(&mut self, now: Instant) -> Option<W> {
         if !self.has_free_slot() || self.paces.wait(now).is_some() {
@@ -280,7 +327,7 @@
     /// it can't.
     fn slack(&self, arrival: &Arrival, now: Instant) -> Option<Duration> {
         let run = match arrival.usual_run_time {
-            Some(usual) => usual.mul_f64(self.slowdown.factor()),
+            Some(usual) => usual.mul_f64(self.slowdown.factor() * self.slowness.factor(now)),
             None => Duration::from_secs_f64(self.mean),
         };
         arrival.due.checked_duration_since(now + run)
--- a/src/coordination/gate.rs
+++ b/src/coordination/gate.rs
@@ -24,7 +24,7 @@
     id::Instance,
     protocol::{
         answer::Refusal,
-        dialect::{Load, Slowdown},
+        dialect::{Load, Slowdown, Slowness},
         hop::Limit,
         notice::Notice,
     },
@@ -110,6 +110,10 @@
 /// Reason of a rejection because a target got all requests that it takes by its own statement.
 pub const AT_LIMIT: &str = "target is at its limit";
 
+/// Reason of a refusal because the target is slow, by its own statement, and the request would
+/// be late here but not at another target. The sender asks another node.
+pub const SLOW: &str = "target is slow now";
+
 /// Returns the [`Refusal`] of a request that is rejected because the gate has no target.
 pub fn no_target() -> Refusal {
     Unavailable::NoTarget.refusal()
@@ -148,13 +152,21 @@
     }
 
     /// Takes in what the target stated in a response, and keeps to its limit from now on.
-    /// Returns whether it stated something else before.
+    /// Returns whether it stated something else before, apart from its slowness, which changes
+    /// many times a second.
     pub fn record_notice(&self, instance: &Instance, notice: Notice) -> bool {
         let mut state = self.state.lock();
         let current = state.target.as_ref();
         if current.is_none_or(|target| target.instance != *instance) {
             return false;
         }
+        if let Some(slowness) = notice.slowness {
+            state.queue.slowness.record(slowness, Instant::now());
+        }
+        let notice = Notice {
+            slowness: None,
+            ..notice
+        };
         let has_changed = state.notice() != notice;
         state.set_stated(Stated {
             by: instance.clone(),
@@ -164,6 +176,25 @@
         has_changed
     }
 
+    /// Takes in the slowness that the target stated other than in response to a request.
+    pub fn record_slowness(&self, instance: &Instance, slowness: Slowness) {
+        let mut state = self.state.lock();
+        let target = state.target.as_ref();
+        if target.is_some_and(|target| target.instance == *instance) {
+            state.queue.slowness.record(slowness, Instant::now());
+        }
+    }
+
+    /// Returns the slowness that the target states, if it stated one lately.
+    pub fn slowness(&self) -> Option<Slowness> {
+        self.state.lock().queue.slowness.fresh(Instant::now())
+    }
+
+    /// Returns that slowness with the time when it was stated.
+    pub fn stated_slowness(&self) -> Option<(Slowness, Instant)> {
+        self.state.lock().queue.slowness.fresh_since(Instant::now())
+    }
+
     /// Keeps to a limit that another node knows, until the target answers here.
     pub fn assume_limit(&self, limit: &Limit) {
         let mut state = self.state.lock();
@@ -175,7 +206,7 @@
         let known = state.notice().limit;
         let notice = Notice {
             limit: Some(known.map_or(limit.rate, |known| known.min(limit.rate))),
-            is_leaving: false,
+            ..Notice::default()
         };
         let by = target.instance.clone();
         state.set_stated(Stated {
@@ -220,7 +251,8 @@
     /// Records the run time of a request whose `usual` run time was observed by the node that
     /// sent it.
     pub fn record_run(&self, took: Duration, usual: Duration) {
-        self.state.lock().queue.record_run(took, usual);
+        let mut state = self.state.lock();
+        state.queue.record_run(took, usual, Instant::now());
     }
 
     /// Returns the target's slowdown, the ratio of run times to usual run times.
@@ -250,6 +282,7 @@
             match state.queue.admit(&arrival, sender, Instant::now()) {
                 Admission::Admitted => return Ok(self.permit(&state)),
                 Admission::Rejected => return Err(state.reject_full(&arrival)),
+                Admission::Redirected => return Err(slow_refusal()),
                 Admission::Paced(wait, cause) => return Err(paced_refusal(wait, cause)),
                 Admission::Queued {
                     place, max_wait, ..
@@ -302,6 +335,9 @@
         }
         let now = Instant::now();
         state.check_pace(now)?;
+        if state.queue.is_redirected(arrival, now) {
+            return Err(slow_refusal());
+        }
         match state.queue.may_admit(arrival, now) {
             true => Ok(()),
             false => Err(state.reject_full(arrival)),
@@ -356,6 +392,12 @@
     Refusal::not_run(reason, Span::from_duration(wait))
 }
 
+/// Returns the refusal of a request that is to be sent to another node. Its caller never gets
+/// it, so the `Retry-After` has no effect.
+fn slow_refusal() -> Refusal {
+    Refusal::not_run(SLOW, MIN_RETRY_AFTER)
+}
+
 impl State {
     fn unavailable(&self) -> Option<Unavailable> {
         if self.is_closed {
--- a/src/coordination/host.rs
+++ b/src/coordination/host.rs
@@ -492,6 +492,7 @@
                 .map_or(Duration::ZERO, |since| now - since),
             load: self.gate.load(),
             limit: self.gate.limit(),
+            slowness: self.gate.slowness(),
             is_reader: self.streams.is_reading(),
             dropped_lines: self.journal.dropped(),
             members: (members.len() - unreachable, unreachable),
--- a/src/host/metrics.rs
+++ b/src/host/metrics.rs
@@ -17,7 +17,7 @@
     registry::Registry,
 };
 
-use crate::unit::Rate;
+use crate::{protocol::dialect::Slowness, unit::Rate};
 
 /// The upper bound of the first bucket, in seconds; each further bucket doubles it.
 const FIRST_BUCKET_SECONDS: f64 = 0.001;
@@ -28,6 +28,9 @@
 /// The value of the limit of a target that states none.
 const NO_LIMIT: f64 = -1.0;
 
+/// The value of the slowness of a target that stated none lately.
+const NO_SLOWNESS: f64 = -1.0;
+
 /// The metrics of one host process.
 #[derive(Debug)]
 pub struct Metrics {
@@ -63,6 +66,7 @@
     waiting: Gauge<i64, AtomicI64>,
     slots: Gauge<i64, AtomicI64>,
     limit: Gauge<f64, AtomicU64>,
+    slowness: Gauge<f64, AtomicU64>,
     is_reader: Gauge<i64, AtomicI64>,
     quarantined: Gauge<i64, AtomicI64>,
     dropped_lines: Gauge<i64, AtomicI64>,
@@ -79,6 +83,8 @@
     pub load: crate::protocol::dialect::Load,
     /// The limit that the target on this host states, if it states one.
     pub limit: Option<Rate>,
+    /// The slowness that the target on this host stated lately, if it stated one.
+    pub slowness: Option<Slowness>,
     /// Whether the node reads the store for its failure domain.
     pub is_reader: bool,
     /// Log lines that were dropped.
@@ -242,6 +248,11 @@
             "Requests per second that the target here takes by its own statement, -1 without one",
             gauges.limit.clone(),
         );
+        registry.register(
+            "gate_slowness",
+            "How many times the usual time work takes at the target here, by its own statement, -1 without a fresh one",
+            gauges.slowness.clone(),
+        );
         registry.register(
             "gate_admitted",
             "Requests passed to the target here",
@@ -275,6 +286,9 @@
         gauges
             .limit
             .set(now.limit.map_or(NO_LIMIT, Rate::per_second));
+        gauges
+            .slowness
+            .set(now.slowness.map_or(NO_SLOWNESS, Slowness::factor));
         gauges.is_reader.set(i64::from(now.is_reader));
         gauges.quarantined.set(now.quarantined as i64);
         gauges.dropped_lines.set(now.dropped_lines as i64);
--- a/src/transport/relay/attempt.rs
+++ b/src/transport/relay/attempt.rs
@@ -55,6 +55,9 @@
             {
                 Self::TargetCrashed(refusal)
             }
+            AttemptOutcome::Refused(Refused { refusal, .. }) if refusal.reason == gate::SLOW => {
+                Self::Redirected
+            }
             AttemptOutcome::Refused(Refused {
                 refusal,
                 has_arrived,
@@ -119,6 +122,7 @@
                 Outcome::NotRun if refused.refusal.reason == gate::AT_LIMIT => {
                     AttemptResult::AtLimit
                 }
+                Outcome::NotRun if refused.refusal.reason == gate::SLOW => AttemptResult::Slow,
                 Outcome::NotRun => AttemptResult::Refused,
                 _ => AttemptResult::Failed,
             },
--- a/src/transport/relay/delivery.rs
+++ b/src/transport/relay/delivery.rs
@@ -121,6 +121,7 @@
                 max_wait: ask.max_wait.duration(),
                 due: now + ask.due_in.duration(),
                 usual_run_time: ask.usual_run_time.map(Span::duration),
+                may_redirect: false,
             },
             answer_size: ask.usual_answer_size,
             deadline: now + ask.deadline.duration(),
--- a/src/transport/relay/egress.rs
+++ b/src/transport/relay/egress.rs
@@ -192,7 +192,7 @@
             let is_quarantined = self.host.quarantine.is_quarantined(&content);
             let choice = match is_quarantined {
                 true => selection::choose_for_trial(&self.host, call, &content, &attempts.nodes),
-                false => selection::choose(&self.host, call, bytes, &attempts.nodes),
+                false => selection::choose(&self.host, call, bytes, attempts),
             };
             let Some(choice) = choice else {
                 match is_quarantined {
@@ -313,16 +313,20 @@
         let member = &choice.member;
         let since = Instant::now();
         let mut guard = AttemptGuard::start(&self.host, member, &call.route.name, &call.service);
-        let (usual_run_time, answer_size, known_limit) = {
+        let is_own = member.node == self.host.settings.node;
+        let (usual_run_time, answer_size, known_limit, knows_slowness) = {
             let balancer = self.host.balancer.lock();
             let route = &call.route.name;
             (
                 balancer.mean_run_time(route),
                 balancer.large_answer_size(route),
                 balancer.stated_limit(member),
+                balancer.knows_slowness(&call.service, since),
             )
         };
-        let arrival = attempts.queue_arrival(&call.request(), usual_run_time, since);
+        let mut arrival = attempts.queue_arrival(&call.request(), usual_run_time, since);
+        // A redirected request needs another target and its whole body.
+        arrival.may_redirect &= knows_slowness && choice.candidates > 1 && body.is_whole();
         let arrival = match peer_client::is_offered(call, &body) {
             true => attempts::limit_offer_wait(arrival),
             false => arrival,
@@ -338,7 +342,7 @@
             fault_permille: (self.host.rollouts.baseline(&call.route.name) * 1000.0) as u16,
         };
         let is_large = body.length().is_none_or(balance::is_large);
-        let outcome = if member.node == self.host.settings.node {
+        let outcome = if is_own {
             let delivered = self.ingress.deliver(&delivery, &call.head, body).await;
             let run_time = delivered.as_ref().ok().and_then(|r| r.extensions().get());
             guard.report = Report {
@@ -347,6 +351,7 @@
                 run_time: run_time.map(|RunTime(run_time)| *run_time),
                 is_large,
                 notice: None,
+                slowness: self.host.gate.slowness(),
             };
             match delivered {
                 Ok(response) => AttemptOutcome::Answered(response),
--- a/src/transport/relay/health.rs
+++ b/src/transport/relay/health.rs
@@ -63,7 +63,7 @@
     }
 }
 
-/// Takes in what a health answer restricts. It lifts nothing: a target may state its limit in
+/// Takes in what a health answer restricts, and the slowness in it. It lifts nothing: a target may state its limit in
 /// answers to requests alone.
 fn receive_notice(host: &Host, target: &gate::Target, notice: Notice) {
     if let Some(rate) = notice.limit {
@@ -72,6 +72,9 @@
             instance: target.instance.clone(),
         });
     }
+    if let Some(slowness) = notice.slowness {
+        host.gate.record_slowness(&target.instance, slowness);
+    }
     if notice.is_leaving {
         host.note_leaving(&target.instance);
     }
--- a/src/transport/relay/ingress.rs
+++ b/src/transport/relay/ingress.rs
@@ -18,7 +18,7 @@
         rollout::{Answer, local},
     },
     event::Event,
-    journal::note,
+    journal::{Field, note},
     protocol::{
         answer::{Outcome, Refusal},
         hop,
@@ -237,40 +237,46 @@
         let load = self.host.gate.load();
         let waited = since.elapsed().as_millis();
         let priority = delivery.arrival.priority;
-        match admission {
-            Ok(permit) => note!(
-                self.host.journal,
+        // Lines of targets that state none don't have the field.
+        let slowness = self.host.gate.slowness();
+        let slowness = slowness.map(|slowness| format!("{:.2}", slowness.factor()));
+        let arrival = &delivery.arrival;
+        let max_wait = arrival.max_wait.as_millis();
+        let due = arrival.due.saturating_duration_since(since).as_millis();
+        let usual = arrival.usual_run_time.unwrap_or_default().as_millis();
+        let turn = self.host.gate.slot_turnover().as_millis();
+        let (event, mut fields): (_, Vec<Field<'_>>) = match admission {
+            Ok(permit) => (
                 Event::Admitted,
-                id = id,
-                service = delivery.service,
-                priority = priority,
-                instance = permit.target.instance,
-                load = load,
-                waited = waited,
+                vec![
+                    ("id", &id),
+                    ("service", &delivery.service),
+                    ("priority", &priority),
+                    ("instance", &permit.target.instance),
+                    ("load", &load),
+                    ("waited", &waited),
+                ],
             ),
-            Err(refusal) => note!(
-                self.host.journal,
+            Err(refusal) => (
                 Event::Shed,
-                id = id,
-                service = delivery.service,
-                priority = priority,
-                load = load,
-                waited = waited,
-                patience = delivery.arrival.max_wait.as_millis(),
-                due = delivery
-                    .arrival
-                    .due
-                    .saturating_duration_since(since)
-                    .as_millis(),
-                usual = delivery
-                    .arrival
-                    .usual_run_time
-                    .unwrap_or_default()
-                    .as_millis(),
-                turn = self.host.gate.slot_turnover().as_millis(),
-                reason = refusal.reason,
+                vec![
+                    ("id", &id),
+                    ("service", &delivery.service),
+                    ("priority", &priority),
+                    ("load", &load),
+                    ("waited", &waited),
+                    ("patience", &max_wait),
+                    ("due", &due),
+                    ("usual", &usual),
+                    ("turn", &turn),
+                    ("reason", &refusal.reason),
+                ],
             ),
+        };
+        if let Some(slowness) = &slowness {
+            fields.push(("slowness", slowness));
         }
+        self.host.journal.record(event, &fields);
     }
 
     /// Answers a request of a peer.
@@ -301,6 +307,9 @@
             ),
         };
         http::set(response.headers_mut(), hop::HEADER, report);
+        if let Some(slowness) = self.host.gate.slowness() {
+            http::set(response.headers_mut(), hop::SLOWNESS_HEADER, slowness);
+        }
         response
     }
 
@@ -441,10 +450,13 @@
         let limit = head.headers.get(hop::LIMIT_HEADER);
         let known_limit = limit.map(|_| http::parse(&head.headers, hop::LIMIT_HEADER));
         let known_limit = known_limit.map(|limit| limit.ok_or_else(not_understood));
-        Ok(Delivery {
+        let mut delivery = Delivery {
             known_limit: known_limit.transpose()?,
             ..Delivery::from_peer(ask, Instant::now())
-        })
+        };
+        delivery.arrival.may_redirect =
+            http::get(&head.headers, hop::SLOW_HEADER) == Some(hop::SLOW);
+        Ok(delivery)
     }
 }
 
--- a/src/transport/relay/peer_client.rs
+++ b/src/transport/relay/peer_client.rs
@@ -111,6 +111,7 @@
             connection,
         } = exchange;
         let report = http::parse::<hop::Reply>(response.headers(), hop::HEADER);
+        let slowness = http::parse(response.headers(), hop::SLOWNESS_HEADER);
         let refused = report.and_then(|report| {
             guard.report = Report {
                 load: Some(report.load),
@@ -118,6 +119,7 @@
                 run_time: report.run_time.map(Span::duration),
                 is_large,
                 notice: None,
+                slowness,
             };
             self.host
                 .note_newer(report.version, report.members_offset, member.peers);
@@ -218,6 +220,9 @@
         if let Some(limit) = &delivery.known_limit {
             http::set(request.headers_mut(), hop::LIMIT_HEADER, limit);
         }
+        if delivery.arrival.may_redirect {
+            http::set(request.headers_mut(), hop::SLOW_HEADER, hop::SLOW);
+        }
         request
     }
 }
--- a/standins/src/load/file.rs
+++ b/standins/src/load/file.rs
@@ -233,6 +233,7 @@
             cold: cold.map_or(Duration::ZERO, |cold| cold.span.duration()),
             cold_factor: cold.map_or(1.0, |cold| cold.factor),
             bandwidth: entry.bandwidth,
+            slow_spells: None,
         }
     }
 }
--- a/standins/src/load/fleet.rs
+++ b/standins/src/load/fleet.rs
@@ -12,13 +12,14 @@
         retry_budget::RetryBudget, runs::Runs,
     },
     id::{Incarnation, Name},
+    protocol::dialect::Slowness,
     state::{
         member::{Member, Status, Table, Target},
         selector::Labels,
     },
 };
 
-use super::{Harm, Load};
+use super::{Harm, Load, SlowSpells};
 
 /// A host: the state of its node and of its target.
 pub struct Host {
@@ -37,6 +38,8 @@
     pub free: Duration,
     pub retry_budget: RetryBudget,
     pub ages: Ages,
+    /// Determines the times for which its target is slower.
+    seed: u64,
 }
 
 /// All hosts and services, and the member table that every node uses.
@@ -47,8 +50,9 @@
 }
 
 impl Fleet {
-    /// Returns the fleet of a load in its initial state.
-    pub fn new(load: &Load) -> Self {
+    /// Returns the fleet of a load in its initial state. The `seed` draws the targets that are
+    /// slower for a time.
+    pub fn new(load: &Load, seed: u64) -> Self {
         let domains: Vec<_> = (0..load.domains).map(|i| name("d", i)).collect();
         let services: Vec<_> = (0..load.services.len()).map(|i| name("s", i)).collect();
         let rule = load.rule();
@@ -77,6 +81,7 @@
                     free: Duration::ZERO,
                     retry_budget: RetryBudget::new(rule),
                     ages: Ages::default(),
+                    seed: seed.wrapping_mul(1_000_003).wrapping_add(number as u64),
                 });
             }
         }
@@ -117,7 +122,47 @@
                 factor *= by;
             }
         }
-        work.mul_f64(factor / self.speed)
+        let work = work.mul_f64(factor / self.speed);
+        match service.slow_spells {
+            None => work,
+            Some(spells) => self.runs_in_spells(&spells, work, at),
+        }
+    }
+
+    /// Returns the factor on run times at time `at`, and how long it stays.
+    fn spell(&self, spells: &SlowSpells, at: Duration) -> (f64, Duration) {
+        // The targets don't change all at once.
+        let span = spells.span.as_nanos() as u64;
+        let offset = fastrand::Rng::with_seed(self.seed).u64(..span);
+        let since = at.as_nanos() as u64 + offset;
+        let number = since / span;
+        let drawn = self.seed.wrapping_mul(1_000_033).wrapping_add(number);
+        let is_slow = fastrand::Rng::with_seed(drawn).f64() < spells.share;
+        let factor = if is_slow { spells.factor } else { 1.0 };
+        (factor, Duration::from_nanos(span - since % span))
+    }
+
+    /// Returns the time that the target takes for `work` at time `at`, while it may be slower
+    /// for a part of it.
+    fn runs_in_spells(&self, spells: &SlowSpells, mut work: Duration, at: Duration) -> Duration {
+        let mut takes = Duration::ZERO;
+        loop {
+            let (factor, left) = self.spell(spells, at + takes);
+            let needed = work.mul_f64(factor);
+            if needed <= left {
+                return takes + needed;
+            }
+            takes += left;
+            work -= left.div_f64(factor).min(work);
+        }
+    }
+
+    /// Returns the slowness that the target states at time `at`, if it states it.
+    pub fn slowness(&self, load: &Load, at: Duration) -> Option<Slowness> {
+        let spells = load.services[self.service].slow_spells?;
+        let (factor, _) = self.spell(&spells, at);
+        let stated = format!("{:.0}", factor * 100.0).parse();
+        spells.is_stated.then_some(stated.ok()?)
     }
 }
 
--- a/standins/src/load/mod.rs
+++ b/standins/src/load/mod.rs
@@ -84,6 +84,21 @@
     pub cold_factor: f64,
     /// The bandwidth of the link of each target's host, in Mbit/s; 0 means no limit.
     pub bandwidth: u32,
+    /// The times for which its targets are slower; `None` if they aren't.
+    pub slow_spells: Option<SlowSpells>,
+}
+
+/// Times for which some targets of a service are slower. The targets are drawn anew each time.
+#[derive(Clone, Copy, Debug)]
+pub struct SlowSpells {
+    /// The share of the targets, on average.
+    pub share: f64,
+    /// The factor on their run times.
+    pub factor: f64,
+    /// How long they are slower.
+    pub span: Duration,
+    /// Whether all targets of the service state in their answers how slow they are.
+    pub is_stated: bool,
 }
 
 /// A kind of request: one route.
@@ -202,6 +217,7 @@
             cold: Duration::ZERO,
             cold_factor: 1.0,
             bandwidth: 0,
+            slow_spells: None,
         }
     }
 }
--- a/standins/src/load/model.rs
+++ b/standins/src/load/model.rs
@@ -122,7 +122,7 @@
         let route = |number| format!("r{number}").parse().expect("a letter and a number");
         Self {
             load,
-            fleet: Fleet::new(load),
+            fleet: Fleet::new(load, seed),
             routes: (0..load.kinds.len()).map(route).collect(),
             rng: fastrand::Rng::with_seed(seed),
             origin: origin(),
@@ -253,13 +253,19 @@
             bytes: of.body,
             own_load: home.queue.load(now),
         };
+        if let Some((slowness, at)) = home.queue.slowness.fresh_since(now) {
+            home.balancer.record_slowness(&home.member, slowness, at);
+        }
         let may_ask = held.attempts.may_ask(&asked, now);
-        let tried = &held.attempts.nodes;
-        let may = |member: &Member| !tried.contains(&member.node);
         let table = &self.fleet.table;
-        let choice = may_ask
-            .then(|| home.balancer.choose(table, criteria, may, now))
-            .flatten();
+        let tried = &held.attempts;
+        let goes_back = tried.is_going_back();
+        let choices = [goes_back, !goes_back].into_iter().filter_map(|goes_back| {
+            let may = |member: &Member| tried.may_go_to(&member.node, goes_back);
+            let may_choose = may_ask && (!goes_back || tried.redirecting_node().is_some());
+            may_choose.then(|| home.balancer.choose(table, criteria, may, now))?
+        });
+        let choice = { choices }.next();
         let choice = choice.filter(|_| {
             held.attempts
                 .may_send(&asked, &mut home.retry_budget, nodes, now)
@@ -304,8 +310,13 @@
         let held = &self.requests[request];
         let of = &self.load.kinds[held.kind];
         let asked = self.asked(request, &self.fleet.services[of.service]);
-        held.attempts
-            .queue_arrival(&asked, self.usual(request), self.instant())
+        let now = self.instant();
+        let mut arrival = held
+            .attempts
+            .queue_arrival(&asked, self.usual(request), now);
+        let home = &self.fleet.hosts[held.home].balancer;
+        arrival.may_redirect &= home.knows_slowness(asked.service, now);
+        arrival
     }
 
     /// Returns the one-way delay between the caller's node and the target's node.
@@ -333,6 +344,9 @@
         let (now, arrival) = (self.instant(), self.arrival(request));
         let body = self.load.kinds[self.requests[request].kind].body;
         let host = &mut self.fleet.hosts[self.requests[request].at];
+        if host.queue.is_redirected(&arrival, now) {
+            return self.answer(request, AttemptEnd::Redirected, None);
+        }
         if !host.queue.may_admit(&arrival, now) {
             return self.refuse(request);
         }
@@ -396,6 +410,7 @@
         match host.queue.admit(&arrival, request, now) {
             Admission::Admitted => self.enter(request),
             Admission::Rejected => self.refuse(request),
+            Admission::Redirected => self.answer(request, AttemptEnd::Redirected, None),
             Admission::Paced(wait, _) => self.refuse_paced(request, wait),
             Admission::Queued {
                 place,
@@ -529,12 +544,16 @@
             .any(|harm| matches!(harm, Harm::Fails(part) if chance < part));
         let is_fault = fails || held.has_failed_call;
         self.receive_limit(host);
+        let now = self.instant();
+        if let Some(slowness) = self.fleet.hosts[host].slowness(self.load, self.now) {
+            self.fleet.hosts[host].queue.slowness.record(slowness, now);
+        }
         let held = &self.requests[request];
         self.fleet.hosts[host].runs.end(held.attempts.arrivals > 0);
         let queue = &mut self.fleet.hosts[host].queue;
         queue.release(Some(ran));
         if let Some(usual) = usual.filter(|_| !is_fault) {
-            queue.record_run(ran, usual);
+            queue.record_run(ran, usual, now);
         }
         let answer = AttemptEnd::Answered {
             answer: is_fault,
@@ -580,6 +599,7 @@
             run_time: ran,
             is_large: is_large(body),
             notice: None,
+            slowness: queue.slowness.fresh(self.instant()),
         };
         self.requests[request].outcome = Some((ended, report));
         let delay = self.one_way_delay(request);
@@ -604,6 +624,7 @@
             }
             AttemptEnd::Refused { arrived, .. } => (AttemptResult::Failed, *arrived),
             AttemptEnd::TargetCrashed(_) => (AttemptResult::Failed, true),
+            AttemptEnd::Redirected => (AttemptResult::Slow, false),
         };
         let member: &Member = &self.fleet.hosts[held.at].member.clone();
         let home = &mut self.fleet.hosts[held.home];
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -299,6 +299,7 @@
         max_wait: Duration::from_millis(max_wait),
         due: Instant::now() + Duration::from_secs(1),
         usual_run_time: None,
+        may_redirect: false,
     }
 }
 
@@ -1623,7 +1624,7 @@
         for waiter in &mut waiting {
             assert!(waiter.as_mut().now_or_never().is_none());
         }
-        let none = Notice { limit: Some(Rate::default()), is_leaving: false };
+        let none = Notice { limit: Some(Rate::default()), ..Notice::default() };
         assert!(gate.record_notice(&"i1".into(), none));
         // The target gets one request, and the other one is rejected although it may wait on.
         drop(permit);
@@ -1636,7 +1637,7 @@
 
     limit_lasts_while_the_instance_may_be_the_same => {
         let gate = Gate::new();
-        let limit = Notice { limit: Rate::from_per_second(9.0), is_leaving: false };
+        let limit = Notice { limit: Rate::from_per_second(9.0), ..Notice::default() };
         gate.set_target(target("i1", 1));
         assert!(gate.record_notice(&"i1".into(), limit));
         // The target has been silent for a while, and its start time becomes known.
--- /dev/null
+++ b/tests/slowness.rs
@@ -0,0 +1,305 @@
+//! What the gate, the sender and the attempts of a request decide by a target's stated slowness.
+
+use std::time::{Duration, Instant};
+
+use rilltrack::{
+    coordination::decision::{
+        attempts::{self, AttemptEnd, Attempts},
+        balance::{AttemptResult, Balancer, Criteria, Report},
+        queue::{Admission, Arrival, Queue},
+        slowness::MAX_AGE,
+    },
+    id::{Incarnation, Name, Node},
+    protocol::{answer::Refusal, dialect::Load},
+    state::{
+        member::{Member, Status, Table, Target},
+        region::Regions,
+        routing::Kind,
+    },
+    unit::Span,
+};
+
+const fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// A target with this many slots that has stated a slowness, in hundredths.
+fn queue(slots: u32, slowness: &str, now: Instant) -> Queue<u32> {
+    let mut queue = Queue::default();
+    queue.set_slots(slots);
+    queue.slowness.record(slowness.parse().unwrap(), now);
+    queue
+}
+
+/// A request that usually takes 100 ms and is due in 200 ms; its sender asks another node.
+fn arrival(now: Instant) -> Arrival {
+    Arrival {
+        priority: 1,
+        due: now + ms(200),
+        max_wait: ms(500),
+        usual_run_time: Some(ms(100)),
+        may_redirect: true,
+    }
+}
+
+/// Each case: what becomes of the request at a target with a free slot that states a slowness of
+/// 2.5, where the case may change the request, the target and the time.
+macro_rules! cases {
+    ($($name:ident: |$arrival:ident, $queue:ident, $now:ident| $change:block => $admission:ident;)*) => {
+        $(#[test] fn $name() {
+            #[allow(unused_mut)]
+            let mut $now = Instant::now();
+            let mut $queue = queue(1, "250", $now);
+            #[allow(unused_mut)]
+            let mut $arrival = arrival($now);
+            $change
+            let admission = $queue.admit(&$arrival, 1, $now);
+            assert!(matches!(admission, Admission::$admission { .. }), "{admission:?}");
+        })*
+    };
+}
+
+cases! {
+    request_that_only_a_slow_target_makes_late_is_redirected: |arrival, queue, now| {} => Redirected;
+    request_is_kept_if_its_sender_cannot_ask_elsewhere: |arrival, queue, now| {
+        arrival.may_redirect = false;
+    } => Admitted;
+    request_that_ends_in_time_at_the_slow_target_is_kept: |arrival, queue, now| {
+        arrival.due = now + ms(251);
+    } => Admitted;
+    request_that_would_be_late_at_usual_slowness_is_kept: |arrival, queue, now| {
+        arrival.due = now + ms(99);
+    } => Admitted;
+    request_of_unknown_run_time_is_kept: |arrival, queue, now| {
+        arrival.usual_run_time = None;
+    } => Admitted;
+    slowness_of_half_as_long_again_does_not_redirect: |arrival, queue, now| {
+        queue.slowness.record("150".parse().unwrap(), now);
+        arrival.due = now + ms(120);
+    } => Admitted;
+    slowness_just_above_redirects: |arrival, queue, now| {
+        queue.slowness.record("151".parse().unwrap(), now);
+        arrival.due = now + ms(120);
+    } => Redirected;
+    stated_slowness_older_than_300_ms_counts_as_usual: |arrival, queue, now| {
+        now += ms(300);
+        arrival = self::arrival(now);
+    } => Admitted;
+    stated_slowness_younger_than_300_ms_counts: |arrival, queue, now| {
+        now += ms(299);
+        arrival = self::arrival(now);
+    } => Redirected;
+    earlier_statement_does_not_replace_a_later_one: |arrival, queue, now| {
+        queue.slowness.record("100".parse().unwrap(), now - ms(1));
+    } => Redirected;
+    slowness_of_an_earlier_instance_does_not_count: |arrival, queue, now| {
+        queue.reset_run_times();
+    } => Admitted;
+    request_that_is_rejected_for_lack_of_a_slot_is_not_redirected: |arrival, queue, now| {
+        queue.admit(&Arrival { may_redirect: false, ..arrival }, 0, now);
+        arrival.max_wait = ms(1);
+    } => Rejected;
+    request_that_would_be_queued_is_redirected: |arrival, queue, now| {
+        queue.set_slots(20);
+        for i in 0..20 {
+            queue.admit(&Arrival { may_redirect: false, ..arrival }, i, now);
+        }
+    } => Redirected;
+}
+
+/// A request at a slow target waits only as long as leaves time for the slow run.
+#[test]
+fn gate_expects_the_stated_slowness_of_a_run() {
+    let now = Instant::now();
+    let max_wait = |slowness| {
+        let mut queue = queue(4, slowness, now);
+        let arrival = Arrival {
+            due: now + ms(400),
+            may_redirect: false,
+            ..arrival(now)
+        };
+        for i in 0..4 {
+            queue.admit(&arrival, i, now);
+        }
+        match queue.admit(&arrival, 9, now) {
+            Admission::Queued { max_wait, .. } => max_wait,
+            other => panic!("{other:?}"),
+        }
+    };
+    // Half of what is left of 400 ms after a run of 100 ms, and after one of 250 ms.
+    assert_eq!(max_wait("100"), ms(150));
+    assert_eq!(max_wait("250"), ms(75));
+}
+
+/// Otherwise a target whose machine was slow would be avoided for seconds afterwards.
+#[test]
+fn learned_slowdown_leaves_out_what_the_target_states() {
+    let now = Instant::now();
+    let mut stating = queue(1, "250", now);
+    let mut silent = Queue::<u32>::default();
+    for _ in 0..50 {
+        stating.record_run(ms(250), ms(100), now);
+        silent.record_run(ms(250), ms(100), now);
+    }
+    assert!((stating.slowdown().factor() - 1.0).abs() < 0.01);
+    assert!((silent.slowdown().factor() - 2.5).abs() < 0.05);
+    // A statement that has expired explains nothing.
+    stating.record_run(ms(250), ms(100), now + MAX_AGE);
+    assert!(stating.slowdown().factor() > 1.1);
+}
+
+fn name(text: &str) -> Name {
+    text.parse().unwrap()
+}
+
+fn member(node: &str) -> Member {
+    let address = "127.0.0.1:1".parse().unwrap();
+    Member {
+        node: node.parse().unwrap(),
+        incarnation: Incarnation(1),
+        sequence: 1,
+        status: Status::Alive,
+        domain: name("here"),
+        peers: address,
+        inbound: address,
+        labels: Default::default(),
+        targets: vec![Target {
+            service: name("a"),
+            address,
+            http2: false,
+            draining: false,
+            slots: 10,
+            instance: format!("i-{node}").into(),
+            release: None,
+            verdict: None,
+        }],
+        bandwidth: 0,
+        evidence: Default::default(),
+    }
+}
+
+/// Returns how many of 100 requests would go to node `n1` of two.
+fn chosen(balancer: &mut Balancer, now: Instant) -> usize {
+    let (me, route, service, domain) = ("me".parse().unwrap(), name("r"), name("a"), name("here"));
+    let mut table = Table::default();
+    table.merge(member("n1"));
+    table.merge(member("n2"));
+    let criteria = Criteria {
+        node: &me,
+        route: &route,
+        service: &service,
+        domain: &domain,
+        regions: &Regions::default(),
+        bytes: 0,
+        own_load: Load::default(),
+    };
+    let choices = (0..100).map(|_| balancer.choose(&table, criteria, |_| true, now).unwrap());
+    choices
+        .filter(|choice| choice.member.node.as_str() == "n1")
+        .count()
+}
+
+/// Each case: the end of an attempt at `n1`, which reports a slowness of 2.5.
+macro_rules! report_cases {
+    ($($name:ident: $end:expr;)*) => {
+        $(#[test] fn $name() {
+            fastrand::seed(5);
+            let (now, slow) = (Instant::now(), member("n1"));
+            let mut balancer = Balancer::default();
+            assert!(!balancer.knows_slowness(&name("a"), now));
+            let report = Report { slowness: "250".parse().ok(), ..Report::default() };
+            balancer.start(&slow, now);
+            let is_ejected = balancer.finish(&slow, &name("r"), $end, report, now);
+            assert!(!is_ejected);
+            assert_eq!(chosen(&mut balancer, now + ms(299)), 0);
+            let later = chosen(&mut balancer, now + MAX_AGE);
+            assert!((20..80).contains(&later), "{later}: the figure has expired");
+            assert!(balancer.knows_slowness(&name("a"), now + ms(59_000)));
+            assert!(!balancer.knows_slowness(&name("a"), now + ms(60_000)));
+            assert!(!balancer.knows_slowness(&name("b"), now));
+        })*
+    };
+}
+
+report_cases! {
+    sender_avoids_a_target_for_300_ms_after_a_response: AttemptResult::Answered(ms(100));
+    sender_avoids_a_target_for_300_ms_after_a_redirect: AttemptResult::Slow;
+    sender_avoids_a_target_for_300_ms_after_a_refusal: AttemptResult::Refused;
+}
+
+/// A redirect is no result for the caller, costs no attempt, and happens once. The last node
+/// that may be asked is the one that redirected the request, which can't do it again.
+#[test]
+fn redirect_never_ends_a_request() {
+    let now = Instant::now();
+    let service = name("a");
+    let request = attempts::Request {
+        service: &service,
+        kind: Kind::Once,
+        priority: 1,
+        attempts: 1,
+        repeat_chance: 0.0,
+        due: now + ms(200),
+        deadline: now + ms(1_000),
+    };
+    let node = |text: &str| text.parse::<Node>().unwrap();
+    let may_redirect =
+        |attempts: &Attempts<()>| attempts.queue_arrival(&request, None, now).may_redirect;
+    let full = || AttemptEnd::Refused {
+        refusal: Refusal::not_run("target is full", Span::from_millis(10)),
+        arrived: false,
+    };
+    let mut attempts = Attempts::<()>::default();
+    attempts.nodes.push(node("n1"));
+    assert!(may_redirect(&attempts));
+    assert!(
+        attempts
+            .record(Kind::Once, AttemptEnd::Redirected)
+            .is_none()
+    );
+    assert_eq!(attempts.arrivals, 0);
+    assert_eq!(attempts.redirecting_node(), Some(&node("n1")));
+    for asked in ["n2", "n3"] {
+        assert!(attempts.may_ask(&request, now) && !attempts.is_going_back());
+        assert!(attempts.may_go_to(&node(asked), false) && !attempts.may_go_to(&node("n1"), false));
+        attempts.nodes.push(node(asked));
+        assert!(!may_redirect(&attempts), "{asked}");
+        assert!(attempts.record(Kind::Once, full()).is_none());
+    }
+    assert!(attempts.may_ask(&request, now) && attempts.is_going_back());
+    assert!(attempts.may_go_to(&node("n1"), true) && !attempts.may_go_to(&node("n4"), true));
+    attempts.nodes.push(node("n1"));
+    assert!(!may_redirect(&attempts));
+    assert_eq!(attempts.redirecting_node(), None);
+    assert!(!attempts.may_ask(&request, now), "no more than four nodes");
+    assert_eq!(
+        attempts.final_result().unwrap_err().reason,
+        "target is full"
+    );
+}
+
+/// The last node that may be asked must keep the request, or it would end with a redirect.
+#[test]
+fn last_node_may_not_redirect() {
+    let now = Instant::now();
+    let service = name("a");
+    let request = attempts::Request {
+        service: &service,
+        kind: Kind::Idempotent,
+        priority: 1,
+        attempts: 3,
+        repeat_chance: 0.0,
+        due: now + ms(200),
+        deadline: now + ms(1_000),
+    };
+    let mut attempts = Attempts::<()>::default();
+    let asked = ["n1", "n2", "n3", "n4"].map(|node| {
+        attempts.nodes.push(node.parse().unwrap());
+        attempts.queue_arrival(&request, None, now).may_redirect
+    });
+    assert_eq!(asked, [true, true, true, false]);
+    // Another send of a request that a target has seen would cost a retry.
+    attempts.nodes.truncate(1);
+    attempts.arrivals = 1;
+    assert!(!attempts.queue_arrival(&request, None, now).may_redirect);
+}
