Stand-ins: targets that are slower and state it, members by hand

A target takes a usual run time for its requests, and a stated multiple of it. A test can add a member to a node's table, to see the bytes of a request to it.

--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -14,6 +14,7 @@
     document::Document,
     host::{self, Process, Settings},
     id::Instance,
+    state::member::Member,
     transport,
 };
 use rilltrack_platform::{config, heartbeat, request, rollout, store};
@@ -195,6 +196,12 @@
         found.map_or(0.0, |(_, used)| used.repeat_calls)
     }
 
+    /// Adds a member to the node's table, as if another node had reported it.
+    pub fn introduce(&self, member: Member) {
+        let host = &self.process.as_ref().unwrap().host;
+        host.merge_members(vec![member], "test");
+    }
+
     /// Returns whether this node knows a target on host `other` that isn't draining.
     pub fn knows(&self, other: &str) -> bool {
         let members = self.process.as_ref().unwrap().host.members.read();
--- a/standins/src/target.rs
+++ b/standins/src/target.rs
@@ -69,6 +69,28 @@
     cold: Arc<Mutex<Option<Cold>>>,
     /// Header lines that it adds to its answers.
     notice: Arc<Mutex<String>>,
+    pace: Arc<Mutex<Pace>>,
+}
+
+/// How long a target takes for requests, and what it states about that.
+#[derive(Clone, Copy, Debug, Default)]
+struct Pace {
+    /// The usual run time.
+    run_time: std::time::Duration,
+    /// In hundredths of the usual run time; `None` if it takes the usual time and states nothing.
+    slowness: Option<u32>,
+}
+
+impl Pace {
+    fn run_time(self) -> std::time::Duration {
+        self.run_time * self.slowness.unwrap_or(100) / 100
+    }
+
+    /// Returns the load header; empty if nothing is stated.
+    fn header(self) -> String {
+        let header = |slowness| format!("Rilltrack-Backend-Load: 1,0,4,{slowness}\r\n");
+        self.slowness.map_or_else(String::new, header)
+    }
 }
 
 /// A target that is cold: it crashes if it gets twice the requests that it tolerates within
@@ -101,6 +123,7 @@
             process: Arc::default(),
             cold: Arc::default(),
             notice: Arc::default(),
+            pace: Arc::default(),
         };
         target.run(socket);
         target
@@ -178,6 +201,23 @@
         *self.notice.lock() = lines.into();
     }
 
+    /// Sets how long it usually takes for a request. Requests whose line contains `quick` take no
+    /// time.
+    pub fn set_run_time(&self, run_time: std::time::Duration) {
+        self.pace.lock().run_time = run_time;
+    }
+
+    /// Makes it take this many hundredths of the usual time, and state that.
+    pub fn set_slowness(&self, slowness: Option<u32>) {
+        self.pace.lock().slowness = slowness;
+    }
+
+    /// Returns what its answers state now.
+    fn stated(&self) -> String {
+        let notice = self.notice.lock().clone();
+        notice + &self.pace.lock().header()
+    }
+
     /// Returns the most requests, health checks aside, that it got within any second before
     /// `end`.
     pub fn busiest_second(&self, end: std::time::Instant) -> usize {
@@ -265,7 +305,7 @@
             let mode = *self.mode.lock();
             if seen.line.starts_with("GET /health ") {
                 let left = self.cold_left();
-                let notice = self.notice.lock().clone();
+                let notice = self.stated();
                 let health = format!(
                     "HTTP/1.1 200 OK\r\nRilltrack-Instance-Id: i1\r\n\
                      Rilltrack-Warmup-Ms: {left}\r\n{notice}Content-Length: 0\r\n\r\n"
@@ -287,7 +327,11 @@
                 drop(stream.read_u8().await);
                 return None;
             }
-            let notice = self.notice.lock().clone();
+            let run_time = self.pace.lock().run_time();
+            if seen.ran && !run_time.is_zero() && !seen.line.contains("quick") {
+                tokio::time::sleep(run_time).await;
+            }
+            let notice = self.stated();
             let (bytes, closes) = answer(mode, &seen, &notice)?;
             stream.write_all(&bytes).await.ok()?;
             if closes {
