Keep the age of the own target's slowness at its node

The report of an attempt at the node's own target gave the figure a new age, so that it could be used for up to 600 ms. The balancer has it from the gate, with the time when it was stated.

--- a/src/transport/relay/egress.rs
+++ b/src/transport/relay/egress.rs
@@ -351,7 +351,8 @@
                 run_time: run_time.map(|RunTime(run_time)| *run_time),
                 is_large,
                 notice: None,
-                slowness: self.host.gate.slowness(),
+                // The balancer has it from the gate, with its age.
+                slowness: None,
             };
             match delivered {
                 Ok(response) => AttemptOutcome::Answered(response),
--- a/standins/src/load/model.rs
+++ b/standins/src/load/model.rs
@@ -593,13 +593,16 @@
         let held = &self.requests[request];
         let body = self.load.kinds[held.kind].body;
         let queue = &self.fleet.hosts[held.at].queue;
+        // A node has the slowness of its own target from the queue, with its age.
+        let slowness = queue.slowness.fresh(self.instant());
+        let slowness = slowness.filter(|_| held.home != held.at);
         let report = Report {
             load: Some(queue.load(self.instant())),
             slowdown: Some(queue.slowdown()),
             run_time: ran,
             is_large: is_large(body),
             notice: None,
-            slowness: queue.slowness.fresh(self.instant()),
+            slowness,
         };
         self.requests[request].outcome = Some((ended, report));
         let delay = self.one_way_delay(request);
