--- a/src/transport/relay/egress.rs
+++ b/src/transport/relay/egress.rs
@@ -205,9 +205,7 @@
             let is_quarantined = self.host.quarantine.is_quarantined(&content);
             let choice = match is_quarantined {
                 true => selection::choose_for_trial(&self.host, call, &content, &attempts.nodes),
-                false => {
-                    selection::choose(&self.host, call, bytes, &attempts.nodes, refused.as_ref())
-                }
+                false => selection::choose(&self.host, call, bytes, attempts, refused.as_ref()),
             };
             let Some(choice) = choice else {
                 match is_quarantined {
@@ -370,16 +368,20 @@
         let member = &choice.member;
         let since = Instant::now();
         let mut guard = AttemptGuard::start(&self.host, member, &call.route.name, &call.service);
-        let (usual_run_time, answer_size, known_limit) = {
+        let is_own = member.node == self.host.settings.node;
+        let (usual_run_time, answer_size, known_limit, knows_slowness) = {
             let balancer = self.host.balancer.lock();
             let route = &call.route.name;
             (
                 balancer.mean_run_time(route),
                 balancer.large_answer_size(route),
                 balancer.stated_limit(member),
+                balancer.knows_slowness(&call.service, since),
             )
         };
-        let arrival = attempts.queue_arrival(&call.request(), usual_run_time, since);
+        let mut arrival = attempts.queue_arrival(&call.request(), usual_run_time, since);
+        // A redirected request needs another target and its whole body.
+        arrival.may_redirect &= knows_slowness && choice.candidates > 1 && body.is_whole();
         let arrival = match peer_client::is_offered(call, &body) {
             true => attempts::limit_offer_wait(arrival),
             false => arrival,
@@ -395,7 +397,7 @@
             fault_permille: (self.host.rollouts.baseline(&call.route.name) * 1000.0) as u16,
         };
         let is_large = body.length().is_none_or(balance::is_large);
-        let outcome = if member.node == self.host.settings.node {
+        let outcome = if is_own {
             let delivered = self.ingress.deliver(&delivery, &call.head, body).await;
             let run_time = delivered.as_ref().ok().and_then(|r| r.extensions().get());
             guard.report = Report {
@@ -404,6 +406,8 @@
                 run_time: run_time.map(|RunTime(run_time)| *run_time),
                 is_large,
                 notice: None,
+                // The balancer has it from the gate, with its age.
+                slowness: None,
             };
             match delivered {
                 Ok(response) => AttemptOutcome::Answered(response),
--- a/standins/src/load/run.rs
+++ b/standins/src/load/run.rs
@@ -95,6 +95,10 @@
             .any(|harm| matches!(harm, Harm::Fails(part) if chance < part));
         let is_fault = fails || held.has_failed_call;
         self.receive_limit(host);
+        let now = self.instant();
+        if let Some(slowness) = self.fleet.hosts[host].slowness(self.load, self.now) {
+            self.fleet.hosts[host].queue.slowness.record(slowness, now);
+        }
         if self.load.kinds[self.requests[request].kind].is_nested {
             self.fleet.hosts[host].reserve.end(ran);
         }
@@ -106,7 +110,7 @@
         let queue = &mut self.fleet.hosts[host].queue;
         queue.release(Some(ran));
         if let Some(usual) = usual.filter(|_| !is_fault) {
-            queue.record_run(ran, usual);
+            queue.record_run(ran, usual, now);
         }
         let answer = AttemptEnd::Answered {
             answer: is_fault,
