--- a/src/transport/relay/egress.rs
+++ b/src/transport/relay/egress.rs
@@ -233,7 +233,7 @@
                 && refusal.refusal.reason == gate::FULL
                 && self.host.load_reports.is_enabled()
             {
-                refused = Some(self.arrival(call, attempts));
+                refused = Some(self.last_arrival(call, attempts));
             }
             if attempts.arrivals == 0 && outcome.has_arrived() {
                 let mut budget = self.host.retry_budget.lock();
@@ -263,10 +263,13 @@
         attempts.final_result()
     }
 
-    /// Returns the queue entry of a request that is sent now.
-    fn arrival(&self, call: &Call, attempts: &Attempts) -> Arrival {
+    /// Returns the queue entry of a request for the last target that it may ask, where it may
+    /// wait the longest. With a shorter wait, a request would be rejected that a later attempt
+    /// could get a slot for.
+    fn last_arrival(&self, call: &Call, attempts: &Attempts) -> Arrival {
+        const LAST_TARGET: usize = 1;
         let usual = self.host.balancer.lock().mean_run_time(&call.route.name);
-        attempts.queue_arrival(&call.request(), usual, Instant::now())
+        attempts.queue_arrival(&call.request(), usual, LAST_TARGET, Instant::now())
     }
 
     /// Refuses a request for which no target has room by the load reports, before any is asked.
@@ -274,7 +277,7 @@
         if !self.host.load_reports.is_enabled() {
             return Ok(());
         }
-        let arrival = self.arrival(call, attempts);
+        let arrival = self.last_arrival(call, attempts);
         let Some(no_room) = selection::no_room(&self.host, call, &arrival) else {
             return Ok(());
         };
@@ -379,7 +382,8 @@
                 balancer.knows_slowness(&call.service, since),
             )
         };
-        let mut arrival = attempts.queue_arrival(&call.request(), usual_run_time, since);
+        let mut arrival =
+            attempts.queue_arrival(&call.request(), usual_run_time, choice.candidates, since);
         // A redirected request needs another target and its whole body.
         arrival.may_redirect &= knows_slowness && choice.candidates > 1 && body.is_whole();
         let arrival = match peer_client::is_offered(call, &body) {
--- a/standins/src/load/model.rs
+++ b/standins/src/load/model.rs
@@ -313,10 +313,11 @@
         let held = &self.requests[request];
         let of = &self.load.kinds[held.kind];
         let asked = self.asked(request, &self.fleet.services[of.service]);
+        let targets = self.load.services[of.service].targets;
         let now = self.instant();
         let mut arrival = held
             .attempts
-            .queue_arrival(&asked, self.usual(request), now);
+            .queue_arrival(&asked, self.usual(request), targets, now);
         let home = &self.fleet.hosts[held.home].balancer;
         arrival.may_redirect &= home.knows_slowness(asked.service, now);
         arrival
--- a/tests/slowness.rs
+++ b/tests/slowness.rs
@@ -246,7 +246,7 @@
     };
     let node = |text: &str| text.parse::<Node>().unwrap();
     let may_redirect =
-        |attempts: &Attempts<()>| attempts.queue_arrival(&request, None, now).may_redirect;
+        |attempts: &Attempts<()>| attempts.queue_arrival(&request, None, 4, now).may_redirect;
     let full = || AttemptEnd::Refused {
         refusal: Refusal::not_run("target is full", Span::from_millis(10)),
         arrived: false,
@@ -298,11 +298,11 @@
     let mut attempts = Attempts::<()>::default();
     let asked = ["n1", "n2", "n3", "n4"].map(|node| {
         attempts.nodes.push(node.parse().unwrap());
-        attempts.queue_arrival(&request, None, now).may_redirect
+        attempts.queue_arrival(&request, None, 4, now).may_redirect
     });
     assert_eq!(asked, [true, true, true, false]);
     // Another send of a request that a target has seen would cost a retry.
     attempts.nodes.truncate(1);
     attempts.arrivals = 1;
-    assert!(!attempts.queue_arrival(&request, None, now).may_redirect);
+    assert!(!attempts.queue_arrival(&request, None, 4, now).may_redirect);
 }
