Load reports: reports of an earlier process don't reset the balancer; soak slows targets

A report that names an earlier process of a node reset the balancer's observations of the current one, its ejection among them.

The soak's check let the other targets hang, which excludes them, so that no target counted as full. It slows them now.

--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -28,6 +28,7 @@
     },
     event::{Event, Journal},
     journal::note,
+    state::member::Member,
     transport::{
         self,
         relay::{
@@ -310,9 +311,14 @@
         reports: host.load_reports.clone(),
         members: Arc::new(move || listing.members.read().iter().cloned().collect()),
         on_loads: Arc::new(move |loads| {
+            let members = loading.members.read();
             let mut balancer = loading.balancer.lock();
             for (member, load, at) in loads {
-                balancer.record_load(&member, load, at);
+                // A report of an earlier process would reset what is known of the current one.
+                let current = members.get(&member.node);
+                if let Some(current) = current.filter(|current| is_same_process(current, &member)) {
+                    balancer.record_load(current, load, at);
+                }
             }
         }),
         on_unusable: Arc::new(move |from, count, why| {
@@ -329,6 +335,13 @@
     })
 }
 
+/// Returns whether two records are of the same process of a node, with the same instance of its
+/// target.
+fn is_same_process(one: &Member, other: &Member) -> bool {
+    let instance = |member: &Member| member.targets.first().map(|target| target.instance.clone());
+    one.incarnation == other.incarnation && instance(one) == instance(other)
+}
+
 fn load_report_exchange(
     host: &Arc<host::Host>,
     call_peer: &CallPeer,
--- a/standins/examples/soak.rs
+++ b/standins/examples/soak.rs
@@ -79,6 +79,9 @@
 /// How long a target must have had free slots before no request may be refused for lack of room.
 const FREE_SPAN: Duration = Duration::from_secs(1);
 
+/// The delay in front of the service's other targets, with which their slots are full.
+const SLOW_RUN: Duration = Duration::from_millis(300);
+
 /// Callers that together take more than the slots of a service's other targets.
 const FILLING_CALLERS: usize = 24;
 
@@ -642,15 +645,15 @@
         }
     }
 
-    /// After the faults, lets all targets of service `a` but n0's hang while more requests come than
-    /// they have slots, and checks that none is refused at the entry once n0's has had free slots
+    /// After the faults, slows all targets of service `a` but n0's while more requests come than they
+    /// have slots, and checks that none is refused at the entry once n0's has had free slots
     /// for [`FREE_SPAN`].
     async fn check_room(self: &Arc<Self>) {
-        let set_others = |mode| {
+        let set_others = |harm| {
             let others = self.nodes.iter().skip(2).step_by(SERVICES.len());
-            others.for_each(|node| node.target.set(mode));
+            others.for_each(|node| node.proxies.target.set(harm));
         };
-        set_others(Mode::Hangs);
+        set_others(Harm::Delay(SLOW_RUN));
         let start = Instant::now();
         let mut callers = tokio::task::JoinSet::new();
         for caller in 0..FILLING_CALLERS {
@@ -677,7 +680,7 @@
             });
         }
         callers.join_all().await;
-        set_others(Mode::Serves);
+        set_others(Harm::None);
     }
 
     /// After the faults, lets a target state a limit, kills its node, and checks what the target
