Load reports carry the stated slowness

A node takes part in the exchange once its own target or one that it sent to states its slowness, and its choice takes the figure with the time of the report.

--- a/src/coordination/decision/balance/mod.rs
+++ b/src/coordination/decision/balance/mod.rs
@@ -512,6 +512,11 @@
         self.peer(member, now).slowness.record(slowness, now);
     }
 
+    /// Returns whether targets of any service state their slowness.
+    pub fn knows_any_slowness(&self, now: Instant) -> bool {
+        self.stating.any(now)
+    }
+
     /// Returns whether targets of the service state their slowness.
     pub fn knows_slowness(&self, service: &Name, now: Instant) -> bool {
         self.stating.contains(service, now)
--- a/src/coordination/decision/queue.rs
+++ b/src/coordination/decision/queue.rs
@@ -220,7 +220,10 @@
             turnover_micros: self.slot_turnover().as_micros().max(1) as u32,
             slowdown: (self.slowdown.factor() * 100.0).round() as u16,
             queue,
-            slowness: None,
+            slowness: self
+                .slowness
+                .fresh(now)
+                .map(|slowness| slowness.hundredths() as u16),
         }
     }
 
--- a/src/coordination/decision/slowness.rs
+++ b/src/coordination/decision/slowness.rs
@@ -81,6 +81,11 @@
         }
     }
 
+    /// Returns whether a target of any service stated its slowness lately.
+    pub fn any(&self, now: Instant) -> bool {
+        self.0.values().any(|at| is_stating(*at, now))
+    }
+
     /// Returns whether a target of the service stated its slowness lately.
     pub fn contains(&self, service: &Name, now: Instant) -> bool {
         self.0.get(service).is_some_and(|at| is_stating(*at, now))
--- a/src/coordination/load_report.rs
+++ b/src/coordination/load_report.rs
@@ -36,7 +36,7 @@
     },
     id::{Name, Node},
     protocol::{
-        dialect::Load,
+        dialect::{Load, Slowness},
         load_report::{Entry, Id, MAX_ENTRIES, Message, Reply, State},
     },
     state::{member::Member, routing},
@@ -84,7 +84,20 @@
 }
 
 /// Loads that were taken in, for target selection.
-pub type Loads = Vec<(Arc<Member>, Load, Instant)>;
+pub type Loads = Vec<Taken>;
+
+/// The load of a target that was taken in.
+#[derive(Clone, Debug)]
+pub struct Taken {
+    /// The node beside the target.
+    pub member: Arc<Member>,
+    /// The load of the target.
+    pub load: Load,
+    /// The slowness that the target states, if it states one.
+    pub slowness: Option<Slowness>,
+    /// When both were taken.
+    pub at: Instant,
+}
 
 /// What the exchange needs to know of the fleet.
 #[derive(Clone, Debug)]
@@ -111,7 +124,7 @@
     pub view: Arc<dyn Fn() -> View + Send + Sync>,
     /// Returns this node's record and the load of its target, if the gate has one.
     pub own: Arc<dyn Fn() -> Option<(Arc<Member>, State)> + Send + Sync>,
-    /// Returns whether the target here states its slowness.
+    /// Returns whether the target here or one that this node sent to states its slowness.
     pub states_slowness: Arc<dyn Fn() -> bool + Send + Sync>,
     /// Sends a request to a peer.
     pub call_peer: CallPeer,
@@ -151,6 +164,13 @@
         self.is_enabled.load(Ordering::Relaxed)
     }
 
+    /// Wakes the exchange, unless it is enabled already, because a target states its slowness.
+    pub fn enable_soon(&self) {
+        if !self.is_enabled() {
+            self.changed.notify_one();
+        }
+    }
+
     /// Records that a request for a service arrived here, so that its loads are asked for.
     pub fn note_sent(&self, service: &Name, now: Instant) {
         if self.is_enabled() {
@@ -270,8 +290,14 @@
                 waiting: entry.state.waiting,
                 slots: entry.state.slots,
             };
+            let slowness = entry.state.slowness.map(u32::from);
             if board.record(&member, &service, entry, at, now) {
-                loads.push((member, load, at));
+                loads.push(Taken {
+                    member,
+                    load,
+                    slowness: slowness.map(Slowness::from_hundredths),
+                    at,
+                });
             }
         }
         drop(board);
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -313,11 +313,16 @@
         on_loads: Arc::new(move |loads| {
             let members = loading.members.read();
             let mut balancer = loading.balancer.lock();
-            for (member, load, at) in loads {
+            for taken in loads {
                 // A report of an earlier process would reset what is known of the current one.
-                let current = members.get(&member.node);
-                if let Some(current) = current.filter(|current| is_same_process(current, &member)) {
-                    balancer.record_load(current, load, at);
+                let current = members.get(&taken.member.node);
+                let is_same = |current: &&Arc<Member>| is_same_process(current, &taken.member);
+                let Some(current) = current.filter(is_same) else {
+                    continue;
+                };
+                balancer.record_load(current, taken.load, taken.at);
+                if let Some(slowness) = taken.slowness {
+                    balancer.record_slowness(current, slowness, taken.at);
                 }
             }
         }),
@@ -347,7 +352,8 @@
     call_peer: &CallPeer,
     intake: Arc<load_report::Intake>,
 ) -> load_report::Exchange {
-    let (viewing, noting, loading) = (host.clone(), host.clone(), host.clone());
+    let (viewing, noting) = (host.clone(), host.clone());
+    let (loading, stating) = (host.clone(), host.clone());
     load_report::Exchange {
         node: host.settings.node.clone(),
         domain: host.settings.domain.clone(),
@@ -359,8 +365,11 @@
             let member = members.get(&loading.settings.node)?.clone();
             Some((member, loading.gate.state()?))
         }),
-        // Statements of slowness aren't read yet.
-        states_slowness: Arc::new(|| false),
+        states_slowness: Arc::new(move || {
+            let now = Instant::now();
+            stating.gate.stated_slowness().is_some()
+                || stating.balancer.lock().knows_any_slowness(now)
+        }),
         call_peer: call_peer.clone(),
         on_silent: Arc::new(move |node| reader::note_silent(&noting, node)),
     }
--- a/src/protocol/dialect.rs
+++ b/src/protocol/dialect.rs
@@ -149,6 +149,17 @@
     pub fn factor(self) -> f64 {
         f64::from(self.0) / 100.0
     }
+
+    /// Returns the slowness of a ratio in hundredths, within its bounds.
+    pub fn from_hundredths(hundredths: u32) -> Self {
+        let (min, max) = Self::HUNDREDTHS_BOUNDS;
+        Self(hundredths.clamp(min, max))
+    }
+
+    /// Returns the ratio in hundredths.
+    pub fn hundredths(self) -> u32 {
+        self.0
+    }
 }
 
 impl std::fmt::Display for Slowness {
@@ -168,8 +179,7 @@
     fn from_str(text: &str) -> Result<Self, SlownessError> {
         let hundredths = text.parse().ok().filter(|hundredths| *hundredths > 0);
         let hundredths: u32 = hundredths.ok_or_else(|| SlownessError(text.into()))?;
-        let (min, max) = Self::HUNDREDTHS_BOUNDS;
-        Ok(Self(hundredths.clamp(min, max)))
+        Ok(Self::from_hundredths(hundredths))
     }
 }
 
--- a/src/transport/relay/peer_client.rs
+++ b/src/transport/relay/peer_client.rs
@@ -112,6 +112,9 @@
         } = exchange;
         let report = http::parse::<hop::Reply>(response.headers(), hop::HEADER);
         let slowness = http::parse(response.headers(), hop::SLOWNESS_HEADER);
+        if slowness.is_some() {
+            self.host.load_reports.enable_soon();
+        }
         let refused = report.and_then(|report| {
             guard.report = Report {
                 load: Some(report.load),
--- a/src/transport/relay/run.rs
+++ b/src/transport/relay/run.rs
@@ -203,6 +203,9 @@
                 leaving = notice.is_leaving,
             );
         }
+        if notice.slowness.is_some() {
+            self.host.load_reports.enable_soon();
+        }
         if notice.is_leaving {
             self.host.note_leaving(instance);
         }
--- a/tests/nested_call.rs
+++ b/tests/nested_call.rs
@@ -6,11 +6,10 @@
     coordination::decision::{
         attempts::{Attempts, Request},
         nested_call::is_nested_call,
-        priority::Priority,
         queue::{Admission, Arrival, Queue},
     },
     id::{Name, Node},
-    state::routing::Kind,
+    state::{priority::Priority, routing::Kind},
 };
 
 /// Defines one test for each named case.
@@ -116,6 +115,7 @@
             due: now + ms(800),
             max_wait: ms(400),
             usual_run_time: Some(ms(160)),
+            may_redirect: false,
         };
         for number in 0..8 {
             let admission = queue.admit(&confirmation, number, now);
