Known loads: own validity, sends after a report, decay of reported differences

A report describes its target some 100 ms ago, but reset the count of requests sent since, and was used as if it were of now.

The times of the requests sent are kept, so a report covers those before it only. A reported difference from the mean of the drawn targets decays within half a mean run time. Reports are used for 600 ms, loads in responses for 500 ms as before.

--- a/src/coordination/decision/balance/mod.rs
+++ b/src/coordination/decision/balance/mod.rs
@@ -18,6 +18,7 @@
 //! gets no requests until it responds again.
 
 mod peer;
+mod staleness;
 
 use std::{
     collections::HashMap,
@@ -273,8 +274,9 @@
         }
         // The first of equal costs is chosen, and must not be the same at all nodes.
         fastrand::shuffle(&mut drawn);
+        let typical = self.reported_usage(&drawn, criteria.service, now);
         let estimates = drawn.into_iter().map(|member| {
-            let (usage, cost) = self.estimate(member, &criteria, now);
+            let (usage, cost) = self.estimate(member, &criteria, typical, now);
             (member, usage, cost)
         });
         let best = estimates.min_by(|(_, _, one), (_, _, other)| one.total_cmp(other));
@@ -318,9 +320,27 @@
         count
     }
 
+    /// Returns the mean usage of the slots of those members whose load was reported; 0 if none
+    /// was.
+    fn reported_usage(&mut self, members: &[&Arc<Member>], service: &Name, now: Instant) -> f64 {
+        let usage = |member: &&Arc<Member>| {
+            let requests = self.peer(member, now).reported_requests(now)?;
+            Some(requests / slots(member, service))
+        };
+        let usages: Vec<f64> = members.iter().filter_map(usage).collect();
+        usages.iter().sum::<f64>() / usages.len().max(1) as f64
+    }
+
     /// Returns the usage of a target's slots with one more request, where 1 is full, and the
     /// expected time to its response, in seconds.
-    fn estimate(&mut self, member: &Member, criteria: &Criteria<'_>, now: Instant) -> (f64, f64) {
+    /// `typical_usage` is the mean of the targets that it is compared with, by reports.
+    fn estimate(
+        &mut self,
+        member: &Member,
+        criteria: &Criteria<'_>,
+        typical_usage: f64,
+        now: Instant,
+    ) -> (f64, f64) {
         let answer = self.answer_size(criteria.route);
         let is_large = is_large(criteria.bytes) || is_large(answer);
         let means = if is_large {
@@ -329,15 +349,14 @@
             &self.run_times
         };
         let mean = means.get(criteria.route).copied().unwrap_or(INITIAL_MEAN);
-        let target = member.target(criteria.service);
-        let slots = f64::from(target.map_or(1, |target| target.slots.max(1)));
+        let slots = slots(member, criteria.service);
         let peer = self.peer(member, now);
         let requests = if member.node == *criteria.node {
-            criteria.own_load.running + criteria.own_load.waiting
+            f64::from(criteria.own_load.running + criteria.own_load.waiting)
         } else {
-            peer.expected_requests(now)
+            peer.expected_requests(typical_usage * slots, mean, now)
         };
-        let usage = f64::from(requests + 1) / slots;
+        let usage = (requests + 1.0) / slots;
         // The time of a large body or response depends on the links on its path as much as on
         // the target. When only the target's slowdown counted, all uploads of a failure domain
         // were sent over the slow link of its fastest target.
@@ -384,8 +403,7 @@
         if peer.outstanding == 0 {
             peer.heard_at = now;
         }
-        peer.outstanding += 1;
-        peer.sent_since_report += 1;
+        peer.record_send(now);
     }
 
     /// Records how a request ended, and what the node reported of its target.
@@ -414,8 +432,7 @@
             peer.record_notice(member, notice);
         }
         if let Some(load) = report.load {
-            peer.report = Some((load, now));
-            peer.sent_since_report = 0;
+            peer.record_load(load, now, false);
         }
         if !matches!(
             end,
@@ -479,11 +496,7 @@
     /// Records the load of a target as its node reported it at `at`, unless a later report is
     /// known.
     pub fn record_load(&mut self, member: &Member, load: Load, at: Instant) {
-        let peer = self.peer(member, at);
-        if peer.report.is_none_or(|(_, known_at)| known_at < at) {
-            peer.report = Some((load, at));
-            peer.sent_since_report = 0;
-        }
+        self.peer(member, at).record_load(load, at, true);
     }
 
     /// Forgets nodes that `is_known` rejects, except those with outstanding requests.
@@ -501,6 +514,12 @@
     }
 }
 
+/// Returns the number of slots of a member's target of a service, at least 1.
+fn slots(member: &Member, service: &Name) -> f64 {
+    let target = member.target(service);
+    f64::from(target.map_or(1, |target| target.slots.max(1)))
+}
+
 /// Draws up to `most` eligible members of two lists at random.
 ///
 /// Members are sampled first and checked afterwards: a choice takes 0.8 µs among 164 targets
--- a/src/coordination/decision/balance/peer.rs
+++ b/src/coordination/decision/balance/peer.rs
@@ -1,7 +1,11 @@
 //! What this node has observed of one other node and its target.
 
-use std::time::{Duration, Instant};
+use std::{
+    collections::VecDeque,
+    time::{Duration, Instant},
+};
 
+use super::staleness;
 use crate::{
     id::{Incarnation, Instance},
     protocol::{
@@ -17,9 +21,13 @@
 /// tried again.
 const SLOWDOWN_DECAY: Duration = Duration::from_secs(10);
 
-/// Age up to which a reported load is used; the mean request lasts about as long.
+/// Age up to which the load in a response is used; the mean request lasts about as long.
 const MAX_LOAD_AGE: Duration = Duration::from_millis(500);
 
+/// Age up to which a load that was reported without a request is used: three reports, so that
+/// one that is lost doesn't make the load unknown.
+const MAX_REPORT_AGE: Duration = Duration::from_millis(600);
+
 /// How long a node may leave a request unanswered, without answering any other, before it is
 /// excluded: several times the mean run time of the slowest service.
 const MAX_SILENCE: Duration = Duration::from_millis(700);
@@ -39,10 +47,11 @@
     pub(super) outstanding: u32,
     /// When it last responded, or a request was sent to it with no other outstanding.
     pub(super) heard_at: Instant,
-    /// The load in its last report, and when that came.
-    pub(super) report: Option<(Load, Instant)>,
-    /// Requests sent since the report.
-    pub(super) sent_since_report: u32,
+    /// The latest known load of its target.
+    pub(super) load: Option<KnownLoad>,
+    /// When requests were sent since that load was observed; at most those of the last
+    /// [`MAX_REPORT_AGE`], since no load is used for longer.
+    pub(super) sent_since_load: VecDeque<Instant>,
     /// The slowdown of its target, as reported or observed.
     pub(super) slowdown: Slowdown,
     /// When `slowdown` was last updated.
@@ -59,6 +68,30 @@
     pub(super) stated: Option<(Instance, Notice)>,
 }
 
+/// The load of a target at a time.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct KnownLoad {
+    load: Load,
+    at: Instant,
+    /// Whether its node reported it without a request; otherwise it came with a response.
+    is_report: bool,
+}
+
+impl KnownLoad {
+    fn is_used(&self, now: Instant) -> bool {
+        let max_age = if self.is_report {
+            MAX_REPORT_AGE
+        } else {
+            MAX_LOAD_AGE
+        };
+        now.saturating_duration_since(self.at) < max_age
+    }
+
+    fn requests(&self) -> f64 {
+        f64::from(self.load.running + self.load.waiting)
+    }
+}
+
 /// The processes of a node and its target that an observation is about.
 #[derive(Debug)]
 pub(super) struct Process {
@@ -86,8 +119,8 @@
             process,
             outstanding: 0,
             heard_at: now,
-            report: None,
-            sent_since_report: 0,
+            load: None,
+            sent_since_load: VecDeque::new(),
             slowdown: Slowdown::default(),
             slowdown_at: now,
             transfer_slowdown: Slowdown::default(),
@@ -140,16 +173,54 @@
         is_ejected || is_unresponsive
     }
 
-    /// Returns the expected number of requests that the target runs or that wait for it.
-    pub(super) fn expected_requests(&self, now: Instant) -> u32 {
-        match self.report {
-            Some((load, at)) if now - at < MAX_LOAD_AGE => {
-                (load.running + load.waiting + self.sent_since_report).max(self.outstanding)
-            }
-            _ => self.outstanding,
+    /// Records that a request is sent to the node.
+    pub(super) fn record_send(&mut self, now: Instant) {
+        self.outstanding += 1;
+        let is_old = |sent: &mut Instant| now.saturating_duration_since(*sent) > MAX_REPORT_AGE;
+        while self.sent_since_load.pop_front_if(is_old).is_some() {}
+        self.sent_since_load.push_back(now);
+    }
+
+    /// Records the load of the target at `at`, unless it is a report and a later load is known.
+    /// Requests that were sent after `at` are not part of it and still count.
+    pub(super) fn record_load(&mut self, load: Load, at: Instant, is_report: bool) {
+        if !is_report || self.load.is_none_or(|known| known.at < at) {
+            self.load = Some(KnownLoad {
+                load,
+                at,
+                is_report,
+            });
+            let counted = self.sent_since_load.partition_point(|sent| *sent <= at);
+            self.sent_since_load.drain(..counted);
         }
     }
 
+    /// Returns the number of requests at the target by the last report of its node, if that is
+    /// the latest known load and still used.
+    pub(super) fn reported_requests(&self, now: Instant) -> Option<f64> {
+        let known = self
+            .load
+            .filter(|known| known.is_report && known.is_used(now))?;
+        Some(known.requests())
+    }
+
+    /// Returns the expected number of requests that the target runs or that wait for it.
+    /// `typical` is how many targets of its size have by reports, and `run_time` the mean of the
+    /// route in seconds.
+    pub(super) fn expected_requests(&self, typical: f64, run_time: f64, now: Instant) -> f64 {
+        let outstanding = f64::from(self.outstanding);
+        let Some(known) = self.load.filter(|known| known.is_used(now)) else {
+            return outstanding;
+        };
+        let requests = if known.is_report {
+            let age = now.saturating_duration_since(known.at);
+            staleness::expected(known.requests(), typical, age, run_time)
+        } else {
+            known.requests()
+        };
+        (requests + self.sent_since_load.len() as f64).max(outstanding)
+    }
+
     /// Returns the expected slowdown of the target. It decays towards 1, so that a target
     /// that was slow is tried again.
     pub(super) fn slowdown(&self, now: Instant) -> f64 {
