Replay: load reports, rejected attempts, targets that are slow in turn

With reports, each node reports its target's load every period, and the others take it in when it has a given age. Off by default.

--- a/standins/src/load/figures.rs
+++ b/standins/src/load/figures.rs
@@ -41,6 +41,8 @@
     pub failed: u32,
     /// Attempts that were offered to nodes.
     pub offers: u32,
+    /// Offers that a target's queue rejected.
+    pub rejections: u32,
     /// The sum of the worth of all answers.
     pub earned: f64,
     /// The sum of worth if all requests were answered in time.
--- a/standins/src/load/file.rs
+++ b/standins/src/load/file.rs
@@ -9,7 +9,7 @@
 };
 use serde::Deserialize;
 
-use super::{Calls, Harm, Kind, Load, Service, Trouble};
+use super::{Calls, Harm, Kind, Load, Reports, Service, Trouble};
 
 /// The loads of a file and the number of seeds to replay them with.
 #[derive(Clone, Debug)]
@@ -99,10 +99,19 @@
     /// Overrides the file's value, as does `length`.
     warm_up: Option<Span>,
     length: Option<Span>,
+    /// No load reports without it.
+    reports: Option<ReportsEntry>,
     #[serde(default)]
     troubles: Vec<TroubleEntry>,
 }
 
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct ReportsEntry {
+    period: Span,
+    age: Span,
+}
+
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct TroubleEntry {
@@ -119,6 +128,7 @@
     Sheds(f64),
     Fails(f64),
     Slows(f64),
+    SlowsInTurn { by: f64, every: Span },
     Limits(f64),
 }
 
@@ -189,6 +199,12 @@
     }
     for (i, variant) in file.variants.iter().enumerate() {
         let at = i.to_string();
+        let reports = variant.reports.as_ref();
+        require(
+            reports.is_none_or(|reports| !reports.period.duration().is_zero()),
+            &["variants", &at, "reports"],
+            "have a period above zero",
+        )?;
         for (j, trouble) in variant.troubles.iter().enumerate() {
             let path = ["variants", &at, "troubles", &j.to_string()];
             let is_there = trouble.service < file.services.len();
@@ -218,6 +234,7 @@
             warm_up: variant.warm_up.unwrap_or(self.warm_up).duration(),
             resend_ratio: self.resend_ratio,
             resend_slack: self.resend_slack,
+            reports: variant.reports.as_ref().map(Reports::from),
             ..Load::default()
         }
     }
@@ -237,6 +254,15 @@
     }
 }
 
+impl From<&ReportsEntry> for Reports {
+    fn from(entry: &ReportsEntry) -> Self {
+        Self {
+            period: entry.period.duration(),
+            age: entry.age.duration(),
+        }
+    }
+}
+
 impl From<&KindEntry> for Kind {
     fn from(entry: &KindEntry) -> Self {
         Self {
@@ -274,6 +300,10 @@
                 HarmEntry::Sheds(part) => Harm::Sheds(part),
                 HarmEntry::Fails(part) => Harm::Fails(part),
                 HarmEntry::Slows(by) => Harm::Slows(by),
+                HarmEntry::SlowsInTurn { by, every } => Harm::SlowsInTurn {
+                    by,
+                    every: every.duration(),
+                },
                 HarmEntry::Limits(per_second) => Harm::Limits(per_second),
             },
         }
--- a/standins/src/load/fleet.rs
+++ b/standins/src/load/fleet.rs
@@ -99,11 +99,23 @@
     pub fn harms<'a>(&'a self, load: &'a Load, at: Duration) -> impl Iterator<Item = Harm> + 'a {
         load.troubles.iter().filter_map(move |trouble| {
             let harmed = trouble.share * load.services[self.service].targets as f64;
-            let is_harmed = trouble.service == self.service && (self.index as f64) < harmed;
+            let is_drawn = match trouble.what {
+                Harm::SlowsInTurn { every, .. } => self.is_drawn(trouble.share, every, at),
+                _ => (self.index as f64) < harmed,
+            };
+            let is_harmed = trouble.service == self.service && is_drawn;
             (is_harmed && trouble.during.contains(&at)).then_some(trouble.what)
         })
     }
 
+    /// Returns whether the target is among a share of its service that is drawn anew `every` time.
+    /// The draw depends on nothing else, so that all loads and seeds have the same.
+    fn is_drawn(&self, share: f64, every: Duration, at: Duration) -> bool {
+        let turn = (at.as_nanos() / every.as_nanos().max(1)) as u64;
+        let place = ((self.service as u64) << 32) | self.index as u64;
+        fastrand::Rng::with_seed(turn.rotate_left(40) ^ place).f64() < share
+    }
+
     /// Returns the time that the target takes at time `at` for `work`.
     pub fn runs(&self, load: &Load, work: Duration, at: Duration) -> Duration {
         let service = &load.services[self.service];
@@ -113,7 +125,7 @@
             1.0
         };
         for harm in self.harms(load, at) {
-            if let Harm::Slows(by) = harm {
+            if let Harm::Slows(by) | Harm::SlowsInTurn { by, .. } = harm {
                 factor *= by;
             }
         }
--- a/standins/src/load/mod.rs
+++ b/standins/src/load/mod.rs
@@ -27,6 +27,7 @@
 //! [`RetryBudget`]: rilltrack::coordination::decision::retry_budget::RetryBudget
 //! [`Attempts`]: rilltrack::coordination::decision::attempts::Attempts
 
+mod exchange;
 mod figures;
 mod file;
 mod fleet;
@@ -67,6 +68,17 @@
     pub resend_slack: f64,
     /// When a large body crosses its link.
     pub crossing: Crossing,
+    /// The exchange of load reports, if there is one.
+    pub reports: Option<Reports>,
+}
+
+/// An exchange of load reports: each node reports its target's load to all others.
+#[derive(Clone, Copy, Debug)]
+pub struct Reports {
+    /// The time between two reports of a node.
+    pub period: Duration,
+    /// The age of a report when the other nodes take it in.
+    pub age: Duration,
 }
 
 /// A service and its targets, each on a host of its own.
@@ -160,6 +172,13 @@
     Fails(f64),
     /// Its run times are multiplied by this factor.
     Slows(f64),
+    /// As [`Slows`](Self::Slows), at a share of the targets that is drawn anew each time.
+    SlowsInTurn {
+        /// The factor on run times.
+        by: f64,
+        /// The time after which the targets are drawn anew.
+        every: Duration,
+    },
     /// It states in its answers that it takes this many requests a second.
     Limits(f64),
 }
@@ -189,6 +208,7 @@
             resend_ratio: 0.2,
             resend_slack: 60.0,
             crossing: Crossing::default(),
+            reports: None,
         }
     }
 }
--- a/standins/src/load/model.rs
+++ b/standins/src/load/model.rs
@@ -21,6 +21,7 @@
 
 use super::{
     Crossing, Figures, Harm, Load,
+    exchange::Exchange,
     fleet::{Fleet, origin},
 };
 
@@ -48,6 +49,7 @@
     scheduled: usize,
     requests: Vec<Request>,
     figures: Figures,
+    exchange: Exchange,
 }
 
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -66,6 +68,10 @@
     Done(usize),
     /// The result of an attempt arrives at the caller's node.
     Return(usize),
+    /// A host's node reports its target's load.
+    Report(usize),
+    /// The other nodes take in the oldest report of that host that is on its way.
+    TakeIn(usize),
 }
 
 struct Request {
@@ -131,6 +137,7 @@
             scheduled: 0,
             requests: Vec::new(),
             figures,
+            exchange: Exchange::default(),
         }
     }
 
@@ -140,6 +147,7 @@
                 self.plan(kind);
             }
         }
+        self.plan_reports();
         while let Some(Reverse((at, _, event))) = self.events.pop() {
             self.now = at;
             self.handle(event);
@@ -156,6 +164,31 @@
             Event::GiveUp(request, count) => self.give_up(request, count),
             Event::Done(request) => self.done(request),
             Event::Return(request) => self.handle_result(request),
+            Event::Report(host) => self.report(host),
+            Event::TakeIn(host) => self.exchange.take_in(&mut self.fleet, host),
+        }
+    }
+
+    /// Schedules the first load report of each host, spread over a period.
+    fn plan_reports(&mut self) {
+        let Some(reports) = self.load.reports else {
+            return;
+        };
+        let hosts = self.fleet.hosts.len();
+        for host in 0..hosts {
+            let phase = reports.period.mul_f64(host as f64 / hosts as f64);
+            self.schedule(phase, Event::Report(host));
+        }
+    }
+
+    fn report(&mut self, host: usize) {
+        let Some(reports) = self.load.reports else {
+            return;
+        };
+        self.exchange.report(&self.fleet, host, self.instant());
+        self.schedule(reports.age, Event::TakeIn(host));
+        if self.now < self.load.length {
+            self.schedule(reports.period, Event::Report(host));
         }
     }
 
@@ -439,6 +472,7 @@
         let arrival = self.arrival(request);
         let spread = self.rng.f64();
         let queue = &self.fleet.hosts[self.requests[request].at].queue;
+        self.figures.kinds[self.requests[request].kind].rejections += 1;
         let refusal = Refusal::not_run(FULL, queue.retry_after(&arrival, spread, now));
         let arrived = false;
         self.answer(request, AttemptEnd::Refused { refusal, arrived }, None);
