--- a/standins/src/load/file.rs
+++ b/standins/src/load/file.rs
@@ -9,7 +9,7 @@
 };
 use serde::Deserialize;
 
-use super::{Calls, Harm, Kind, Load, Service, Trouble, Waits};
+use super::{Calls, Harm, Kind, Load, Reports, Service, Trouble, Waits};
 
 /// The loads of a file and the number of seeds to replay them with.
 #[derive(Clone, Debug)]
@@ -115,10 +115,19 @@
     priorities: Priorities,
     #[serde(default)]
     waits: WaitsEntry,
+    /// No load reports without it.
+    reports: Option<ReportsEntry>,
     #[serde(default)]
     troubles: Vec<TroubleEntry>,
 }
 
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct ReportsEntry {
+    period: Span,
+    age: Span,
+}
+
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct TroubleEntry {
@@ -135,6 +144,7 @@
     Sheds(f64),
     Fails(f64),
     Slows(f64),
+    SlowsInTurn { by: f64, every: Span },
     Limits(f64),
 }
 
@@ -229,6 +239,12 @@
     }
     for (i, variant) in file.variants.iter().enumerate() {
         let at = i.to_string();
+        let reports = variant.reports.as_ref();
+        require(
+            reports.is_none_or(|reports| !reports.period.duration().is_zero()),
+            &["variants", &at, "reports"],
+            "have a period above zero",
+        )?;
         for (j, trouble) in variant.troubles.iter().enumerate() {
             let path = ["variants", &at, "troubles", &j.to_string()];
             let is_there = trouble.service < file.services.len();
@@ -278,6 +294,7 @@
                 WaitsEntry::Run => Waits::Run,
                 WaitsEntry::Reserved => Waits::Reserved,
             },
+            reports: variant.reports.as_ref().map(Reports::from),
             ..Load::default()
         }
     }
@@ -298,6 +315,15 @@
     }
 }
 
+impl From<&ReportsEntry> for Reports {
+    fn from(entry: &ReportsEntry) -> Self {
+        Self {
+            period: entry.period.duration(),
+            age: entry.age.duration(),
+        }
+    }
+}
+
 impl From<&KindEntry> for Kind {
     fn from(entry: &KindEntry) -> Self {
         Self {
@@ -338,6 +364,10 @@
                 HarmEntry::Sheds(part) => Harm::Sheds(part),
                 HarmEntry::Fails(part) => Harm::Fails(part),
                 HarmEntry::Slows(by) => Harm::Slows(by),
+                HarmEntry::SlowsInTurn { by, every } => Harm::SlowsInTurn {
+                    by,
+                    every: every.duration(),
+                },
                 HarmEntry::Limits(per_second) => Harm::Limits(per_second),
             },
         }
--- a/standins/src/load/mod.rs
+++ b/standins/src/load/mod.rs
@@ -28,6 +28,7 @@
 //! [`Attempts`]: rilltrack::coordination::decision::attempts::Attempts
 
 mod end;
+mod exchange;
 mod figures;
 mod file;
 mod fleet;
@@ -75,6 +76,17 @@
     pub crossing: Crossing,
     /// How nested calls get slots.
     pub waits: Waits,
+    /// The exchange of load reports, if there is one.
+    pub reports: Option<Reports>,
+}
+
+/// An exchange of load reports: each node reports its target's load to all others.
+#[derive(Clone, Copy, Debug)]
+pub struct Reports {
+    /// The time between two reports of a node.
+    pub period: Duration,
+    /// The age of a report when the other nodes take it in.
+    pub age: Duration,
 }
 
 /// A service and its targets, each on a host of its own.
@@ -202,6 +214,13 @@
     Fails(f64),
     /// Its run times are multiplied by this factor.
     Slows(f64),
+    /// As [`Slows`](Self::Slows), at a share of the targets that is drawn anew each time.
+    SlowsInTurn {
+        /// The factor on run times.
+        by: f64,
+        /// The time after which the targets are drawn anew.
+        every: Duration,
+    },
     /// It states in its answers that it takes this many requests a second.
     Limits(f64),
 }
@@ -232,6 +251,7 @@
             resend_slack: 60.0,
             crossing: Crossing::default(),
             waits: Waits::default(),
+            reports: None,
         }
     }
 }
