--- a/src/coordination/load_report.rs
+++ b/src/coordination/load_report.rs
@@ -141,7 +141,7 @@
     pub members: Members,
     /// Is called with loads that were taken in, for target selection.
     pub on_loads: Arc<dyn Fn(Loads) + Send + Sync>,
-    /// Is called at most once in [`LOG_PAUSE`] with a node whose entries were out of bounds,
+    /// Is called at most once a second with a node whose entries were out of bounds,
     /// their number since the last call, from all nodes, and what was wrong with the first.
     pub on_unusable: OnUnusable,
 }
