--- a/src/coordination/decision/balance/mod.rs
+++ b/src/coordination/decision/balance/mod.rs
@@ -17,6 +17,7 @@
 //! A node that is unreachable, or has left requests unanswered for longer than `MAX_SILENCE`,
 //! gets no requests until it responds again.
 
+mod draw;
 mod peer;
 mod staleness;
 
@@ -26,7 +27,10 @@
     time::{Duration, Instant},
 };
 
-use self::peer::{Peer, Process};
+use self::{
+    draw::draw,
+    peer::{Peer, Process},
+};
 use crate::{
     coordination::decision::{
         reach::{Failure, Reachability},
@@ -51,10 +55,6 @@
 /// Targets of other failure domains that are drawn.
 const FAR_DRAWS: usize = 2;
 
-/// Members that are sampled before all members of a service are checked. If half of them are
-/// excluded, 16 samples include three eligible ones with probability 0.998.
-const MAX_SAMPLES: usize = 16;
-
 /// Cost of the round trip to another failure domain, in seconds: 3 ms on the network; the rest
 /// is the price of an ordinary response's bytes, expressed as a time. At 3 ms alone, lookups
 /// were sent to other failure domains for gains of a few milliseconds and cost more than they
@@ -556,37 +556,6 @@
     f64::from(target.map_or(1, |target| target.slots.max(1)))
 }
 
-/// Draws up to `most` eligible members of two lists at random.
-///
-/// Members are sampled first and checked afterwards: a choice takes 0.8 µs among 164 targets
-/// and 1.9 µs among 13,000, where checking all took 8.3 and 967 µs (`--example choice`).
-fn draw<'a>(
-    lists: &[&'a [Arc<Member>]],
-    most: usize,
-    mut is_eligible: impl FnMut(&Arc<Member>) -> bool,
-) -> Vec<&'a Arc<Member>> {
-    let all = || lists.iter().copied().flatten();
-    let count: usize = lists.iter().map(|list| list.len()).sum();
-    let mut drawn = Vec::with_capacity(most);
-    let mut sampled = Vec::with_capacity(MAX_SAMPLES);
-    while count > MAX_SAMPLES && sampled.len() < MAX_SAMPLES {
-        let at = fastrand::usize(..count);
-        if sampled.contains(&at) {
-            continue;
-        }
-        sampled.push(at);
-        let member = all().nth(at).expect("the position is below their count");
-        if is_eligible(member) {
-            drawn.push(member);
-        }
-        if drawn.len() == most {
-            return drawn;
-        }
-    }
-    // The lists are short, or the samples held too few eligible members: check all.
-    fastrand::choose_multiple(all().filter(|member| is_eligible(member)), most)
-}
-
 /// Returns the slowdown of a request that took so long, and adds its time to the mean of its
 /// route.
 fn record_time(means: &mut HashMap<Name, f64>, route: &Name, took: Duration) -> Slowdown {
