Tests of redirects run without load reports

Nodes exchange loads once a target states its slowness, so the sender learned of the slow target from a report and was never redirected: two tests waited for 60 s. The setting load_reports of stand-in hosts turns the exchange off there; no check changed.

--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -53,6 +53,8 @@
     heartbeats: JoinSet<()>,
     /// The store, at an address for this host alone.
     pub store: Store,
+    /// The node's setting `load_reports`, as of its next start.
+    pub load_reports: Option<bool>,
     domain: String,
 }
 
@@ -87,6 +89,7 @@
             process: None,
             heartbeats: JoinSet::new(),
             store: store.door(),
+            load_reports: None,
             domain: domain.into(),
         }
     }
@@ -94,7 +97,7 @@
     /// Starts the node.
     pub fn run(&mut self) {
         let at = |port| SocketAddr::new(self.ip, port);
-        let settings = json!({
+        let mut settings = json!({
             "node": self.name, "domain": self.domain, "service": self.service,
             "regions": {"here": "south", "near": "south", "there": "north"},
             "listen": {
@@ -105,6 +108,9 @@
             "resend": {"ratio": 0.2, "slack": 62, "window": "10s"}, "descriptors": 1024,
             "exposure": {"share": 0.4},
         });
+        if let Some(is_enabled) = self.load_reports {
+            settings["load_reports"] = is_enabled.into();
+        }
         let document = Document::parse("host", &settings.to_string()).unwrap();
         let settings = Settings::from_document(&document).unwrap();
         let decoders = Decoders {
--- a/standins/tests/slowness.rs
+++ b/standins/tests/slowness.rs
@@ -42,8 +42,21 @@
 
 /// Starts two hosts with targets of services a and `other` that state the usual slowness, and
 /// returns them once the second one knows the usual run time of service a.
+///
+/// They report no loads to each other: by the reports, the sender avoids a slow target before it
+/// is redirected.
 async fn pair(other: &str) -> (Store, Host, Host) {
-    let (store, one, two) = fleet::pair(&version(&["a", "b"]), other).await;
+    let (store, mut one, mut two) = fleet::pair(&version(&["a", "b"]), other).await;
+    for host in [&mut one, &mut two] {
+        host.load_reports = Some(false);
+        host.stop().await;
+        host.run();
+        host.until_ready().await;
+    }
+    until("both nodes know each other", async || {
+        one.knows("n2") && two.knows("n1")
+    })
+    .await;
     for host in [&one, &two] {
         host.target.set_run_time(RUN_TIME);
         host.target.set_slowness(Some(100));
