Redirects: early rejection, refusals of peers, the last nodes

* A request was rejected early although the target here had a free slot and was only slow: its redirect counted as no room.
Early rejection now leaves redirects out, and judges a nested call by its longest wait instead of half of it (Attempts::last_arrival).
* A refusal with the reason of a redirect is one only if it says that the request has not run and has not arrived.
Otherwise a faulty peer could have a request that runs once sent again.
* The third node could redirect a request when only the way back to it was left.
Now it keeps the request; the assertion in last_node_may_not_redirect is stricter accordingly.

--- a/src/coordination/decision/attempts.rs
+++ b/src/coordination/decision/attempts.rs
@@ -130,8 +130,11 @@
 
     /// Returns whether the node that is asked now may redirect the request because its target is
     /// slow. A request is redirected once, and only while another node may be asked at no cost.
+    /// The last node is the one that redirected it, so at least one more must be left before that.
     fn may_redirect(&self) -> bool {
-        self.redirected_by.is_none() && self.arrivals == 0 && self.nodes.len() < MAX_ASKED_NODES
+        self.redirected_by.is_none()
+            && self.arrivals == 0
+            && self.nodes.len() + 2 <= MAX_ASKED_NODES
     }
 
     /// Returns the node that redirected the request, unless it was asked again since. It had a
@@ -286,6 +289,21 @@
         }
     }
 
+    /// Returns the queue entry of the request for the last target that it may ask, where it may
+    /// wait the longest and isn't redirected. By it, no request is rejected that a later attempt
+    /// could get a slot for.
+    pub fn last_arrival(
+        &self,
+        request: &Request<'_>,
+        usual: Option<Duration>,
+        now: Instant,
+    ) -> Arrival {
+        Arrival {
+            may_redirect: false,
+            ..self.queue_arrival(request, usual, 0, now)
+        }
+    }
+
     /// Stores `refusal` as the result for the caller, unless a response is stored, or `refusal`
     /// is "not run" and the stored one isn't. So the caller gets "not run" only if that holds
     /// for every attempt.
--- a/src/transport/relay/attempt.rs
+++ b/src/transport/relay/attempt.rs
@@ -55,7 +55,12 @@
             {
                 Self::TargetCrashed(refusal)
             }
-            AttemptOutcome::Refused(Refused { refusal, .. }) if refusal.reason == gate::SLOW => {
+            // A peer that gives this reason for a request that may have run must not cause it to
+            // be sent again.
+            AttemptOutcome::Refused(Refused {
+                refusal,
+                has_arrived: false,
+            }) if refusal.reason == gate::SLOW && refusal.outcome == Outcome::NotRun => {
                 Self::Redirected
             }
             AttemptOutcome::Refused(Refused {
--- a/src/transport/relay/egress.rs
+++ b/src/transport/relay/egress.rs
@@ -263,13 +263,10 @@
         attempts.final_result()
     }
 
-    /// Returns the queue entry of a request for the last target that it may ask, where it may
-    /// wait the longest. With a shorter wait, a request would be rejected that a later attempt
-    /// could get a slot for.
+    /// Returns the queue entry of a request for the last target that it may ask.
     fn last_arrival(&self, call: &Call, attempts: &Attempts) -> Arrival {
-        const LAST_TARGET: usize = 1;
         let usual = self.host.balancer.lock().mean_run_time(&call.route.name);
-        attempts.queue_arrival(&call.request(), usual, LAST_TARGET, Instant::now())
+        attempts.last_arrival(&call.request(), usual, Instant::now())
     }
 
     /// Refuses a request for which no target has room by the load reports, before any is asked.
--- a/tests/slowness.rs
+++ b/tests/slowness.rs
@@ -6,17 +6,22 @@
     coordination::decision::{
         attempts::{self, AttemptEnd, Attempts},
         balance::{AttemptResult, Balancer, Criteria, Report},
+        load_report::{NoRoom, Room},
         queue::{Admission, Arrival, Queue},
         slowness::MAX_AGE,
     },
     id::{Incarnation, Name, Node},
-    protocol::{answer::Refusal, dialect::Load},
+    protocol::{
+        answer::{Outcome, Refusal},
+        dialect::Load,
+    },
     state::{
         member::{Member, Status, Table, Target},
         priority::Priority,
         region::Regions,
         routing::Kind,
     },
+    transport::relay::{attempt::AttemptOutcome, delivery::Refused},
     unit::Span,
 };
 
@@ -300,9 +305,92 @@
         attempts.nodes.push(node.parse().unwrap());
         attempts.queue_arrival(&request, None, 4, now).may_redirect
     });
-    assert_eq!(asked, [true, true, true, false]);
+    // At the third, the only node left would be one that has redirected the request already.
+    assert_eq!(asked, [true, true, false, false]);
     // Another send of a request that a target has seen would cost a retry.
     attempts.nodes.truncate(1);
     attempts.arrivals = 1;
     assert!(!attempts.queue_arrival(&request, None, 4, now).may_redirect);
 }
+
+/// Otherwise a faulty peer could make a request that runs once be sent again after it ran.
+#[test]
+fn only_a_request_that_has_not_run_is_redirected() {
+    let refusal = |outcome| Refusal {
+        outcome,
+        ..Refusal::not_run("target is slow now", Span::from_millis(10))
+    };
+    let end = |refused: Refused| AttemptEnd::from(AttemptOutcome::Refused(refused));
+    let redirect = end(Refused::before_arrival(refusal(Outcome::NotRun)));
+    assert!(matches!(redirect, AttemptEnd::Redirected));
+    for (refused, has_arrived) in [
+        (Refused::after_arrival(refusal(Outcome::NotRun)), true),
+        (Refused::after_arrival(refusal(Outcome::Unknown)), true),
+        (Refused::before_arrival(refusal(Outcome::Unknown)), false),
+    ] {
+        let outcome = refused.refusal.outcome;
+        let ended = end(refused);
+        let is_refused =
+            matches!(&ended, AttemptEnd::Refused { arrived, .. } if *arrived == has_arrived);
+        assert!(is_refused, "{outcome:?} {has_arrived}");
+        let mut attempts = Attempts::default();
+        attempts.nodes.push("n1".parse().unwrap());
+        let result = attempts.record(Kind::Once, ended);
+        assert_eq!(result.is_some(), outcome != Outcome::NotRun);
+        assert_eq!(attempts.arrivals, u32::from(has_arrived));
+    }
+}
+
+/// A request of service `a` by its objective of 200 ms and its deadline of 1 s.
+fn request(service: &Name, is_nested: bool, now: Instant) -> attempts::Request<'_> {
+    attempts::Request {
+        is_nested,
+        service,
+        kind: Kind::Idempotent,
+        priority: Priority::of_route(1),
+        attempts: 3,
+        repeat_chance: 0.0,
+        due: now + ms(200),
+        deadline: now + ms(1_000),
+    }
+}
+
+/// Otherwise a request is rejected although the target beside the node has a free slot.
+#[test]
+fn slow_target_with_a_free_slot_has_room_while_all_others_are_full() {
+    let now = Instant::now();
+    let service = name("a");
+    let attempts = Attempts::<()>::default();
+    let request = request(&service, false, now);
+    let own = queue(1, "250", now);
+    let usual = Some(ms(100));
+    let first = attempts.queue_arrival(&request, usual, 2, now);
+    assert!(own.is_redirected(&first, now));
+    let last = attempts.last_arrival(&request, usual, now);
+    let own = match own.may_admit(&last, now) && !own.is_redirected(&last, now) {
+        true => Room::Expected,
+        false => Room::Full {
+            wait: ms(100),
+            age: ms(0),
+        },
+    };
+    let other = Room::Full {
+        wait: ms(200),
+        age: ms(100),
+    };
+    assert_eq!(NoRoom::of([other, other, own]), None);
+}
+
+/// Otherwise a nested call is rejected early that a later target would let wait.
+#[test]
+fn nested_call_is_judged_by_its_longest_wait_before_any_node_is_asked() {
+    let now = Instant::now();
+    let service = name("a");
+    let attempts = Attempts::<()>::default();
+    let request = request(&service, true, now);
+    // Half of the 970 ms that it has left apart from its own run.
+    let last = attempts.last_arrival(&request, Some(ms(30)), now);
+    assert_eq!(last.max_wait, ms(485));
+    let first = attempts.queue_arrival(&request, Some(ms(30)), 1, now);
+    assert!(first.max_wait < last.max_wait);
+}
