--- a/src/coordination/gate.rs
+++ b/src/coordination/gate.rs
@@ -253,10 +253,13 @@
         }
     }
 
-    /// Returns the slot turnover time: how long it takes until a slot is free, while all are
-    /// in use.
-    pub fn slot_turnover(&self) -> Duration {
-        self.state.lock().queue.slot_turnover()
+    /// Returns the target's load, its slowness while one is stated, and the slot turnover time,
+    /// all of the same moment.
+    pub fn figures(&self) -> (Load, Option<Slowness>, Duration) {
+        let now = Instant::now();
+        let queue = &self.state.lock().queue;
+        let slowness = queue.slowness.fresh(now);
+        (queue.load(now), slowness, queue.slot_turnover())
     }
 
     /// Records the run time of a request whose `usual` run time was observed by the node that
--- a/src/transport/relay/ingress.rs
+++ b/src/transport/relay/ingress.rs
@@ -234,44 +234,45 @@
         admission: &Result<Permit, Refusal>,
     ) {
         let id = id.and_then(|id| id.to_str().ok()).unwrap_or("-");
-        let load = self.host.gate.load();
+        let (load, slowness, turnover) = self.host.gate.figures();
         let waited = since.elapsed().as_millis();
-        let priority = delivery.arrival.priority;
+        let arrival = &delivery.arrival;
         // Lines of targets that state none don't have the field.
-        let slowness = self.host.gate.slowness();
         let slowness = slowness.map(|slowness| format!("{:.2}", slowness.factor()));
-        let arrival = &delivery.arrival;
-        let max_wait = arrival.max_wait.as_millis();
-        let due = arrival.due.saturating_duration_since(since).as_millis();
-        let usual = arrival.usual_run_time.unwrap_or_default().as_millis();
-        let turn = self.host.gate.slot_turnover().as_millis();
+        let (max_wait, due, usual, turn);
         let (event, mut fields): (_, Vec<Field<'_>>) = match admission {
             Ok(permit) => (
                 Event::Admitted,
                 vec![
                     ("id", &id),
                     ("service", &delivery.service),
-                    ("priority", &priority),
+                    ("priority", &arrival.priority),
                     ("instance", &permit.target.instance),
                     ("load", &load),
                     ("waited", &waited),
                 ],
             ),
-            Err(refusal) => (
-                Event::Shed,
-                vec![
-                    ("id", &id),
-                    ("service", &delivery.service),
-                    ("priority", &priority),
-                    ("load", &load),
-                    ("waited", &waited),
-                    ("patience", &max_wait),
-                    ("due", &due),
-                    ("usual", &usual),
-                    ("turn", &turn),
-                    ("reason", &refusal.reason),
-                ],
-            ),
+            Err(refusal) => {
+                max_wait = arrival.max_wait.as_millis();
+                due = arrival.due.saturating_duration_since(since).as_millis();
+                usual = arrival.usual_run_time.unwrap_or_default().as_millis();
+                turn = turnover.as_millis();
+                (
+                    Event::Shed,
+                    vec![
+                        ("id", &id),
+                        ("service", &delivery.service),
+                        ("priority", &arrival.priority),
+                        ("load", &load),
+                        ("waited", &waited),
+                        ("patience", &max_wait),
+                        ("due", &due),
+                        ("usual", &usual),
+                        ("turn", &turn),
+                        ("reason", &refusal.reason),
+                    ],
+                )
+            }
         };
         if let Some(slowness) = &slowness {
             fields.push(("slowness", slowness));
