Load reports: pages, counter of unusable entries, large slowness

The counter of unusable entries adds their number and not one for each log line. A stated slowness above the largest 32-bit number counts as the upper bound, as documented, and not as unparsable.

--- a/src/coordination/host.rs
+++ b/src/coordination/host.rs
@@ -279,8 +279,14 @@
 
     /// Counts input from outside that can't be used; `what` is its kind.
     pub fn count_unusable(&self, what: &'static str) {
+        self.add_unusable(what, 1);
+    }
+
+    /// Counts this much input from outside that can't be used; `what` is its kind.
+    pub fn add_unusable(&self, what: &'static str, count: usize) {
         let unusable = metrics::Unusable { what };
-        self.metrics.unusable.get_or_create(&unusable).inc();
+        let counter = self.metrics.unusable.get_or_create(&unusable);
+        counter.inc_by(count as u64);
     }
 
     fn reject_routes(&self, error: &dyn std::error::Error, from: &str) {
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -327,7 +327,7 @@
             }
         }),
         on_unusable: Arc::new(move |from, count, why| {
-            noting.count_unusable("loads");
+            noting.add_unusable("loads", count);
             note!(
                 noting.journal,
                 Event::ChangeRejected,
--- a/src/host/settings.rs
+++ b/src/host/settings.rs
@@ -49,8 +49,8 @@
     #[serde(default)]
     pub bandwidth: f64,
     /// Whether nodes report the loads of their targets to each other. Without it, they do while a
-    /// team of the version in force has a priority or a limit, or the target here states its
-    /// slowness.
+    /// team of the version in force has a priority or a limit, or the target here or one that this
+    /// node sent to states its slowness.
     #[serde(default)]
     pub load_reports: Option<bool>,
     /// The most file descriptors that the process may have open.
--- a/src/protocol/dialect.rs
+++ b/src/protocol/dialect.rs
@@ -135,6 +135,7 @@
 /// let slowness: Slowness = "250".parse()?;
 /// assert_eq!((slowness.factor(), slowness.to_string()), (2.5, "250".into()));
 /// assert_eq!("100000".parse::<Slowness>()?.factor(), 8.0);
+/// assert_eq!("99999999999".parse::<Slowness>()?.factor(), 8.0);
 /// # Ok::<(), rilltrack::protocol::dialect::SlownessError>(())
 /// ```
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -177,8 +178,11 @@
     type Err = SlownessError;
 
     fn from_str(text: &str) -> Result<Self, SlownessError> {
-        let hundredths = text.parse().ok().filter(|hundredths| *hundredths > 0);
-        let hundredths: u32 = hundredths.ok_or_else(|| SlownessError(text.into()))?;
+        let is_number = !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_digit());
+        // Digits that are no `u32` are a number above it.
+        let hundredths = is_number.then(|| text.parse().unwrap_or(u32::MAX));
+        let hundredths = hundredths.filter(|hundredths| *hundredths > 0);
+        let hundredths = hundredths.ok_or_else(|| SlownessError(text.into()))?;
         Ok(Self::from_hundredths(hundredths))
     }
 }
--- a/src/transport/relay/health.rs
+++ b/src/transport/relay/health.rs
@@ -63,8 +63,8 @@
     }
 }
 
-/// Takes in what a health answer restricts, and the slowness in it. It lifts nothing: a target may state its limit in
-/// answers to requests alone.
+/// Takes in what a health answer restricts, and the slowness in it. It lifts nothing: a target may
+/// state its limit in answers to requests alone.
 fn receive_notice(host: &Host, target: &gate::Target, notice: Notice) {
     if let Some(rate) = notice.limit {
         host.gate.assume_limit(&Limit {
