Balancer: age of reports, overflow, decay, slowness, eligible targets

A report made a new node count as heard of when the report was made, up to 600 ms ago, so an outstanding request excluded it as silent. The node counts as heard of now; the observation keeps its time.

Running and waiting requests were added as u32 and could overflow; they are added as f64.

The decay of a reported difference used the transfer time for large bodies. It uses the run time, with which slots turn over.

Stated slowness counted twice where the observed times include it. It no longer multiplies transfer times, and observed run times are divided by it where a node reports no slowdown. The mean usage allocates nothing.

A choice counts the eligible targets that were drawn, so that the wait of a nested call can be divided by these and not by known targets that can't be asked.

--- a/src/coordination/decision/attempts.rs
+++ b/src/coordination/decision/attempts.rs
@@ -240,8 +240,8 @@
     }
 
     /// Returns the queue entry of the request for the last of [`nodes`](Self::nodes), which is
-    /// asked next. `usual` is the usual run time of such requests, `targets` the number of known
-    /// targets of the service.
+    /// asked next. `usual` is the usual run time of such requests, `targets` the number of targets
+    /// that were asked or can be, which includes neither draining nor excluded ones.
     ///
     /// Its maximum wait depends only on the time that its caller has left, not on its own run
     /// time: it waits for the runs of others, which only the node with the queue knows. When
--- a/src/coordination/decision/balance/mod.rs
+++ b/src/coordination/decision/balance/mod.rs
@@ -231,6 +231,8 @@
     pub cost: f64,
     /// The number of known targets of the service.
     pub candidates: usize,
+    /// The number of eligible targets that were drawn, the chosen one included.
+    pub eligible: usize,
 }
 
 impl Balancer {
@@ -285,6 +287,7 @@
         // The first of equal costs is chosen, and must not be the same at all nodes.
         fastrand::shuffle(&mut drawn);
         let typical = self.reported_usage(&drawn, criteria.service, now);
+        let eligible = drawn.len();
         let estimates = drawn.into_iter().map(|member| {
             let (usage, cost) = self.estimate(member, &criteria, typical, now);
             (member, usage, cost)
@@ -295,6 +298,7 @@
             usage,
             cost,
             candidates: table.providers(criteria.service).len(),
+            eligible,
         })
     }
 
@@ -339,8 +343,9 @@
             let requests = self.peer(member, now).reported_requests(now)?;
             Some(requests / slots(member, service))
         };
-        let usages: Vec<f64> = members.iter().filter_map(usage).collect();
-        usages.iter().sum::<f64>() / usages.len().max(1) as f64
+        let usages = members.iter().filter_map(usage);
+        let (sum, count) = usages.fold((0.0, 0u32), |(sum, count), usage| (sum + usage, count + 1));
+        sum / f64::from(count.max(1))
     }
 
     /// Returns the usage of a target's slots with one more request, where 1 is full, and the
@@ -360,24 +365,28 @@
         } else {
             &self.run_times
         };
-        let mean = means.get(criteria.route).copied().unwrap_or(INITIAL_MEAN);
+        let mean_of = |means: &HashMap<Name, f64>| means.get(criteria.route).copied();
+        let mean = mean_of(means).unwrap_or(INITIAL_MEAN);
+        // Slots turn over with run times, also where a transfer takes many times as long.
+        let mean_run_time = mean_of(&self.run_times).unwrap_or(INITIAL_MEAN);
         let slots = slots(member, criteria.service);
         let peer = self.peer(member, now);
         let requests = if member.node == *criteria.node {
-            f64::from(criteria.own_load.running + criteria.own_load.waiting)
+            f64::from(criteria.own_load.running) + f64::from(criteria.own_load.waiting)
         } else {
-            peer.expected_requests(typical_usage * slots, mean, now)
+            peer.expected_requests(typical_usage * slots, mean_run_time, now)
         };
         let usage = (requests + 1.0) / slots;
         // The time of a large body or response depends on the links on its path as much as on
         // the target. When only the target's slowdown counted, all uploads of a failure domain
-        // were sent over the slow link of its fastest target.
+        // were sent over the slow link of its fastest target. The observed transfer times include
+        // the target's slowness.
         let slowdown = if is_large {
             peer.transfer_slowdown.factor()
         } else {
-            peer.slowdown(now)
+            peer.slowdown(now) * peer.slowness.factor(now)
         };
-        let run_time = mean * slowdown * peer.slowness.factor(now) * f64::from(1 + peer.failures);
+        let run_time = mean * slowdown * f64::from(1 + peer.failures);
         let crowding = CROWDING_COST * (usage - CROWDED_USAGE).max(0.0);
         let time = run_time * (1.0 + USAGE_COST * usage + crowding);
         // `FAR_TRIP_COST` includes the bytes of an ordinary response.
@@ -429,9 +438,20 @@
         report: Report,
         now: Instant,
     ) -> bool {
+        // A node of an earlier release reports no slowness, but passes the target's answer on.
+        let in_answer = report.notice.and_then(|notice| notice.slowness);
+        if let Some(slowness) = report.slowness.or(in_answer) {
+            self.record_slowness(member, slowness, now, now);
+        }
+        // A reported slowdown leaves out the stated slowness; an observed one must, too, or the
+        // slowness would count twice.
+        let stated = match report.slowdown {
+            Some(_) => 1.0,
+            None => self.peer(member, now).slowness.factor(now),
+        };
         let (slowdown, transfer_slowdown) = match end {
             AttemptResult::Answered(took) => {
-                let ran = report.run_time.unwrap_or(took);
+                let ran = report.run_time.unwrap_or(took).div_f64(stated);
                 let is_large = report.is_large || is_large(self.answer_size(route));
                 let transfer = is_large.then(|| record_time(&mut self.transfer_times, route, took));
                 (record_time(&mut self.run_times, route, ran), transfer)
@@ -443,12 +463,6 @@
         if let Some(notice) = report.notice {
             peer.record_notice(member, notice);
         }
-        // A node of an earlier release reports no slowness, but passes the target's answer on.
-        let in_answer = report.notice.and_then(|notice| notice.slowness);
-        if let Some(slowness) = report.slowness.or(in_answer) {
-            self.record_slowness(member, slowness, now);
-        }
-        let peer = self.peer(member, now);
         if let Some(load) = report.load {
             peer.record_load(load, now, false);
         }
@@ -513,16 +527,25 @@
 
     /// Records the load of a target as its node reported it at `at`, unless a later report is
     /// known.
-    pub fn record_load(&mut self, member: &Member, load: Load, at: Instant) {
-        self.peer(member, at).record_load(load, at, true);
+    ///
+    /// A node that was not known before counts as heard of `now`. If it counted as heard of at
+    /// `at`, an outstanding request could exclude it as silent at once.
+    pub fn record_load(&mut self, member: &Member, load: Load, at: Instant, now: Instant) {
+        self.peer(member, now).record_load(load, at, true);
     }
 
-    /// Records the slowness that the target beside a node stated.
-    pub fn record_slowness(&mut self, member: &Member, slowness: Slowness, now: Instant) {
+    /// Records the slowness that the target beside a node stated at `at`.
+    pub fn record_slowness(
+        &mut self,
+        member: &Member,
+        slowness: Slowness,
+        at: Instant,
+        now: Instant,
+    ) {
         if let Some(target) = member.targets.first() {
-            self.stating.record(&target.service, now);
+            self.stating.record(&target.service, at);
         }
-        self.peer(member, now).slowness.record(slowness, now);
+        self.peer(member, now).slowness.record(slowness, at);
     }
 
     /// Returns whether targets of any service state their slowness.
--- a/src/coordination/decision/balance/peer.rs
+++ b/src/coordination/decision/balance/peer.rs
@@ -91,7 +91,7 @@
     }
 
     fn requests(&self) -> f64 {
-        f64::from(self.load.running + self.load.waiting)
+        f64::from(self.load.running) + f64::from(self.load.waiting)
     }
 }
 
--- a/src/coordination/decision/nested_call.rs
+++ b/src/coordination/decision/nested_call.rs
@@ -2,9 +2,9 @@
 //!
 //! It handles a service whose slots are all in use and that gets calls of 30 ms, made by runs of
 //! another service, beside new requests of 160 ms. A refused call costs a run that already holds
-//! a slot elsewhere, and the caller of that run gets an error. When the objective of the calls
-//! decided, as for new requests, they were refused for missing it while the runs that made them
-//! had most of their time left: in one day, 30,174 attempts were refused and 38,087 admitted.
+//! a slot elsewhere, and the caller of that run gets an error. If the objective of the calls
+//! decides, as for new requests, they are refused for missing it while the runs that made them
+//! have most of their time left: 30,174 attempts refused and 38,087 admitted in one day.
 
 use std::time::{Duration, Instant};
 
@@ -17,9 +17,9 @@
 const WAIT_DIVISOR: u32 = 2;
 
 /// Divisor of that wait for each further node that can still be asked. A refusal takes a round
-/// trip, and another target may have a free slot at that time. When calls waited for half of the
-/// spare time at the first node already, the runs that made them held their slots for longer: at
-/// 1.2 times the usual rates, 84% of the listings were answered in time instead of 92%
+/// trip, and another target may have a free slot at that time. If calls wait for half of the
+/// spare time at the first node already, the runs that made them hold their slots for longer: at
+/// 1.2 times the usual rates, 84% of the listings are answered in time instead of 92%
 /// (`standins/examples/loads/nested-calls.jsonc`).
 const NODE_DIVISOR: u32 = 2;
 
@@ -35,8 +35,9 @@
 /// Returns whether a request counts as a nested call, in a version with teams.
 ///
 /// Callers have a key of their team there. Targets have none for the calls that they make, which
-/// therefore go to anonymous routes. A caller without a key looks the same; it is treated so,
-/// too, and gains a longer wait but no higher priority.
+/// therefore go to anonymous routes. A caller without a key looks the same and is treated so,
+/// too: it may wait for longer and is due later, so that it counts as not late for longer and goes
+/// before late requests of its priority. Its priority is no higher.
 pub fn is_nested_call(has_teams: bool, has_key: bool, is_anonymous: bool) -> bool {
     has_teams && !has_key && is_anonymous
 }
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -313,6 +313,7 @@
         on_loads: Arc::new(move |loads| {
             let members = loading.members.read();
             let mut balancer = loading.balancer.lock();
+            let now = Instant::now();
             for taken in loads {
                 // A report of an earlier process would reset what is known of the current one.
                 let current = members.get(&taken.member.node);
@@ -320,9 +321,9 @@
                 let Some(current) = current.filter(is_same) else {
                     continue;
                 };
-                balancer.record_load(current, taken.load, taken.at);
+                balancer.record_load(current, taken.load, taken.at, now);
                 if let Some(slowness) = taken.slowness {
-                    balancer.record_slowness(current, slowness, taken.at);
+                    balancer.record_slowness(current, slowness, taken.at, now);
                 }
             }
         }),
--- a/src/state/priority.rs
+++ b/src/state/priority.rs
@@ -1,9 +1,9 @@
 //! Who goes first when slots are short: the order of teams, then of their routes.
 //!
-//! It handles a target whose slots are all in use, with requests of one team that are worth
-//! more or less to it. When a team's priority replaced its routes', a payment that was due in
-//! 250 ms queued as an equal of the same team's confirmations, which hold a slot for twice as
-//! long and have 800 ms.
+//! It handles a target whose slots are all in use, with requests of one team on routes of
+//! different urgency. If a team's priority replaced its routes', a payment that is due in 250 ms
+//! would queue as an equal of the same team's confirmations, which hold a slot for twice as long
+//! and have 800 ms.
 //!
 //! ```
 //! use rilltrack::state::priority::Priority;
--- a/src/transport/relay/selection.rs
+++ b/src/transport/relay/selection.rs
@@ -159,7 +159,7 @@
     if let Some((slowness, at)) = stated
         && let Some(member) = members.get(&host.settings.node)
     {
-        balancer.record_slowness(member, slowness, at);
+        balancer.record_slowness(member, slowness, at, Instant::now());
     }
 }
 
@@ -181,6 +181,7 @@
         member: member.clone(),
         usage: 0.0,
         candidates: 1,
+        eligible: 1,
         cost: 0.0,
     })
 }
--- a/standins/examples/experiment.rs
+++ b/standins/examples/experiment.rs
@@ -121,7 +121,7 @@
             mean(&|c| c.share(c.late)),
             mean(&|c| c.share(c.refused)),
             mean(&|c| c.share(c.failed)),
-            mean(&|c| f64::from(c.broken_runs) / f64::from(c.runs.max(1))),
+            mean(&|c| f64::from(c.runs_failed_by_refused_call) / f64::from(c.runs.max(1))),
             mean(&|c| c.share(c.offers)),
             mean(&|c| c.took.quantile(0.99).as_secs_f64() * 1e3),
         );
--- a/standins/src/load/exchange.rs
+++ b/standins/src/load/exchange.rs
@@ -9,7 +9,7 @@
 
 use super::fleet::Fleet;
 
-/// The load reports that the other nodes have not taken in yet, by host, oldest first.
+/// The load reports that the other nodes have not received yet, by host, oldest first.
 #[derive(Default)]
 pub struct Exchange {
     sent: HashMap<usize, VecDeque<(Instant, Load)>>,
@@ -23,7 +23,7 @@
     }
 
     /// Passes the oldest report of a host to the balancers of all other nodes.
-    pub fn take_in(&mut self, fleet: &mut Fleet, reporter: usize) {
+    pub fn deliver(&mut self, fleet: &mut Fleet, reporter: usize, now: Instant) {
         let sent = self.sent.get_mut(&reporter);
         let Some((at, load)) = sent.and_then(VecDeque::pop_front) else {
             return;
@@ -31,7 +31,7 @@
         let member = fleet.hosts[reporter].member.clone();
         for (number, host) in fleet.hosts.iter_mut().enumerate() {
             if number != reporter {
-                host.balancer.record_load(&member, load, at);
+                host.balancer.record_load(&member, load, at, now);
             }
         }
     }
--- a/standins/src/load/figures.rs
+++ b/standins/src/load/figures.rs
@@ -42,11 +42,13 @@
     /// Runs at targets.
     pub runs: u32,
     /// Runs that failed because a call that they made was refused.
-    pub broken_runs: u32,
+    pub runs_failed_by_refused_call: u32,
     /// Attempts that were offered to nodes.
     pub offers: u32,
     /// Offers that a target's queue rejected.
     pub rejections: u32,
+    /// Attempts that a node redirected because its target was slow.
+    pub redirects: u32,
     /// The sum of the worth of all answers.
     pub earned: f64,
     /// The sum of worth if all requests were answered in time.
--- a/standins/src/load/model.rs
+++ b/standins/src/load/model.rs
@@ -70,8 +70,8 @@
     Return(usize),
     /// A host's node reports its target's load.
     Report(usize),
-    /// The other nodes take in the oldest report of that host that is on its way.
-    TakeIn(usize),
+    /// The other nodes receive the oldest report of that host that is on its way.
+    ReportDelivered(usize),
 }
 
 pub(super) struct Request {
@@ -98,6 +98,8 @@
     /// The number of attempts so far, over all retries of the caller.
     pub(super) count: u32,
     pub(super) sent: Duration,
+    /// The targets that were asked or can be, as of the latest choice.
+    pub(super) askable: usize,
     pub(super) place: Option<Place>,
     pub(super) entered: Duration,
     pub(super) calls: u32,
@@ -166,7 +168,10 @@
             Event::Done(request) => self.done(request),
             Event::Return(request) => self.handle_result(request),
             Event::Report(host) => self.report(host),
-            Event::TakeIn(host) => self.exchange.take_in(&mut self.fleet, host),
+            Event::ReportDelivered(host) => {
+                let now = self.instant();
+                self.exchange.deliver(&mut self.fleet, host, now);
+            }
         }
     }
 
@@ -187,7 +192,7 @@
             return;
         };
         self.exchange.report(&self.fleet, host, self.instant());
-        self.schedule(reports.age, Event::TakeIn(host));
+        self.schedule(reports.age, Event::ReportDelivered(host));
         if self.now < self.load.length {
             self.schedule(reports.period, Event::Report(host));
         }
@@ -237,6 +242,7 @@
             at: home,
             count: 0,
             sent: self.now,
+            askable: 0,
             place: None,
             entered: self.now,
             calls: 0,
@@ -289,7 +295,8 @@
             own_load: home.queue.load(now),
         };
         if let Some((slowness, at)) = home.queue.slowness.fresh_since(now) {
-            home.balancer.record_slowness(&home.member, slowness, at);
+            home.balancer
+                .record_slowness(&home.member, slowness, at, now);
         }
         let may_ask = held.attempts.may_ask(&asked, now);
         let table = &self.fleet.table;
@@ -313,6 +320,7 @@
             self.figures.repeats[of.service] += 1;
         }
         held.attempts.nodes.push(choice.member.node.clone());
+        held.askable = held.attempts.nodes.len() - 1 + choice.eligible;
         held.at = self.fleet.number(&choice.member);
         held.count += 1;
         held.sent = self.now;
@@ -346,11 +354,10 @@
         let held = &self.requests[request];
         let of = &self.load.kinds[held.kind];
         let asked = self.asked(request, &self.fleet.services[of.service]);
-        let targets = self.load.services[of.service].targets;
         let now = self.instant();
-        let mut arrival = held
-            .attempts
-            .queue_arrival(&asked, self.usual(request), targets, now);
+        let mut arrival =
+            held.attempts
+                .queue_arrival(&asked, self.usual(request), held.askable, now);
         let home = &self.fleet.hosts[held.home].balancer;
         arrival.may_redirect &= home.knows_slowness(asked.service, now);
         arrival
@@ -447,7 +454,7 @@
         self.reserve_slots(at, is_nested);
         let host = &mut self.fleet.hosts[at];
         if is_nested {
-            host.reserve.note_arrival(self.now);
+            host.reserve.record_arrival(self.now);
         }
         let admission = host.queue.admit(&arrival, request, now);
         self.reserve_slots(at, true);
@@ -602,7 +609,10 @@
             }
             AttemptEnd::Refused { arrived, .. } => (AttemptResult::Failed, *arrived),
             AttemptEnd::TargetCrashed(_) => (AttemptResult::Failed, true),
-            AttemptEnd::Redirected => (AttemptResult::Slow, false),
+            AttemptEnd::Redirected => {
+                self.figures.kinds[held.kind].redirects += 1;
+                (AttemptResult::Slow, false)
+            }
         };
         let member: &Member = &self.fleet.hosts[held.at].member.clone();
         let home = &mut self.fleet.hosts[held.home];
--- a/standins/src/load/reserve.rs
+++ b/standins/src/load/reserve.rs
@@ -30,7 +30,7 @@
 
 impl Reserve {
     /// Records that a call arrives at the target's queue.
-    pub fn note_arrival(&mut self, now: Duration) {
+    pub fn record_arrival(&mut self, now: Duration) {
         let elapsed = now.saturating_sub(self.at).as_secs_f64();
         self.rate = self.rate * (-elapsed / RATE_WINDOW).exp() + 1.0 / RATE_WINDOW;
         self.at = now;
--- a/standins/src/load/run.rs
+++ b/standins/src/load/run.rs
@@ -103,7 +103,7 @@
             self.fleet.hosts[host].reserve.end(ran);
         }
         if self.requests[request].has_refused_call {
-            self.count(request, |count| count.broken_runs += 1);
+            self.count(request, |count| count.runs_failed_by_refused_call += 1);
         }
         let held = &self.requests[request];
         self.fleet.hosts[host].runs.end(held.attempts.arrivals > 0);
--- a/tests/nested_call.rs
+++ b/tests/nested_call.rs
@@ -83,6 +83,19 @@
         assert_eq!(arrival(&ending, 4, TARGETS, USUAL, now).max_wait, ms(0));
     }
 
+    call_waits_for_half_of_the_spare_time_if_no_other_target_can_be_asked => {
+        // Of four known targets one is eligible. If the others counted, the call would wait for
+        // an eighth of that time and be refused with three quarters of its time left.
+        let (now, service) = (Instant::now(), "orders".parse().unwrap());
+        let nested = request(&service, true, now);
+        let eligible = 1;
+        for asked in 1..=4 {
+            let only = arrival(&nested, asked, asked - 1 + eligible, USUAL, now);
+            assert_eq!(only.max_wait, ms(185), "{asked}");
+        }
+        assert_eq!(arrival(&nested, 1, 4, USUAL, now).max_wait, ms(185) / 8);
+    }
+
     call_waits_less_while_further_nodes_can_be_asked => {
         // A call that waits at a full target while others have free slots holds the slot of its
         // run: listings answered in time fell from 92% to 84%.
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -885,16 +885,16 @@
         for at in [4, 5, 6] {
             balancer.start(&n1, after(at));
         }
-        balancer.record_load(&n1, running(5), after(1));
-        balancer.record_load(&n2, running(7), after(1));
+        balancer.record_load(&n1, running(5), after(1), after(1));
+        balancer.record_load(&n2, running(7), after(1), after(1));
         for _ in 0..20 {
             assert_eq!(choose(&mut balancer, &table, 0, after(8)).unwrap().member.node, n2.node);
         }
         // An older report changes nothing; a later one that covers the requests does.
-        balancer.record_load(&n1, running(0), now);
+        balancer.record_load(&n1, running(0), now, now);
         assert_eq!(choose(&mut balancer, &table, 0, after(8)).unwrap().member.node, n2.node);
-        balancer.record_load(&n1, running(5), after(7));
-        balancer.record_load(&n2, running(7), after(7));
+        balancer.record_load(&n1, running(5), after(7), after(7));
+        balancer.record_load(&n2, running(7), after(7), after(7));
         assert_eq!(choose(&mut balancer, &table, 0, after(8)).unwrap().member.node, n1.node);
     }
 
@@ -905,8 +905,8 @@
         let [n1, n2] = ["n1", "n2"].map(|node| table.get(&node.parse().unwrap()).unwrap().clone());
         let mut balancer = Balancer::default();
         let now = Instant::now();
-        balancer.record_load(&n1, Load { running: 0, waiting: 0, slots: 10 }, now);
-        balancer.record_load(&n2, Load { running: 8, waiting: 0, slots: 10 }, now);
+        balancer.record_load(&n1, Load { running: 0, waiting: 0, slots: 10 }, now, now);
+        balancer.record_load(&n2, Load { running: 8, waiting: 0, slots: 10 }, now, now);
         let usage = |balancer: &mut Balancer, at| choose(balancer, &table, 0, at).unwrap().usage;
         assert!(usage(&mut balancer, now) < 0.11);
         // Half of the slots, with the new request: the mean of both.
@@ -914,6 +914,84 @@
         assert!((0.45..0.51).contains(&later), "{later}");
     }
 
+    reported_difference_decays_with_run_times_and_not_with_transfer_times => {
+        // A transfer takes many times as long as a run; slots turn over with the runs.
+        let table = members(&[("n1", "here"), ("n2", "here")]);
+        let [n1, n2] = ["n1", "n2"].map(|node| table.get(&node.parse().unwrap()).unwrap().clone());
+        let mut balancer = Balancer::default();
+        let now = Instant::now();
+        let answered = AttemptResult::Answered(Duration::from_secs(5));
+        let report = Report { run_time: Some(Duration::from_millis(100)), is_large: true, ..Report::default() };
+        for node in [&n1, &n2] {
+            balancer.start(node, now);
+            balancer.finish(node, &name("r"), answered, report, now);
+        }
+        balancer.record_load(&n1, Load { running: 0, waiting: 0, slots: 10 }, now, now);
+        balancer.record_load(&n2, Load { running: 8, waiting: 0, slots: 10 }, now, now);
+        let later = choose(&mut balancer, &table, 60_000, now + Duration::from_millis(300)).unwrap().usage;
+        assert!((0.45..0.51).contains(&later), "{later}");
+    }
+
+    report_of_a_new_incarnation_does_not_make_it_silent => {
+        // If a new node counted as heard of at the time of a report of 600 ms ago, an outstanding
+        // request to its predecessor would exclude it as silent.
+        let n1 = member("n1", "here", 10);
+        let next = Member { incarnation: Incarnation(2), ..n1.clone() };
+        let me = "me".parse().unwrap();
+        let (load, slowness) = (Load { running: 1, waiting: 0, slots: 10 }, "250".parse().unwrap());
+        let start = Instant::now();
+        let after = |millis| start + Duration::from_millis(millis);
+        for is_load in [true, false] {
+            let mut balancer = Balancer::default();
+            balancer.start(&n1, start);
+            match is_load {
+                true => balancer.record_load(&next, load, start, after(600)),
+                false => balancer.record_slowness(&next, slowness, start, after(600)),
+            }
+            assert!(!balancer.is_excluded(&next, &me, after(800)));
+            assert!(balancer.is_excluded(&next, &me, after(1_301)), "it is silent by then");
+        }
+    }
+
+    load_of_any_size_is_counted => {
+        // The sum of both counts doesn't fit in 32 bits.
+        let table = members(&[("n1", "here"), ("n2", "here")]);
+        let [n1, n2] = ["n1", "n2"].map(|node| table.get(&node.parse().unwrap()).unwrap().clone());
+        let now = Instant::now();
+        let load = Load { running: u32::MAX, waiting: 2, slots: 10 };
+        for is_report in [false, true] {
+            let mut balancer = Balancer::default();
+            if is_report {
+                balancer.record_load(&n1, load, now, now);
+            } else {
+                balancer.start(&n1, now);
+                let report = Report { load: Some(load), ..Report::default() };
+                balancer.finish(&n1, &name("r"), AttemptResult::Refused, report, now);
+            }
+            for _ in 0..20 {
+                assert_eq!(choose(&mut balancer, &table, 0, now).unwrap().member.node, n2.node);
+            }
+        }
+    }
+
+    choice_counts_the_eligible_targets_apart_from_the_known_ones => {
+        // A nested call that counts on targets which can't be asked waits too short a time at
+        // the one that can.
+        let mut table = members(&[("n1", "here"), ("n2", "here"), ("n4", "there")]);
+        let mut draining = member("n3", "here", 10);
+        draining.targets[0].draining = true;
+        table.merge(draining);
+        let mut balancer = Balancer::default();
+        let now = Instant::now();
+        balancer.start(&member("n2", "here", 10), now);
+        balancer.finish(&member("n2", "here", 10), &name("r"), AttemptResult::Leaving, Report::default(), now);
+        let all = choose(&mut balancer, &table, 0, now).unwrap();
+        assert_eq!((all.candidates, all.eligible), (4, 2));
+        balancer.finish(&member("n4", "there", 10), &name("r"), AttemptResult::Leaving, Report::default(), now);
+        let only = choose(&mut balancer, &table, 0, now).unwrap();
+        assert_eq!((only.candidates, only.eligible), (4, 1));
+    }
+
     leaving_target_is_excluded_briefly_and_a_replaced_one_for_longer => {
         let table = members(&[("n1", "here")]);
         let mut balancer = Balancer::default();
--- a/tests/slowness.rs
+++ b/tests/slowness.rs
@@ -228,6 +228,74 @@
     sender_avoids_a_target_for_300_ms_after_a_refusal: AttemptResult::Refused;
 }
 
+/// A target that is 2.5 times slower than another and states so would otherwise be expected to
+/// take 6.25 times as long, and be avoided for seconds after the statement has expired.
+#[test]
+fn observed_slowdown_leaves_out_what_the_target_states() {
+    fastrand::seed(5);
+    let now = Instant::now();
+    let (n1, n2) = (member("n1"), member("n2"));
+    let mut balancer = Balancer::default();
+    let mut answer = |member: &Member, took, slowness: &str| {
+        let slowness = slowness.parse().ok();
+        let report = Report {
+            slowness,
+            ..Report::default()
+        };
+        let end = AttemptResult::Answered(ms(took));
+        balancer.start(member, now);
+        balancer.finish(member, &name("r"), end, report, now);
+    };
+    for _ in 0..50 {
+        answer(&n2, 100, "100");
+        answer(&n1, 250, "250");
+    }
+    assert_eq!(chosen(&mut balancer, now), 0);
+    let later = chosen(&mut balancer, now + MAX_AGE);
+    assert!((20..80).contains(&later), "{later}");
+}
+
+/// The observed time of a transfer includes the slowness of the target already.
+#[test]
+fn stated_slowness_does_not_multiply_the_time_of_a_transfer() {
+    let now = Instant::now();
+    let n1 = member("n1");
+    let mut table = Table::default();
+    table.merge(n1.clone());
+    let mut balancer = Balancer::default();
+    let report = Report {
+        slowness: "250".parse().ok(),
+        is_large: true,
+        ..Report::default()
+    };
+    balancer.start(&n1, now);
+    balancer.finish(
+        &n1,
+        &name("r"),
+        AttemptResult::Answered(ms(1_000)),
+        report,
+        now,
+    );
+    let (me, route, service, domain) = ("me".parse().unwrap(), name("r"), name("a"), name("here"));
+    let mut cost = |bytes, at| {
+        let criteria = Criteria {
+            node: &me,
+            route: &route,
+            service: &service,
+            domain: &domain,
+            regions: &Regions::default(),
+            bytes,
+            own_load: Load::default(),
+        };
+        balancer
+            .choose(&table, criteria, |_| true, at)
+            .unwrap()
+            .cost
+    };
+    assert_eq!(cost(60_000, now), cost(60_000, now + MAX_AGE));
+    assert!(cost(0, now) > 2.0 * cost(0, now + MAX_AGE));
+}
+
 /// A redirect is no result for the caller, costs no attempt, and happens once. The last node
 /// that may be asked is the one that redirected the request, which can't do it again.
 #[test]
