Load report tests wait for full slots and for one reader

The first request could come before all slots were taken, and the stopped node could be another one than the reader while nodes elected it.

--- a/standins/tests/load_report.rs
+++ b/standins/tests/load_report.rs
@@ -12,6 +12,9 @@
 };
 use serde_json::{Value, json};
 
+/// The slots that the target of a [`Host`] states.
+const SLOTS: u64 = 4;
+
 /// Returns a version with services a and b, whose routes are open to all, and a team with a
 /// priority if `has_priority`.
 fn open_version(number: u64, has_priority: bool) -> Value {
@@ -111,6 +114,8 @@
         one.ask("GET", "/get/b/first", "id0", "").await;
         until("the load is known", async || knows_running(one, two, 0).await).await;
         let _filling = fill(two);
+        // A request that comes before would run in a free slot.
+        until("all slots are known to be taken", async || knows_running(one, two, SLOTS).await).await;
         until("it is refused at the entry", async || {
             let refused = refused_attempts(one).await;
             let rejected = metric(one, "rilltrack_no_room_total").await;
@@ -164,8 +169,14 @@
             all_known(&fleet[0], &[&fleet[1], &fleet[2], &fleet[3]]).await
         })
         .await;
-        // Whichever of the three is first, the two others go on.
-        let first = fleet.iter().position(Host::reads).unwrap_or(1).min(2);
+        // Whichever of the three is first, the two others go on. While the nodes elect it, none or
+        // several of them read the store.
+        let readers = || {
+            let domain = fleet.iter().take(3).enumerate();
+            domain.filter(|(_, host)| host.reads()).map(|(number, _)| number).collect::<Vec<_>>()
+        };
+        until("one node of the domain reads the store", async || readers().len() == 1).await;
+        let first = readers()[0];
         let mut stopped = fleet.remove(first);
         stopped.stop().await;
         let others: Vec<&Host> = fleet.iter().filter(|host| host.service == "b").collect();
