--- a/src/transport/relay/egress.rs
+++ b/src/transport/relay/egress.rs
@@ -379,10 +379,11 @@
                 balancer.knows_slowness(&call.service, since),
             )
         };
-        let mut arrival =
-            attempts.queue_arrival(&call.request(), usual_run_time, choice.candidates, since);
+        // The chosen node is already among those asked.
+        let targets = attempts.nodes.len() - 1 + choice.eligible;
+        let mut arrival = attempts.queue_arrival(&call.request(), usual_run_time, targets, since);
         // A redirected request needs another target and its whole body.
-        arrival.may_redirect &= knows_slowness && choice.candidates > 1 && body.is_whole();
+        arrival.may_redirect &= knows_slowness && choice.eligible > 1 && body.is_whole();
         let arrival = match peer_client::is_offered(call, &body) {
             true => attempts::limit_offer_wait(arrival),
             false => arrival,
--- a/tests/load_report.rs
+++ b/tests/load_report.rs
@@ -710,7 +710,7 @@
     let mut balancer = Balancer::default();
     for (node, load) in taken.loads.lock().iter() {
         let number: usize = node.as_str()["host-".len()..].parse().unwrap();
-        balancer.record_load(&member(number), *load, now);
+        balancer.record_load(&member(number), *load, now, now);
     }
 }
 
