Test of a released request waits until all nodes have released it

It asked each node as soon as that node had released the request. Once, n0 did 5 ms after its release and sent it to n2, which heard of the release 156 ms later and refused it (503, targets ended under this request). The release reaches nodes within about 0.2 s; the test still requires an answer of 200 from every node, once every node has released it.

--- a/standins/tests/fatal.rs
+++ b/standins/tests/fatal.rs
@@ -180,8 +180,12 @@
         }
         assert_eq!(fleet.hosts[5].let_go("0123").await, "400");
         assert_eq!(fleet.hosts[5].let_go(content).await, "200");
+        // A node that has heard of the release may send the request to one that hasn't yet, which
+        // refuses it.
         for host in &fleet.hosts {
             until("the request is released", async || host.held().await.is_empty()).await;
+        }
+        for host in &fleet.hosts {
             let answer = host.ask("GET", POISON_PATH, "mended", "").await;
             assert_eq!(status(&answer), "200", "{answer}");
         }
