--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -8,6 +8,7 @@
 mod harness;
 
 use std::{
+    panic::{self, AssertUnwindSafe},
     path::Path,
     process::ExitCode,
     sync::{
@@ -37,6 +38,13 @@
 
 const ZONES: [&str; 3] = ["pa-brancaccio", "ct-zia-lisa", "me-gazzi"];
 
+/// The machines of the site obl-palermo, by zone: the service of each one's target.
+const MACHINES: [&[&str]; 3] = [
+    &["saldo", "saldo", "ricarica", "ricarica", "giornale"],
+    &["saldo", "saldo", "ricarica", "giornale"],
+    &["saldo", "saldo", "ricarica", "giornale"],
+];
+
 fn version() -> String {
     let service = |name: &str| {
         format!(
@@ -55,9 +63,10 @@
     let limits = "{\"resourceType\":\"limits\",\"metadata\":{},\"spec\":{\"maxHeaderBytes\":16384,\
                   \"maxBodyBytes\":67108864,\"headerTimeout\":\"3000ms\",\"idleTimeout\":\"15000ms\"}}";
     format!(
-        "{{\"version\":7,\"resources\":[{},{},{},{},{limits}]}}",
+        "{{\"version\":7,\"resources\":[{},{},{},{},{},{limits}]}}",
         service("ricarica"),
         service("saldo"),
+        service("giornale"),
         route("topup", "/topup/", "non_idempotent", "ricarica"),
         route("balance", "/balance/", "safe", "saldo"),
     )
@@ -70,7 +79,8 @@
         ["1", "kill"].contains(&trouble.as_str()),
     );
     let record = Record::new();
-    let result = play(&record, loses, kills);
+    let result = panic::catch_unwind(AssertUnwindSafe(|| play(&record, loses, kills)))
+        .unwrap_or_else(|_| Err("a stand-in failed".into()));
     record.write(Path::new("review/1/record.txt"));
     match result {
         Ok(true) => {
@@ -161,21 +171,21 @@
     let folder = harness::temporary_folder("1");
     let store = Store::start((fresh_ip(200), 7100).into(), record);
     store.publish(&version());
-    let services = ["ricarica", "ricarica", "saldo"];
-    let mut hosts: Vec<Host> = (0..3)
-        .map(|i| {
-            Host::new(
-                &format!("sidecar-{}-1", ZONES[i]),
-                ZONES[i],
-                services[i],
-                fresh_ip(i as u8 + 1),
+    let mut hosts: Vec<Host> = Vec::new();
+    for (zone, services) in ZONES.iter().zip(MACHINES) {
+        for (i, service) in services.iter().enumerate() {
+            hosts.push(Host::new(
+                &format!("sidecar-{zone}-{}", i + 1),
+                zone,
+                service,
+                fresh_ip(hosts.len() as u8 + 1),
                 HEARTBEAT,
                 store.address,
                 &ZONES,
                 &folder,
-            )
-        })
-        .collect();
+            ));
+        }
+    }
     let start_target = |host: &Host, instance: &str| {
         Target::start(
             instance,
@@ -190,16 +200,25 @@
     for host in &mut hosts {
         host.start(record);
     }
-    let mut targets: Vec<Target> = (0..3)
-        .map(|i| start_target(&hosts[i], &format!("i-{}a", i + 1)))
+    let mut targets: Vec<Target> = (0..hosts.len())
+        .map(|i| start_target(&hosts[i], &format!("i-{:02}a", i + 1)))
         .collect();
     if !hosts.iter().all(|host| host.until_ready(millis(20_000))) {
         return Err("a node doesn't get ready".into());
     }
     // Traffic starts 8 s after the machines do.
     thread::sleep(millis(8000));
-    let near = Callers::start(&hosts[0], "n");
-    let far = Callers::start(&hosts[2], "f");
+    // A machine of `ricarica` whose node is among those that starting nodes ask first.
+    let contacts = store.newest_values("keyed.rilltrack-contacts");
+    let is_contact = |host: &Host| {
+        let name = host.name.as_bytes();
+        contacts.iter().any(|contact| contact.windows(name.len()).any(|bytes| bytes == name))
+    };
+    let one = (0..hosts.len()).find(|i| hosts[*i].service == "ricarica" && is_contact(&hosts[*i]));
+    let one = one.ok_or("no node beside a target of ricarica is a contact")?;
+    let other = (one + 1) % hosts.len();
+    let near = Callers::start(&hosts[one], "n");
+    let far = Callers::start(&hosts[other], "f");
     thread::sleep(millis(2000));
 
     // The store loses answers of writes for a while. Of those in that time, one is lost: the
@@ -207,26 +226,24 @@
     if loses {
         record.note("disruption begins: the store loses answers of writes, and does them late");
         let is_lost = AtomicBool::new(false);
+        let boot = format!("i-{:02}b", one + 1);
         store.set_loses(Some(Arc::new(move |_, record| {
-            let tells = record.windows(4).any(|bytes| bytes == b"i-1b");
+            let tells = record.windows(boot.len()).any(|bytes| bytes == boot.as_bytes());
             let lose = tells && !is_lost.swap(true, Ordering::Relaxed);
             lose.then_some(Late { after: LATE })
         })));
     }
     let writes_before = store.writes();
     let began = Instant::now();
-    // Targets are replaced by new boots at their addresses, one after the other.
-    for i in 0..3 {
-        targets[i].end();
-        thread::sleep(millis(100));
-        targets[i] = start_target(&hosts[i], &format!("i-{}b", i + 1));
-        thread::sleep(millis(300));
-    }
-    // One of them is taken away: it deregisters first, and serves on.
+    // The target of that machine ends, and starts again as a new boot.
+    targets[one].end();
+    thread::sleep(millis(100));
+    targets[one] = start_target(&hosts[one], &format!("i-{:02}b", one + 1));
+    // It is taken away: it deregisters first, and serves on.
     thread::sleep((began + millis(3000)).saturating_duration_since(Instant::now()));
-    let leaving = targets[0].clone();
+    let leaving = targets[one].clone();
     let acked = leaving.deregister();
-    record.note_at(acked, "the leave of i-1b is acknowledged");
+    record.note_at(acked, format!("the leave of {} is acknowledged", leaving.instance));
     thread::sleep((began + LOSING).saturating_duration_since(Instant::now()));
     store.set_loses(None);
     let writes = store.writes() - writes_before;
@@ -239,10 +256,10 @@
     thread::sleep((began + LATE + millis(700)).saturating_duration_since(Instant::now()));
     let disturbed = Instant::now();
     if kills {
-        hosts[0].kill(record);
+        hosts[one].kill(record);
         thread::sleep(millis(300));
-        hosts[0].start(record);
-        if !hosts[0].until_ready(millis(5000)) {
+        hosts[one].start(record);
+        if !hosts[one].until_ready(millis(5000)) {
             return Err("the node doesn't get ready again".into());
         }
         record.note("the node is ready again");
--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -8,6 +8,7 @@
 mod harness;
 
 use std::{
+    panic::{self, AssertUnwindSafe},
     path::Path,
     process::ExitCode,
     thread,
@@ -16,17 +17,29 @@
 
 use harness::{Host, METRICS, Record, Sent, Store, Target, ask, exchange, fresh_ip, millis};
 
-/// The bound of the site obl-palermo.
+/// The bounds of the site fw-konfig.
 const CONFIG_APPLY: Duration = Duration::from_millis(2000);
-const HEARTBEAT: Duration = Duration::from_millis(1500);
+const HEARTBEAT: Duration = Duration::from_millis(870);
 
-/// Machines of the site: 13. Most are in one zone.
-const NEAR: usize = 11;
-const FAR: usize = 2;
+const ZONES: [&str; 3] = ["halle-a", "halle-b", "halle-c"];
 
-const ZONES: [&str; 2] = ["pa-brancaccio", "ct-zia-lisa"];
+/// The machines of the site, by zone: the service of each one's target.
+const MACHINES: [&[&str]; 3] = [
+    &["katalog", "katalog", "katalog", "bestellung", "bestellung", "dokumente"],
+    &["katalog", "katalog", "bestellung", "dokumente"],
+    &["katalog", "bestellung", "dokumente"],
+];
 
-fn version(number: u32, topup: &str) -> String {
+/// The machines of the first zone.
+const NEAR: usize = MACHINES[0].len();
+
+/// How often the reader of the first zone ends and a version comes.
+const ROUNDS: u32 = 14;
+
+/// The time from one such end to the next.
+const ROUND: Duration = Duration::from_millis(6500);
+
+fn version(number: u32, orders: &str) -> String {
     let service = |name: &str| {
         format!(
             "{{\"resourceType\":\"services\",\"metadata\":{{\"name\":\"{name}\"}},\"spec\":\
@@ -44,11 +57,12 @@
     let limits = "{\"resourceType\":\"limits\",\"metadata\":{},\"spec\":{\"maxHeaderBytes\":16384,\
                   \"maxBodyBytes\":67108864,\"headerTimeout\":\"3000ms\",\"idleTimeout\":\"15000ms\"}}";
     format!(
-        "{{\"version\":{number},\"resources\":[{},{},{},{},{limits}]}}",
-        service("ricarica"),
-        service("saldo"),
-        route("topup", "/topup/", "non_idempotent", topup),
-        route("balance", "/balance/", "safe", "saldo"),
+        "{{\"version\":{number},\"resources\":[{},{},{},{},{},{limits}]}}",
+        service("katalog"),
+        service("bestellung"),
+        service("dokumente"),
+        route("preisabfrage", "/preisabfrage/", "safe", "katalog"),
+        route("auftrag", "/auftrag/", "non_idempotent", orders),
     )
 }
 
@@ -64,7 +78,8 @@
 fn main() -> ExitCode {
     let trouble = std::env::var("TROUBLE").unwrap_or_else(|_| "1".into());
     let record = Record::new();
-    let result = play(&record, trouble != "0");
+    let result = panic::catch_unwind(AssertUnwindSafe(|| play(&record, trouble != "0")))
+        .unwrap_or_else(|_| Err("a stand-in failed".into()));
     record.write(Path::new("review/2/record.txt"));
     match result {
         Ok(true) => {
@@ -86,25 +101,22 @@
 fn play(record: &Record, kills: bool) -> Result<bool, String> {
     let folder = harness::temporary_folder("2");
     let store = Store::start((fresh_ip(200), 7100).into(), record);
-    store.publish(&version(7, "ricarica"));
-    let mut hosts: Vec<Host> = (0..NEAR + FAR)
-        .map(|i| {
-            let (zone, number, service) = match i < NEAR {
-                true => (ZONES[0], i + 1, "ricarica"),
-                false => (ZONES[1], i + 1 - NEAR, "saldo"),
-            };
-            Host::new(
-                &format!("sidecar-{zone}-{number}"),
+    store.publish(&version(7, "bestellung"));
+    let mut hosts: Vec<Host> = Vec::new();
+    for (zone, services) in ZONES.iter().zip(MACHINES) {
+        for (i, service) in services.iter().enumerate() {
+            hosts.push(Host::new(
+                &format!("sidecar-{zone}-{}", i + 1),
                 zone,
                 service,
-                fresh_ip(i as u8 + 1),
+                fresh_ip(hosts.len() as u8 + 1),
                 HEARTBEAT,
                 store.address,
                 &ZONES,
                 &folder,
-            )
-        })
-        .collect();
+            ));
+        }
+    }
     for host in &mut hosts {
         host.start(record);
     }
@@ -128,72 +140,74 @@
     }
     thread::sleep(millis(8000));
 
-    let reader = (0..NEAR).find(|i| reads(&hosts[*i])).ok_or("no node reads")?;
-    record.note(format!("{} reads the store for its zone", hosts[reader].name));
-    thread::sleep(millis(4000));
-
-    if kills {
-        hosts[reader].kill(record);
-    }
-    store.publish(&version(9, "saldo"));
-    let acked = Instant::now();
-    record.note_at(acked, "the store acknowledges version 9: /topup/ goes to saldo");
-    if kills {
-        thread::sleep(millis(300));
-        hosts[reader].start(record);
-    }
-    // A few requests are sent directly to each node, and show which configuration is in force.
-    let mut sent: Vec<Sent> = Vec::new();
-    for round in 0..8 {
-        let at = acked + CONFIG_APPLY + millis(100 + 500 * round);
-        thread::sleep(at.saturating_duration_since(Instant::now()));
-        let looks: Vec<_> = (0..NEAR + FAR)
+    let (mut asked, mut old, mut rounds) = (0, 0, 0);
+    for round in 0..ROUNDS {
+        let (before, after) = match round % 2 {
+            0 => ("bestellung", "dokumente"),
+            _ => ("dokumente", "bestellung"),
+        };
+        let reader = (0..NEAR).find(|i| reads(&hosts[*i])).ok_or("no node reads")?;
+        if kills {
+            record.note(format!("{} reads the store for its zone", hosts[reader].name));
+            hosts[reader].kill(record);
+        }
+        let number = 9 + 2 * round;
+        store.publish(&version(number, after));
+        let acked = Instant::now();
+        record.note_at(
+            acked,
+            format!("the store acknowledges version {number}: orders go to {after}"),
+        );
+        if kills {
+            thread::sleep(millis(300));
+            hosts[reader].start(record);
+        }
+        // A few requests are sent directly to each node, and show which configuration is in force.
+        thread::sleep((acked + CONFIG_APPLY + millis(50)).saturating_duration_since(Instant::now()));
+        let looks: Vec<_> = (0..hosts.len())
             .filter(|i| !kills || *i != reader)
             .map(|i| {
                 let to = hosts[i].callers();
                 thread::spawn(move || {
-                    let id = format!("t{round}-{:02}", i + 1);
-                    let path = format!("/topup/{id}");
-                    ask(to, "POST", &path, &id, "amount=5", millis(3000))
+                    let id = format!("o{number}-{:02}", i + 1);
+                    let path = format!("/auftrag/{id}");
+                    ask(to, "POST", &path, &id, "amount=5", millis(2000))
                 })
             })
             .collect();
-        sent.extend(looks.into_iter().filter_map(|look| look.join().ok()));
-    }
-
-    let mut old = 0;
-    for sent in &sent {
-        record.note_at(sent.at, format!("caller sends {} {}", sent.method, sent.id));
-        record.note_at(
-            sent.ended,
-            format!("caller gets {} for {}: {}", sent.status, sent.id, sent.body.trim()),
-        );
-        for (i, target) in targets.iter().enumerate() {
-            for seen in target.seen().iter().filter(|seen| seen.id == sent.id && seen.ran) {
-                // What runs on the machine that was restarted doesn't count.
-                let is_old = target.service == "ricarica" && !(kills && i == reader);
-                old += u32::from(is_old);
-                let late = (sent.at - acked).as_secs_f64();
-                record.note_at(
-                    seen.at,
-                    format!(
-                        "target {} of {} runs {}{}",
-                        target.instance,
-                        target.service,
-                        sent.id,
-                        if is_old {
-                            format!(", sent {late:.3} s after the acknowledgement, by the old route")
-                        } else {
-                            String::new()
-                        }
-                    ),
-                );
+        let sent: Vec<Sent> = looks.into_iter().filter_map(|look| look.join().ok()).collect();
+        asked += sent.len();
+        let mut is_broken = false;
+        for sent in &sent {
+            record.note_at(sent.at, format!("caller sends {} {}", sent.method, sent.id));
+            record.note_at(
+                sent.ended,
+                format!("caller gets {} for {}: {}", sent.status, sent.id, sent.body.trim()),
+            );
+            for (i, target) in targets.iter().enumerate() {
+                for seen in target.seen().iter().filter(|seen| seen.id == sent.id && seen.ran) {
+                    // What runs on the machine that was restarted doesn't count.
+                    let is_old = target.service == before && !(kills && i == reader);
+                    is_broken |= is_old;
+                    old += u32::from(is_old);
+                    let late = (sent.at - acked).as_secs_f64();
+                    let note = match is_old {
+                        true => format!(", sent {late:.3} s after the acknowledgement, by the old route"),
+                        false => String::new(),
+                    };
+                    record.note_at(
+                        seen.at,
+                        format!("target {} of {} runs {}{note}", target.instance, target.service, sent.id),
+                    );
+                }
             }
         }
+        rounds += u32::from(is_broken);
+        thread::sleep((acked + ROUND).saturating_duration_since(Instant::now()));
     }
     let verdict = format!(
-        "{old} of {} orders sent more than {} s after the acknowledgement were run by the old service",
-        sent.len(),
+        "{old} of {asked} orders sent more than {} s after the acknowledgement were run by the old \
+         service, in {rounds} of {ROUNDS} rounds",
         CONFIG_APPLY.as_secs_f64()
     );
     record.note(verdict.clone());
@@ -203,5 +217,8 @@
     }
     drop(hosts);
     let _ = std::fs::remove_dir_all(&folder);
-    Ok(old == 0)
+    match asked {
+        0 => Err("no order was sent".into()),
+        _ => Ok(old == 0),
+    }
 }
--- a/review/harness.rs
+++ b/review/harness.rs
@@ -260,6 +260,13 @@
         self.writes.load(Ordering::Relaxed)
     }
 
+    /// Returns the newest records of a topic, without their keys.
+    pub fn newest_values(&self, topic: &str) -> Vec<Vec<u8>> {
+        let topics = self.topics.0.lock().unwrap();
+        let newest = topics.get(topic).map(|topic| topic.newest.values());
+        newest.into_iter().flatten().map(|(value, _)| value.clone()).collect()
+    }
+
     /// Writes the operator's configuration.
     pub fn publish(&self, version: &str) {
         let mut record = vec![6];
