Log lines tell an overwritten member record from one that was never written

Cause: not mended here.

Three explanations were possible: the drain was never written; it was written and the store's newest record is an older one; the store has it, and the starting node reads too early. The first one shows no line, the second one E309 before the restart at every node, and all three E310 with what was restored.

Change: E309 (RecordOverwritten) when a record in the order of the store is older than the one held, E310 (RecordRestored) with the sequence and the targets that a starting node takes for its own. The table remembers which members are overwritten. A write of a member record returns the offset after it, so that a node doesn't take its own earlier writes for later ones.

--- a/src/coordination/host.rs
+++ b/src/coordination/host.rs
@@ -304,9 +304,19 @@
 
     /// Merges records of members into the table.
     pub fn merge_members(&self, members: Vec<Member>, from: &str) {
+        self.merge_members_by(Table::merge, members, from);
+    }
+
+    /// Merges records of members with a function that merges one into the table.
+    pub fn merge_members_by(
+        &self,
+        merge: fn(&mut Table, Member) -> bool,
+        members: Vec<Member>,
+        from: &str,
+    ) {
         if members.len() <= MAX_LOGGED_MEMBERS {
             for member in members {
-                self.merge_member(member, from);
+                self.merge_member_by(merge, member, from);
             }
             return;
         }
@@ -315,7 +325,7 @@
         let mut table = self.members.write();
         let updated = members
             .into_iter()
-            .map(|member| usize::from(table.merge(member)))
+            .map(|member| usize::from(merge(&mut table, member)))
             .sum::<usize>();
         let known = table.len();
         drop(table);
@@ -332,10 +342,19 @@
 
     /// Merges the record of a member into the table. Returns whether it changed the table.
     pub fn merge_member(&self, member: Member, from: &str) -> bool {
+        self.merge_member_by(Table::merge, member, from)
+    }
+
+    fn merge_member_by(
+        &self,
+        merge: fn(&mut Table, Member) -> bool,
+        member: Member,
+        from: &str,
+    ) -> bool {
         let (node, domain) = (member.node.clone(), member.domain.clone());
         let (status, targets) = (member.status, targets_text(&member));
         let has_evidence = !member.evidence.is_empty();
-        let has_changed = self.members.write().merge(member);
+        let has_changed = merge(&mut self.members.write(), member);
         if has_changed {
             self.quarantine.on_member_update(has_evidence);
             note!(
@@ -555,7 +574,7 @@
 }
 
 /// Returns a member's targets as text for a log line.
-fn targets_text(member: &Member) -> String {
+pub fn targets_text(member: &Member) -> String {
     let targets = member.targets.iter().map(|target| {
         let state = if target.draining { "draining" } else { "ready" };
         format!("{}/{}/{state}", target.service, target.instance)
--- a/src/coordination/interface.rs
+++ b/src/coordination/interface.rs
@@ -57,8 +57,10 @@
     /// store waits for the first record. Fails with [`Error::Expired`] if the store no
     /// longer keeps them.
     pub tail: Arc<dyn Fn(Stream, u64, Span) -> ResultFuture<Records> + Send + Sync>,
-    /// Writes a key and its record to the stream of the members.
-    pub put: Arc<dyn Fn(String, Bytes) -> ResultFuture<()> + Send + Sync>,
+    /// Writes a key and its record to the stream of the members, and returns the offset after the
+    /// record. A write that fails with [`Error::NoAnswer`] may still be executed, at any later
+    /// time.
+    pub put: Arc<dyn Fn(String, Bytes) -> ResultFuture<u64> + Send + Sync>,
     /// Returns the [`Contact`](crate::protocol::contact::Contact)s, encoded.
     pub contacts: Arc<dyn Fn() -> ResultFuture<Vec<Bytes>> + Send + Sync>,
     /// Writes a contact under its key.
--- a/src/coordination/presence.rs
+++ b/src/coordination/presence.rs
@@ -9,7 +9,12 @@
 use tokio::sync::watch;
 
 use crate::{
-    coordination::{host::Host, interface::Store, quarantine::review, source},
+    coordination::{
+        host::{Host, targets_text},
+        interface::Store,
+        quarantine::review,
+        source,
+    },
     event::Event,
     id::Incarnation,
     journal::note,
@@ -42,6 +47,14 @@
     host.local
         .lock()
         .restore(recorded.as_deref(), Instant::now());
+    if let Some(recorded) = &recorded {
+        note!(
+            host.journal,
+            Event::RecordRestored,
+            sequence = recorded.sequence,
+            targets = targets_text(recorded)
+        );
+    }
     host.set_gate();
     review::restore(&host);
     let mut member = recorded.as_deref().cloned();
@@ -79,10 +92,11 @@
         let put = (store.put)(key, record.into()).await;
         host.note_store("put", &put, Some(since.elapsed()));
         match put {
-            Ok(()) => {
+            Ok(end) => {
                 failures = 0;
                 host.merge_member(wanted.clone(), "self");
                 if is_own {
+                    host.streams.note_own_record(end);
                     member = Some(wanted);
                 }
             }
--- a/src/coordination/records.rs
+++ b/src/coordination/records.rs
@@ -1,6 +1,6 @@
 //! Applies records of the store's streams, whether this node read them or another one.
 
-use std::sync::Arc;
+use std::{collections::BTreeSet, sync::Arc};
 
 use bytes::Bytes;
 
@@ -12,18 +12,23 @@
         spread,
     },
     event::Event,
-    id::Name,
+    id::{Name, Node},
     journal::note,
     protocol::update::{Changes, Update},
     state::{
         drain::Drain,
-        member::Member,
+        member::{Member, Table},
         rollout::{Rollout, Stage},
     },
 };
 
-/// Applies records from the store; returns what to send to other nodes.
-pub fn apply_records(host: &Host, stream: Stream, records: Vec<Bytes>) -> Option<Changes> {
+/// Applies records from the store, up to the offset `next`; returns what to send to other nodes.
+pub fn apply_records(
+    host: &Host,
+    stream: Stream,
+    records: Vec<Bytes>,
+    next: u64,
+) -> Option<Changes> {
     match stream {
         // Only the newest version counts; the ones in between were never in force here. If
         // the newest can't be decoded, the one before it is used.
@@ -33,7 +38,7 @@
             usable.flatten().map(Changes::Routes)
         }
         Stream::Members => {
-            apply_members(host, &records, "store");
+            apply_members(host, &records, next, "store");
             (!records.is_empty()).then_some(Changes::Members(records))
         }
     }
@@ -101,8 +106,9 @@
     }
 }
 
-/// Applies records of the stream of the members.
-pub fn apply_members(host: &Host, records: &[Bytes], from: &str) {
+/// Applies records of the stream of the members, in their order in the store and up to the offset
+/// `next`.
+pub fn apply_members(host: &Host, records: &[Bytes], next: u64, from: &str) {
     let (mut members, mut rollouts) = (Vec::new(), Vec::new());
     for record in records {
         match decode_record(host, record, from) {
@@ -112,7 +118,33 @@
         }
     }
     local::receive(host, rollouts, from);
-    host.merge_members(members, from);
+    let before = host.members.read().overwritten().clone();
+    host.merge_members_by(Table::merge_from_store, members, from);
+    note_overwritten(host, &before, next, from);
+}
+
+/// Logs the members that are overwritten in the store since `before`, given what the store has up
+/// to the offset `next`, and wakes the task that writes their records.
+pub fn note_overwritten(host: &Host, before: &BTreeSet<Node>, next: u64, from: &str) {
+    let mut members = host.members.write();
+    // A read that ends before this node's latest write doesn't tell what that replaced.
+    if next <= host.streams.own_record_end() {
+        members.set_overwritten(&host.settings.node, false);
+    }
+    for node in members.overwritten().difference(before) {
+        let held = members.get(node).map(|member| member.sequence);
+        note!(
+            host.journal,
+            Event::RecordOverwritten,
+            member = node,
+            held = held.unwrap_or_default(),
+            next = next,
+            from = from
+        );
+    }
+    if !members.overwritten().is_empty() {
+        host.own_record_changed.notify_one();
+    }
 }
 
 /// Applies records that another node read, and forwards them.
@@ -130,7 +162,7 @@
     let is_whole = match update.load {
         Changes::Routes(delta) => host.apply_routes(delta, "reader"),
         Changes::Members(records) => {
-            apply_members(host, &records, "reader");
+            apply_members(host, &records, update.next, "reader");
             // Each record is about one member, so the records before `from` must be known.
             host.streams.offset(stream) >= Some(update.from)
         }
--- a/src/coordination/rollout/controller.rs
+++ b/src/coordination/rollout/controller.rs
@@ -183,7 +183,7 @@
     let started = Instant::now();
     let put = (store.put)(records::rollout_key(&rollout.service), record.into()).await;
     host.note_store("put", &put, Some(started.elapsed()));
-    put
+    put.map(drop)
 }
 
 /// Writes the status of an order for operators, unless the store has it already or has a
--- a/src/coordination/source.rs
+++ b/src/coordination/source.rs
@@ -141,7 +141,7 @@
     let records = read?;
     records::apply_orders(host, &records.orders);
     records::apply_drains(host, &records, stream, true);
-    records::apply_records(host, stream, records.records);
+    records::apply_records(host, stream, records.records, records.next);
     host.streams.advance_offset(stream, records.next);
     Ok(())
 }
@@ -246,7 +246,7 @@
 ) {
     let rollouts = records::apply_orders(host, &records.orders);
     let drains = records::apply_drains(host, &records, stream, from.is_none());
-    let load = records::apply_records(host, stream, records.records);
+    let load = records::apply_records(host, stream, records.records, records.next);
     host.streams.advance_offset(stream, records.next);
     // Orders without a new version are sent with an empty delta.
     let unchanged = || host.routes_since(host.version()).map(Changes::Routes);
--- a/src/coordination/start.rs
+++ b/src/coordination/start.rs
@@ -298,7 +298,7 @@
         self.host.note_store("tail", &read, Some(since.elapsed()));
         match read {
             Ok(records) => {
-                records::apply_members(self.host, &records.records, "store");
+                records::apply_members(self.host, &records.records, records.next, "store");
                 members.at = records.next;
             }
             Err(Error::Expired(_)) => return self.read_store().await,
--- a/src/coordination/streams.rs
+++ b/src/coordination/streams.rs
@@ -2,7 +2,7 @@
 //! failure domain.
 
 use std::{
-    sync::atomic::{AtomicBool, AtomicU8, Ordering},
+    sync::atomic::{AtomicBool, AtomicU8, AtomicU64, Ordering},
     time::Duration,
 };
 
@@ -15,6 +15,8 @@
 pub struct Streams {
     /// The offset up to which each stream is known, by [`Stream`].
     offsets: [watch::Sender<Option<u64>>; 2],
+    /// The offset after the latest record of itself that this process wrote.
+    own_record_end: AtomicU64,
     is_membership_settled: watch::Sender<bool>,
     is_reading: watch::Sender<bool>,
     /// The number of consecutive failed readers directly before this node in the ranking: nodes
@@ -31,6 +33,7 @@
     fn default() -> Self {
         Self {
             offsets: [watch::Sender::new(None), watch::Sender::new(None)],
+            own_record_end: AtomicU64::new(0),
             is_membership_settled: watch::Sender::new(false),
             is_reading: watch::Sender::new(false),
             failed_readers: AtomicU8::new(0),
@@ -58,6 +61,17 @@
         *self.offsets[stream as usize].borrow()
     }
 
+    /// Records the offset after a record of this node that this process has just written.
+    pub fn note_own_record(&self, end: u64) {
+        self.own_record_end.fetch_max(end, Ordering::Relaxed);
+    }
+
+    /// Returns the offset after the latest record of itself that this process wrote; 0 if it has
+    /// written none.
+    pub fn own_record_end(&self) -> u64 {
+        self.own_record_end.load(Ordering::Relaxed)
+    }
+
     /// Waits until the stream of the members has been read once.
     pub async fn until_members_known(&self) {
         let mut offset = self.offsets[Stream::Members as usize].subscribe();
--- a/src/event.rs
+++ b/src/event.rs
@@ -76,6 +76,8 @@
     306 Info  LetGo: "A request is not held back any more at this node.";
     307 Info  TriedAgain: "A request that is held back is tried again, at the target here.";
     308 Info  MembershipSettled: "A starting node has the members; from now on it takes part in reading the store.";
+    309 Warn  RecordOverwritten: "The store did a write late: its record of a member is older than the one known here.";
+    310 Info  RecordRestored: "This node took the record of its earlier process for the state of its target.";
     320 Info  RolloutHeard: "An order for a roll-out, or its next stage, became known here.";
     321 Info  RolloutMoved: "This node brought a roll-out to its next stage, or found that it stands there.";
     322 Info  TargetJudged: "The verdict on the target here, whose release is on trial, changed.";
--- a/src/state/member.rs
+++ b/src/state/member.rs
@@ -2,7 +2,7 @@
 //! records of them.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     net::SocketAddr,
     sync::Arc,
 };
@@ -150,6 +150,8 @@
     releases: BTreeMap<Name, BTreeMap<Release, usize>>,
     /// For each bucket, the XOR of the hashes of its members.
     bucket_hashes: Vec<u32>,
+    /// Members whose record in the store is older than the one here.
+    overwritten: BTreeSet<Node>,
 }
 
 impl Default for Table {
@@ -159,6 +161,7 @@
             offers: BTreeMap::new(),
             releases: BTreeMap::new(),
             bucket_hashes: vec![0; BUCKETS],
+            overwritten: BTreeSet::new(),
         }
     }
 }
@@ -179,8 +182,41 @@
         true
     }
 
+    /// Stores a record that was read from the store, unless the stored record of the same node is
+    /// newer. In that case the member is [overwritten](Self::overwritten): the store executed an
+    /// earlier write after a later one.
+    ///
+    /// Returns whether it was stored.
+    pub fn merge_from_store(&mut self, member: Member) -> bool {
+        let held = self.members.get(&member.node);
+        if held.is_some_and(|held| held.precedence() > member.precedence()) {
+            self.overwritten.insert(member.node);
+            return false;
+        }
+        self.overwritten.remove(&member.node);
+        self.merge(member)
+    }
+
+    /// Returns the members whose newest record in the store is older than the one here.
+    ///
+    /// Whoever loads the members from the store alone gets the older record, so the node that
+    /// writes the record has to write it again.
+    pub fn overwritten(&self) -> &BTreeSet<Node> {
+        &self.overwritten
+    }
+
+    /// Sets whether the store has an older record of a member than the one here.
+    pub fn set_overwritten(&mut self, node: &Node, is_overwritten: bool) {
+        if is_overwritten {
+            self.overwritten.insert(node.clone());
+        } else {
+            self.overwritten.remove(node);
+        }
+    }
+
     /// Removes a member, used once it has been gone for long.
     pub fn forget(&mut self, node: &Node) {
+        self.overwritten.remove(node);
         if let Some(old) = self.members.remove(node) {
             self.unindex(&old);
         }
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -193,7 +193,7 @@
             let member: Member = rmp_serde::from_slice(&record).unwrap();
             assert_eq!(member.node.as_str(), key);
             sender.send(member).unwrap();
-            async { Ok(()) }.boxed()
+            async { Ok(0) }.boxed()
         }),
         contacts: Arc::new(|| async { Ok(Vec::new()) }.boxed()),
         put_contact: Arc::new(|_, _| async { Ok(()) }.boxed()),
--- a/tests/start.rs
+++ b/tests/start.rs
@@ -94,8 +94,10 @@
             async { Ok(records) }.boxed()
         }),
         put: Arc::new(move |key, record| {
-            put.members.lock().push((key, record));
-            async { Ok(()) }.boxed()
+            let mut members = put.members.lock();
+            members.push((key, record));
+            let end = members.len() as u64;
+            async move { Ok(end) }.boxed()
         }),
         contacts: Arc::new(move || {
             *contacts.small_calls.lock() += 1;
