A late write of the store doesn't undo a node's newer record

Cause: a node appends its record without a condition, and the store may execute an unanswered append seconds later, after newer ones. The store's newest record is then an older one. Tables of members drop it, but nobody wrote the newer one again, and a node that starts and reads the store takes it for its last state. Besides, two different records could have the same sequence number: a failed write didn't use its number up, so the next record had it again, and tables could not tell which of both is newer.

Change: * each write of a record has a new sequence number, also after a failed one; those of a process begin at its start time; * a member whose record in the store is older than the known one is listed as overwritten; the list goes along with answers to peers; the node writes its record again, and acknowledges no drain until then; * a node that reads the members from the store compares them with up to four peers before it takes its own record for its state; * a record of an earlier process that becomes known after the start still drains the target. The same cause elsewhere: marks of replaced members and any stage of a roll-out, not only a final one, are written again.

Why it works: the number decides and not the place in the store, each key has one running writer, and that writer learns of the older record from the stream, from peers, or at its start.

One test is replaced by one that is as strict: a former contact still has to read the store before it asks anyone, but may ask after that (former_contact_reads_the_store_before_it_asks_anyone).

--- a/src/coordination/local.rs
+++ b/src/coordination/local.rs
@@ -62,6 +62,12 @@
             warm_at: None,
         }
     }
+
+    /// Merges a record of the same instance.
+    fn merge(&mut self, recorded: &Target) {
+        self.target.draining |= recorded.draining;
+        self.target.verdict = self.target.verdict.or(recorded.verdict);
+    }
 }
 
 /// The effect of a message from the target.
@@ -107,8 +113,7 @@
         };
         match &mut self.current {
             Some(current) if current.target.instance.may_match(&target.instance) => {
-                current.target.draining |= target.draining;
-                current.target.verdict = current.target.verdict.or(target.verdict);
+                current.merge(target);
             }
             // The heartbeat received since the start was a late one of an older instance.
             Some(current) if current.target.instance.is_before(&target.instance) => {
@@ -126,6 +131,22 @@
         }
     }
 
+    /// Merges a later record of an earlier incarnation of this node, which became known after
+    /// [`restore`](Self::restore). Only what is final counts: that the target leaves, and the
+    /// verdict on it.
+    pub fn merge_later_record(&mut self, recorded: &Member) {
+        let Some(target) = recorded.targets.first() else {
+            return;
+        };
+        match &mut self.current {
+            Some(current) if current.target.instance.may_match(&target.instance) => {
+                current.merge(target);
+            }
+            _ if target.draining => self.retire(target.instance.clone(), true),
+            _ => {}
+        }
+    }
+
     /// Applies a heartbeat, and returns its effect.
     pub fn apply_heartbeat(&mut self, heartbeat: &Heartbeat, now: Instant) -> Change {
         // A target that reports its start time does so in every heartbeat. A heartbeat
--- a/src/coordination/presence.rs
+++ b/src/coordination/presence.rs
@@ -13,6 +13,7 @@
         host::{Host, targets_text},
         interface::Store,
         quarantine::review,
+        rollout::local::unix_millis,
         source,
     },
     event::Event,
@@ -31,12 +32,13 @@
 /// The part of this node's record that is known to be in the store.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Recorded {
-    /// The targets in the stored record; `None` if the store has no record of this node.
+    /// The targets in the stored record; `None` if the store has none, or an older one, of this
+    /// node.
     pub targets: Option<Vec<Target>>,
 }
 
-/// Writes this node's record to the store whenever it changes, and marks members as gone whose
-/// host this node's host has replaced; never returns.
+/// Writes this node's record to the store whenever it changes or the store has an older one, and
+/// marks members as gone whose host this node's host has replaced; never returns.
 pub async fn maintain_record(
     host: Arc<Host>,
     store: Store,
@@ -63,16 +65,23 @@
         let wait = TARGET_START + host.settings.heartbeat.duration();
         drop(tokio::time::timeout(wait, host.own_record_changed.notified()).await);
     }
+    // A write that failed may be executed late, even one of an earlier process. So no two different
+    // records may have the same number: each write takes a new one, and those of this process
+    // begin at its start time. If the clock has stepped back, they follow the recorded one.
+    let mut min_sequence = unix_millis();
     let mut failures = 0;
     loop {
         if let Some(later) = later_record(&host, member.as_ref()) {
+            host.local.lock().merge_later_record(&later);
+            host.set_gate();
             member = Some(later);
         }
-        let wanted = wanted_record(&host, member.as_ref());
-        let is_written = member.as_ref() == Some(&wanted);
-        if is_written {
+        let wanted = wanted_record(&host, member.as_ref(), min_sequence);
+        let is_overwritten = is_overwritten(&host);
+        let is_written = member.as_ref() == Some(&wanted) && !is_overwritten;
+        if is_written || is_overwritten {
             recorded_sender.send_replace(Recorded {
-                targets: Some(wanted.targets.clone()),
+                targets: is_written.then(|| wanted.targets.clone()),
             });
         }
         let replaced = if is_written {
@@ -85,6 +94,9 @@
             continue;
         }
         let is_own = replaced.is_none();
+        if is_own {
+            min_sequence = min_sequence.max(wanted.sequence + 1);
+        }
         let wanted = replaced.unwrap_or(wanted);
         let record = rmp_serde::to_vec_named(&wanted).expect("a member record always encodes");
         let key = wanted.node.to_string();
@@ -94,6 +106,7 @@
         match put {
             Ok(end) => {
                 failures = 0;
+                host.members.write().set_overwritten(&wanted.node, false);
                 host.merge_member(wanted.clone(), "self");
                 if is_own {
                     host.streams.note_own_record(end);
@@ -129,6 +142,12 @@
     is_later.then(|| known.as_ref().clone())
 }
 
+/// Returns whether the store has an older record of this node than the one that it wrote last.
+fn is_overwritten(host: &Host) -> bool {
+    let members = host.members.read();
+    members.overwritten().contains(&host.settings.node)
+}
+
 /// Returns the record that marks a member as gone whose address this node has now. The member's
 /// host was replaced by this one under another name, and no other node will ever record that.
 /// Without such a record, each node would try in each of its incarnations to reach the old
@@ -139,7 +158,9 @@
     let mut others = members
         .iter()
         .filter(|member| member.node != host.settings.node);
-    let replaced = others.find(|member| member.inbound == inbound && member.is_present())?;
+    let is_listed =
+        |member: &Member| member.is_present() || members.overwritten().contains(&member.node);
+    let replaced = others.find(|member| member.inbound == inbound && is_listed(member))?;
     Some(Member {
         status: Status::Gone,
         sequence: replaced.sequence + 1,
@@ -148,16 +169,16 @@
     })
 }
 
-/// Returns the record to be written: `held` if it is up to date, else its successor.
-fn wanted_record(host: &Host, held: Option<&Member>) -> Member {
+/// Returns the record to be written: `held` if it is up to date, else its successor, whose sequence
+/// number is at least `min_sequence`.
+fn wanted_record(host: &Host, held: Option<&Member>, min_sequence: u64) -> Member {
     let settings = &host.settings;
     let advertised = settings.advertised();
     let fresh = Member {
         node: settings.node.clone(),
-        // The order of records in the store decides, so no clock is needed. An incarnation
-        // continues the sequence numbers of the previous one.
+        // A process continues the sequence numbers of the one before it.
         incarnation: held.map_or(Incarnation(1), |held| held.incarnation),
-        sequence: held.map_or(1, |held| held.sequence),
+        sequence: held.map_or(min_sequence, |held| held.sequence),
         status: Status::Alive,
         domain: settings.domain.clone(),
         peers: advertised.peers,
@@ -169,15 +190,15 @@
     };
     match held {
         Some(held) if *held != fresh => Member {
-            sequence: held.sequence + 1,
+            sequence: min_sequence.max(held.sequence + 1),
             ..fresh
         },
         _ => fresh,
     }
 }
 
-/// Waits until this node's record may have to change: the node reported a change, or the
-/// member table has a record later than `held`. Meanwhile it checks whether the heartbeats of
+/// Waits until this node's record may have to be written: the node reported a change, the store
+/// has an older record, or the member table a later one than `held`. Meanwhile it checks whether the heartbeats of
 /// the target are overdue.
 async fn until_changed(host: &Host, held: Option<&Member>) {
     loop {
@@ -188,7 +209,7 @@
         {
             return;
         }
-        if later_record(host, held).is_some() {
+        if later_record(host, held).is_some() || is_overwritten(host) {
             return;
         }
         let is_overdue = host.local.lock().check_missed_heartbeats(Instant::now());
--- a/src/coordination/records.rs
+++ b/src/coordination/records.rs
@@ -1,6 +1,9 @@
 //! Applies records of the store's streams, whether this node read them or another one.
 
-use std::{collections::BTreeSet, sync::Arc};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
 
 use bytes::Bytes;
 
@@ -117,6 +120,11 @@
             None => {}
         }
     }
+    // Of several records of a roll-out, the store keeps the last one.
+    let newest: BTreeMap<&Name, &Rollout> = rollouts.iter().map(|r| (&r.service, r)).collect();
+    newest
+        .into_values()
+        .for_each(|rollout| host.rollouts.note_stored(rollout));
     local::receive(host, rollouts, from);
     let before = host.members.read().overwritten().clone();
     host.merge_members_by(Table::merge_from_store, members, from);
@@ -127,9 +135,10 @@
 /// to the offset `next`, and wakes the task that writes their records.
 pub fn note_overwritten(host: &Host, before: &BTreeSet<Node>, next: u64, from: &str) {
     let mut members = host.members.write();
-    // A read that ends before this node's latest write doesn't tell what that replaced.
-    if next <= host.streams.own_record_end() {
-        members.set_overwritten(&host.settings.node, false);
+    let own = &host.settings.node;
+    // A read that ends before this node's latest write can't tell what came after that.
+    if next <= host.streams.own_record_end() && !before.contains(own) {
+        members.set_overwritten(own, false);
     }
     for node in members.overwritten().difference(before) {
         let held = members.get(node).map(|member| member.sequence);
--- a/src/coordination/rollout/mod.rs
+++ b/src/coordination/rollout/mod.rs
@@ -71,7 +71,7 @@
     times: BTreeMap<Name, Times>,
     budget: Budget,
     baseline: Baseline,
-    /// Services whose roll-out has ended, and whose final stage has to be published once more.
+    /// Services whose latest stage has to be published once more.
     republish: Vec<Name>,
     /// The trial of this node's target, with the id of the order and the target's instance.
     trial: Option<(u64, Instance, Trial)>,
@@ -175,15 +175,29 @@
         true
     }
 
+    /// Records which stage of a service's roll-out the store has as its newest. If a later one is
+    /// known, that has to be published once more.
+    pub fn note_stored(&self, stored: &Rollout) {
+        let mut state = self.state.lock();
+        let known = state.latest.get(&stored.service);
+        let is_older = known.is_some_and(|known| stored.rank() < known.rank());
+        if is_older && !state.republish.contains(&stored.service) {
+            state.republish.push(stored.service.clone());
+            self.changed.notify_one();
+        }
+    }
+
     /// Returns the latest roll-out of each service.
     pub fn latest(&self) -> Vec<Rollout> {
         self.state.lock().latest.iter().cloned().collect()
     }
 
-    /// Returns the ended roll-outs that have to be published once more, and clears their list.
+    /// Returns the roll-outs that have to be published once more, and clears their list.
     ///
-    /// They are those for which an earlier stage was received after their end. A partitioned
-    /// node wrote that stage late, and a node that starts would read it as the last one.
+    /// They are those whose newest record in the store has an earlier stage, and the ended ones
+    /// for which an earlier stage was received from any source. A partitioned node wrote that
+    /// stage late, or the store executed its write late, and a node that starts would read it as
+    /// the last one.
     pub fn due_for_republish(&self) -> Vec<Rollout> {
         let mut state = self.state.lock();
         let services = std::mem::take(&mut state.republish);
@@ -193,7 +207,7 @@
         rollouts.cloned().collect()
     }
 
-    /// Schedules the final stage of a roll-out to be published once more.
+    /// Schedules the latest stage of a roll-out to be published once more.
     pub fn republish(&self, service: &Name) {
         self.state.lock().republish.push(service.clone());
         self.changed.notify_one();
--- a/src/coordination/shared_answer.rs
+++ b/src/coordination/shared_answer.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use parking_lot::Mutex;
 
-use crate::state::rollout::Rollout;
+use crate::{id::Node, state::rollout::Rollout};
 
 /// The answers that nodes may ask for at the same time.
 #[derive(Debug, Default)]
@@ -29,6 +29,8 @@
     pub at: u64,
     /// The latest roll-out of each service.
     pub rollouts: Vec<Rollout>,
+    /// The members that are overwritten in the store.
+    pub overwritten: Vec<Node>,
 }
 
 /// The latest answer of one kind, as long as it is being sent to any node. `K` is all that it
--- a/src/coordination/source.rs
+++ b/src/coordination/source.rs
@@ -135,6 +135,28 @@
 ///
 /// If the store doesn't answer, or turns this node away.
 pub async fn read_once(host: &Host, store: &Store, stream: Stream) -> Result<(), Error> {
+    let next = read_whole(host, store, stream).await?;
+    host.streams.advance_offset(stream, next);
+    Ok(())
+}
+
+/// Loads all members from the store, and then what a few peers know of them and the store doesn't.
+///
+/// The members count as known only after that, because a starting node takes its own record for
+/// its last state then.
+///
+/// # Errors
+///
+/// If the store doesn't answer, or turns this node away.
+pub async fn read_members(host: &Host, store: &Store, call_peer: &CallPeer) -> Result<(), Error> {
+    let next = read_whole(host, store, Stream::Members).await?;
+    sync::compare_members(host, call_peer).await;
+    host.streams.advance_offset(Stream::Members, next);
+    Ok(())
+}
+
+/// Applies all records of a stream; returns the offset after them.
+async fn read_whole(host: &Host, store: &Store, stream: Stream) -> Result<u64, Error> {
     let since = Instant::now();
     let read = (store.newest)(stream).await;
     host.note_store("newest", &read, Some(since.elapsed()));
@@ -142,15 +164,18 @@
     records::apply_orders(host, &records.orders);
     records::apply_drains(host, &records, stream, true);
     records::apply_records(host, stream, records.records, records.next);
-    host.streams.advance_offset(stream, records.next);
-    Ok(())
+    Ok(records.next)
 }
 
 /// Loads a stream as a whole from the store, or from peers while the store fails.
 pub async fn read_newest(host: &Arc<Host>, store: &Store, call_peer: &CallPeer, stream: Stream) {
     let mut failures = 0;
     loop {
-        match read_once(host, store, stream).await {
+        let read = match stream {
+            Stream::Routes => read_once(host, store, stream).await,
+            Stream::Members => read_members(host, store, call_peer).await,
+        };
+        match read {
             Ok(()) => {
                 note_store_up(host, stream, failures);
                 return;
--- a/src/coordination/start.rs
+++ b/src/coordination/start.rs
@@ -4,7 +4,8 @@
 //!    size of the fleet ([`Contact`]).
 //! 2. It asks those of its domain for the members and the routes, until one has them, and reads
 //!    from the store what was recorded since that one read it.
-//! 3. Contacts, and nodes whose contacts don't answer, read all members from the store.
+//! 3. Contacts, and nodes whose contacts don't answer, read all members from the store. They ask
+//!    a few nodes for members that those know better than the store.
 //! 4. A domain with too few contacts, or whose contacts didn't answer, gets one more: this node
 //!    writes a contact of its own. Nodes with wide links come first.
 //! 5. A node that the members don't include yet waits until the nodes of a fleet that starts as
@@ -219,7 +220,7 @@
 
     /// Reads the members from the store once. Returns whether it answered.
     async fn read_store(&self) -> bool {
-        let read = source::read_once(self.host, self.store, Stream::Members).await;
+        let read = source::read_members(self.host, self.store, self.call_peer).await;
         if let Err(error) = &read {
             source::note_store_down(self.host, Stream::Members, 0, error);
         }
@@ -279,11 +280,12 @@
     ///
     /// The contact may lack the newest record of this node, and with it a drain that was
     /// acknowledged to the target here just before this node's start. So the store is read before
-    /// the members are known for the first time, unless there can be no such record.
+    /// the members are known for the first time, unless there can be no such record. The contact's
+    /// members come first: against them, records that the store executed late are recognized.
     async fn fetch_members(&self, peer: SocketAddr) -> bool {
         // All starting nodes ask for all members, so that a contact encodes them once.
         let members = sync::request_members(self.host, self.call_peer, peer, Vec::new()).await;
-        let Some(mut members) = members else {
+        let Some(members) = members else {
             return false;
         };
         let is_own = |member: &Member| member.node == self.own.node;
@@ -293,18 +295,20 @@
             sync::apply_members_answer(self.host, members);
             return true;
         }
+        let mut known_to = members.at;
+        sync::merge_members_answer(self.host, members);
         let since = Instant::now();
-        let read = (self.store.tail)(Stream::Members, members.at, Span::from_millis(0)).await;
+        let read = (self.store.tail)(Stream::Members, known_to, Span::from_millis(0)).await;
         self.host.note_store("tail", &read, Some(since.elapsed()));
         match read {
             Ok(records) => {
                 records::apply_members(self.host, &records.records, records.next, "store");
-                members.at = records.next;
+                known_to = records.next;
             }
             Err(Error::Expired(_)) => return self.read_store().await,
             Err(error) => source::note_store_down(self.host, Stream::Members, 0, &error),
         }
-        sync::apply_members_answer(self.host, members);
+        self.host.streams.advance_offset(Stream::Members, known_to);
         true
     }
 }
--- a/src/coordination/sync.rs
+++ b/src/coordination/sync.rs
@@ -4,7 +4,7 @@
 //! This is how a node learns what it missed while the store turns it away, its failure domain's
 //! reader is gone, or its message was lost.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use futures_util::future::join_all;
@@ -19,14 +19,22 @@
         source::FIRST_RANKED,
         watch,
     },
+    id::Node,
     protocol::update::{Members, Progress},
-    state::{member::Member, routing::Delta},
+    state::{
+        member::{Member, Table},
+        routing::Delta,
+    },
 };
 
 /// Peers of the own failure domain, and as many of the others, that are asked in one round
 /// while the store fails.
 const PEERS_PER_GROUP: usize = 2;
 
+/// How long a node that has read the members from the store waits for what peers know of them. A
+/// running one answers within milliseconds.
+const COMPARE_WAIT: Duration = Duration::from_millis(150);
+
 /// Asks each peer that reports something newer for it; never returns.
 pub async fn follow_hints(host: Arc<Host>, call_peer: CallPeer) {
     loop {
@@ -41,11 +49,7 @@
     let first_ranked = first_ranked.iter().rev().take(FIRST_RANKED);
     let peers = {
         let members = host.members.read();
-        let others = members
-            .iter()
-            .filter(|member| member.node != host.settings.node && member.is_present());
-        let (near, far): (Vec<_>, Vec<_>) =
-            others.partition(|member| member.domain == host.settings.domain);
+        let (near, far) = split_by_domain(host, &members);
         // Of equally advanced peers the first in this list is chosen. First-ranked nodes come
         // first: they have the fastest links and are the first to receive updates. Nodes of
         // other failure domains come last, so that they send data only if they are ahead.
@@ -151,9 +155,74 @@
 
 /// Applies a peer's answer with members.
 pub fn apply_members_answer(host: &Host, answer: Members<Member>) {
+    let at = answer.at;
+    merge_members_answer(host, answer);
+    host.streams.advance_offset(Stream::Members, at);
+}
+
+/// Merges what a peer knows of members, without taking over its offset.
+pub fn merge_members_answer(host: &Host, answer: Members<Member>) {
+    let own = &host.settings.node;
     local::receive(host, answer.rollouts, "peer");
+    let (before, own_before) = {
+        let members = host.members.read();
+        let own_record = members.get(own).map(|member| member.precedence());
+        (members.overwritten().clone(), own_record)
+    };
     host.merge_members(answer.members, "peer");
-    host.streams.advance_offset(Stream::Members, answer.at);
+    let mut members = host.members.write();
+    let known_to = host.streams.offset(Stream::Members);
+    // A peer that has read further knows better, also of members that are no longer overwritten.
+    if known_to.is_some_and(|known_to| known_to < answer.at) {
+        let others = before.iter().filter(|node| *node != own);
+        others.for_each(|node| members.set_overwritten(node, false));
+    }
+    if known_to.is_none_or(|known_to| known_to <= answer.at) {
+        let overwritten = answer.overwritten.iter();
+        overwritten.for_each(|node| members.set_overwritten(node, true));
+    }
+    drop(members);
+    records::note_overwritten(host, &before, answer.at, "peer");
+    // Nobody else writes this node's record while it runs, so what a peer knows and this node
+    // doesn't was written before its start, and the store no longer has it.
+    let mut members = host.members.write();
+    let own_record = members.get(own).map(|member| member.precedence());
+    if own_before.is_some() && own_before < own_record {
+        members.set_overwritten(own, true);
+        host.own_record_changed.notify_one();
+    }
+}
+
+/// Asks a few peers for the members that they know better than the store, which has an older
+/// record of a node if it executed an earlier write after a later one.
+pub async fn compare_members(host: &Host, call_peer: &CallPeer) {
+    let peers: Vec<SocketAddr> = {
+        let members = host.members.read();
+        let (near, far) = split_by_domain(host, &members);
+        let mut drawn = fastrand::choose_multiple(near, PEERS_PER_GROUP);
+        drawn.extend(fastrand::choose_multiple(far, PEERS_PER_GROUP));
+        drawn.iter().map(|member| member.peers).collect()
+    };
+    let hashes = host.members.read().bucket_hashes().to_vec();
+    let asked = peers.into_iter().map(|peer| {
+        let request = request_members(host, call_peer, peer, hashes.clone());
+        tokio::time::timeout(COMPARE_WAIT, request)
+    });
+    // A peer that doesn't answer in time is starting or gone.
+    for answer in join_all(asked).await.into_iter().flatten().flatten() {
+        merge_members_answer(host, answer);
+    }
+}
+
+/// Returns the other members that are present: those of this node's failure domain, and the rest.
+fn split_by_domain<'a>(
+    host: &Host,
+    members: &'a Table,
+) -> (Vec<&'a Arc<Member>>, Vec<&'a Arc<Member>>) {
+    let others = members
+        .iter()
+        .filter(|member| member.node != host.settings.node && member.is_present());
+    others.partition(|member| member.domain == host.settings.domain)
 }
 
 /// Returns the delta from version `base` to the version in force, as MessagePack, or
@@ -175,10 +244,12 @@
     let at = host.streams.offset(Stream::Members).unwrap_or(0);
     let members = host.members.read();
     let rollouts = host.rollouts.latest();
+    let overwritten: Vec<Node> = members.overwritten().iter().cloned().collect();
     let key = MembersKey {
         hashes: [hashes.to_vec(), members.bucket_hashes().to_vec()],
         at,
         rollouts: rollouts.clone(),
+        overwritten: overwritten.clone(),
     };
     host.answers.members.get(key, || {
         let differing = members.in_differing_buckets(hashes);
@@ -189,6 +260,7 @@
                 .map(AsRef::as_ref)
                 .collect::<Vec<&Member>>(),
             rollouts,
+            overwritten,
         };
         rmp_serde::to_vec_named(&answer).expect("plain data always encodes")
     })
--- a/src/protocol/update.rs
+++ b/src/protocol/update.rs
@@ -5,7 +5,10 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-use crate::state::{drain::Drain, rollout::Rollout, routing::Delta};
+use crate::{
+    id::Node,
+    state::{drain::Drain, rollout::Rollout, routing::Delta},
+};
 
 /// Records of a stream, forwarded by the node that read them from the store.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
@@ -92,4 +95,8 @@
     /// The latest roll-out of each service.
     #[serde(default)]
     pub rollouts: Vec<Rollout>,
+    /// The members whose record in the store, up to the offset, is older than the one that the
+    /// node knows.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub overwritten: Vec<Node>,
 }
--- a/src/state/member.rs
+++ b/src/state/member.rs
@@ -25,7 +25,8 @@
     pub node: Node,
     /// The incarnation of the node's process.
     pub incarnation: Incarnation,
-    /// Counts the node's records of itself within one incarnation.
+    /// Orders the node's records of itself within one incarnation: each has a greater number than
+    /// the ones before it, also than those whose write failed.
     pub sequence: u64,
     /// Whether the node is available.
     pub status: Status,
--- a/src/state/rollout.rs
+++ b/src/state/rollout.rs
@@ -140,7 +140,7 @@
 
     /// Returns the sort key of this roll-out: of two roll-outs of a service, the later one has
     /// the greater key.
-    fn rank(&self) -> (u64, Stage) {
+    pub fn rank(&self) -> (u64, Stage) {
         (self.order, self.stage)
     }
 }
--- a/standins/src/store.rs
+++ b/standins/src/store.rs
@@ -15,7 +15,7 @@
 use parking_lot::Mutex;
 use percent_encoding::percent_decode_str;
 use rilltrack::{
-    state::routing::Limits,
+    state::{member::Member, routing::Limits},
     transport::relay::{
         body::{self, Body, ReadResult},
         empty_response,
@@ -59,6 +59,24 @@
     calls: BTreeMap<(String, String), u64>,
     /// Bytes returned by reads of the tail.
     given: u64,
+    /// The text that marks the next append to hold back, if any.
+    hold: Option<String>,
+    /// Appends that were held back and not answered, each with its topic.
+    held: Vec<(String, Bytes)>,
+}
+
+impl Log {
+    /// Appends encoded records to a topic, and returns the offset of the first one and that after
+    /// the last one.
+    fn append(&mut self, topic: &str, mut records: Bytes) -> (u64, u64) {
+        let topic = self.topics.entry(topic.into()).or_default();
+        let offset = topic.end();
+        while records.has_remaining() {
+            let length = records.get_u32() as usize;
+            topic.append(records.split_to(length));
+        }
+        (offset, topic.end())
+    }
 }
 
 #[derive(Default)]
@@ -219,6 +237,53 @@
         self.changes.send_modify(|count| *count += 1);
     }
 
+    /// Leaves the next append whose records contain `text` without an answer, and holds it back
+    /// until [`execute_held`](Self::execute_held).
+    pub fn hold_next(&self, text: &str) {
+        self.log.lock().hold = Some(text.into());
+    }
+
+    /// Returns whether an append was held back.
+    pub fn has_held(&self) -> bool {
+        !self.log.lock().held.is_empty()
+    }
+
+    /// Executes the appends that were held back.
+    pub fn execute_held(&self) {
+        let mut log = self.log.lock();
+        for (topic, records) in std::mem::take(&mut log.held) {
+            log.append(&topic, records);
+        }
+        drop(log);
+        self.changes.send_modify(|count| *count += 1);
+    }
+
+    /// Holds an append back if it is the one to hold; returns whether it is.
+    fn hold_back(&self, topic: &str, records: &Bytes) -> bool {
+        let mut log = self.log.lock();
+        let is_marked = |text: &String| {
+            let mut windows = records.windows(text.len());
+            windows.any(|window| window == text.as_bytes())
+        };
+        let is_held = log.hold.as_ref().is_some_and(is_marked);
+        if is_held {
+            log.hold = None;
+            log.held.push((topic.into(), records.clone()));
+        }
+        is_held
+    }
+
+    /// Returns the newest record of a node in the topic of the members.
+    pub fn member(&self, node: &str) -> Option<Member> {
+        let log = self.log.lock();
+        let (record, _) = log
+            .topics
+            .get("keyed.rilltrack-members")?
+            .newest
+            .get(node.as_bytes())?;
+        rmp_serde::from_slice(record).ok()
+    }
+
     /// Returns the number of calls to a path, over all topics.
     pub fn calls(&self, call: &str) -> u64 {
         let log = self.log.lock();
@@ -289,23 +354,21 @@
 
     async fn append(&self, query: &HashMap<String, String>, body: Body) -> Response<Body> {
         let read = body::read(body, 2 << 20, Duration::from_secs(5)).await;
-        let Ok(ReadResult::Whole(mut bytes)) = read else {
+        let Ok(ReadResult::Whole(bytes)) = read else {
             return empty_response(StatusCode::BAD_REQUEST);
         };
+        if self.hold_back(&query["topic"], &bytes) {
+            std::future::pending::<()>().await;
+        }
         let mut log = self.log.lock();
-        let topic = log.topics.entry(query["topic"].clone()).or_default();
-        let offset = topic.end();
+        let offset = log.topics.entry(query["topic"].clone()).or_default().end();
         let expected = query.get("expectedOffset").and_then(|at| at.parse().ok());
         if expected.is_some_and(|expected: u64| expected != offset) {
             let mut refused = Response::new(Body::whole(json!({"endOffset": offset}).to_string()));
             *refused.status_mut() = StatusCode::PRECONDITION_FAILED;
             return refused;
         }
-        while bytes.has_remaining() {
-            let length = bytes.get_u32() as usize;
-            topic.append(bytes.split_to(length));
-        }
-        let end = topic.end();
+        let (offset, end) = log.append(&query["topic"], bytes);
         drop(log);
         self.changes.send_modify(|count| *count += 1);
         Response::new(Body::whole(
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -30,7 +30,7 @@
         host::Host,
         interface::{CallPeer, PeerRequest, Records, Store, Stream},
         local::{Change, Local},
-        presence, rank, source, sync,
+        presence, rank, records, source, sync,
     },
     id::{Incarnation, Instance, Name},
     protocol::{
@@ -1841,6 +1841,54 @@
         assert!(republished.precedence() > gone.precedence());
     }
 
+    // Guards against a target that gets requests after its acknowledged leave, if its node started
+    // with an older record than the one in which it recorded the leave.
+    drain_in_a_later_record_of_an_earlier_process_is_kept => {
+        let host = Arc::new(host("here"));
+        let me = |sequence, draining| {
+            let mut me = Member { sequence, ..member("me", "here", 10) };
+            me.targets[0].draining = draining;
+            me
+        };
+        host.merge_member(me(2, false), "store");
+        host.streams.advance_offset(Stream::Members, 1);
+        let (store, _written_members) = recording_store();
+        let (recorded, mut is_recorded) = watch::channel(presence::Recorded::default());
+        tokio::spawn(presence::maintain_record(host.clone(), store, recorded));
+        let is_draining = |recorded: &presence::Recorded| recorded.targets.as_ref().map(|t| t[0].draining);
+        is_recorded.wait_for(|recorded| is_draining(recorded) == Some(false)).await.unwrap();
+        host.merge_member(me(7, true), "reader");
+        is_recorded.wait_for(|recorded| is_draining(recorded) == Some(true)).await.unwrap();
+        assert!(host.local.lock().is_leaving());
+    }
+
+    // Guards against an older record that stays in the store, because the node that has to write
+    // its record again didn't get the late one.
+    overwritten_record_is_reported_by_peers => {
+        let [peer, owner] = ["n1", "me"].map(|name| {
+            let mut host = host("here");
+            host.settings.node = name.parse().unwrap();
+            host
+        });
+        let me = |sequence| Member { sequence, ..member("me", "here", 10) };
+        let encode = |member: &Member| rmp_serde::to_vec_named(member).unwrap().into();
+        peer.merge_member(me(3), "test");
+        records::apply_members(&peer, &[encode(&me(2))], 8, "store");
+        peer.streams.advance_offset(Stream::Members, 8);
+        let learn = |end: u64| {
+            owner.merge_member(me(3), "self");
+            owner.streams.note_own_record(end);
+            let answer = sync::members(&peer, &[]);
+            sync::apply_members_answer(&owner, rmp_serde::from_slice(&answer).unwrap());
+            owner.members.read().overwritten().contains(&owner.settings.node)
+        };
+        assert!(learn(7), "the record at offset 7 came after the owner's");
+        owner.members.write().set_overwritten(&owner.settings.node, false);
+        assert!(!learn(8), "the owner has written since");
+        records::apply_members(&peer, &[encode(&me(3))], 9, "store");
+        assert!(peer.members.read().overwritten().is_empty());
+    }
+
     first_version_comes_from_a_higher_ranked_node_and_not_from_the_store => {
         let (reads, version) = first_version(9).await;
         assert_eq!((reads, version), (0, 3));
--- a/tests/rollout.rs
+++ b/tests/rollout.rs
@@ -365,6 +365,22 @@
         assert!(rollouts.due_for_republish().is_empty(), "the list was cleared");
     }
 
+    // Guards against a node that starts and takes an earlier stage for the latest one, because the
+    // store executed the write of that stage after the one of a later stage.
+    stage_that_the_store_has_replaced_by_an_earlier_one_is_published_again => {
+        let rollouts = Rollouts::new(Some(0.1));
+        rollouts.merge(rollout(2, Stage::Moving), Duration::ZERO, Instant::now());
+        for stored in [rollout(2, Stage::Moving), rollout(2, Stage::Completed), rollout(3, Stage::Ordered)] {
+            rollouts.note_stored(&stored);
+        }
+        assert!(rollouts.due_for_republish().is_empty(), "the store is up to date");
+        for stored in [rollout(2, Stage::Trial), rollout(1, Stage::Completed)] {
+            rollouts.note_stored(&stored);
+            let stages: Vec<Stage> = rollouts.due_for_republish().iter().map(|r| r.stage).collect();
+            assert_eq!(stages, [Stage::Moving]);
+        }
+    }
+
     subsets_depend_on_the_stage => {
         let rollouts = Rollouts::new(Some(0.1));
         let (table, service, now) = (table(8, 8), name("a"), Instant::now());
--- a/tests/start.rs
+++ b/tests/start.rs
@@ -320,7 +320,12 @@
     let fake = recorded_fleet().await;
     let contact = &contacts(&fake)[0];
     let number = (0..30).find(|i| address(*i) == contact.peers).unwrap();
-    let nobody: CallPeer = Arc::new(|address, _| panic!("{address} was asked"));
+    *fake.whole_reads.lock() = 0;
+    let reads = fake.clone();
+    let nobody: CallPeer = Arc::new(move |address, _| {
+        assert!(*reads.whole_reads.lock() > 0, "{address} was asked first");
+        async move { Err(Error::Unreachable(address.to_string())) }.boxed()
+    });
     start::load(&host(number), &store(&fake), &nobody).await;
 }
 
