A reader sends all that its failure domain lacks, whatever told it

Cause: a reader sent only what its own read of the store had brought in force. A new reader had the version from a node of another domain before its first read was answered, a restarted one from its start; the read brought nothing new, and nothing was sent. The others learned of it from their predecessors, 0.35 s a node on average.

Change: * each node tracks what its domain was sent; what it learns from peers doesn't count (coordination::delivered); * a reader sends the changes since then after its reads, when it learns a version, a drain of a domain or a stage of a roll-out from a peer, and as it begins: the reader before may have ended midway; * it reads members again from the offset that its domain was sent; * each check has a random partner in the domain besides the predecessor, for what a node in the tree failed to forward. The same cause in rilltrackd: a reader of the log begins to scatter at the newest version scattered.

--- a/src/coordination/host.rs
+++ b/src/coordination/host.rs
@@ -23,6 +23,7 @@
             retry_budget::{RetryBudget, Rule},
             split::Split,
         },
+        delivered::Delivered,
         drain::SharedDrains,
         flow::Flow,
         gate::{self, Gate},
@@ -88,6 +89,8 @@
     pub split: Mutex<Split>,
     /// How far it has come along the store's streams.
     pub streams: Streams,
+    /// What the nodes of its failure domain have been sent.
+    pub delivered: Delivered,
     /// What it answers to peers that lack routes or members.
     pub answers: Answers,
     /// Which failure domains are drained.
@@ -176,6 +179,7 @@
             response_flow: Flow::new(settings.bandwidth()),
             split: Mutex::default(),
             streams: Streams::default(),
+            delivered: Delivered::default(),
             answers: Answers::default(),
             drains: SharedDrains::default(),
             rate_limits: Arc::default(),
@@ -379,7 +383,8 @@
     }
 
     /// Takes in orders about drains of failure domains; `from` names their source in the log.
-    pub fn receive_drains(&self, drains: Vec<Drain>, from: &str) {
+    /// Returns whether any was new.
+    pub fn receive_drains(&self, drains: Vec<Drain>, from: &str) -> bool {
         let changed = self.drains.receive(drains, from, &self.journal);
         let own = changed
             .iter()
@@ -389,6 +394,7 @@
             self.local.lock().forget_warmup();
             self.set_gate();
         }
+        !changed.is_empty()
     }
 
     /// Records that the target of `instance` leaves: the gate closes, and the record of this node
@@ -422,6 +428,8 @@
             routes: self.streams.offset(Stream::Routes).unwrap_or(0),
             blind: self.streams.consecutive_failed_readers(),
             drains: self.drains.latest(),
+            sent_version: self.delivered.version(),
+            sent_members: self.delivered.members(),
         }
     }
 
--- a/src/coordination/log_reader.rs
+++ b/src/coordination/log_reader.rs
@@ -174,6 +174,10 @@
             .applier
             .inspect(|machine| machine.version())
             .await?;
+        if self.scatter_from.is_none() {
+            // This node may have fetched records from a peer that no reader has scattered.
+            self.scatter(self.unscattered_from(held), rank).await;
+        }
         let wait = if self.node.view.load().is_some() {
             self.node.settings.log.wait
         } else {
@@ -209,6 +213,17 @@
         })
     }
 
+    /// Returns the newest version that readers have scattered to this failure domain; `held` if
+    /// that isn't known.
+    fn unscattered_from(&self, held: Version) -> Version {
+        let newest = *self.node.newest_received.lock();
+        if newest.is_empty() || newest.epoch != held.epoch {
+            held
+        } else {
+            newest.min(held)
+        }
+    }
+
     /// Scatters the records applied since `before` to the members of this failure
     /// domain, unless another reader has done so.
     ///
@@ -239,6 +254,7 @@
             // once they learn of the version.
             _ => Payload::Count { version },
         };
+        note_received(&self.node, version);
         let settings = &self.node.settings;
         let mut members =
             rank::neighbours(&self.node.table.read(), &settings.domain, &settings.node);
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -50,6 +50,7 @@
 pub mod budget;
 pub mod catchup;
 pub mod decision;
+pub mod delivered;
 pub mod drain;
 pub mod flow;
 pub mod gate;
--- a/src/coordination/records.rs
+++ b/src/coordination/records.rs
@@ -25,25 +25,16 @@
     },
 };
 
-/// Applies records from the store, up to the offset `next`; returns what to send to other nodes.
-pub fn apply_records(
-    host: &Host,
-    stream: Stream,
-    records: Vec<Bytes>,
-    next: u64,
-) -> Option<Changes> {
+/// Applies records from the store, up to the offset `next`.
+pub fn apply_records(host: &Host, stream: Stream, records: &[Bytes], next: u64) {
     match stream {
         // Only the newest version counts; the ones in between were never in force here. If
         // the newest can't be decoded, the one before it is used.
         Stream::Routes => {
             let mut newest = records.iter().rev();
-            let usable = newest.find_map(|record| host.apply_record(record, "store").ok());
-            usable.flatten().map(Changes::Routes)
-        }
-        Stream::Members => {
-            apply_members(host, &records, next, "store");
-            (!records.is_empty()).then_some(Changes::Members(records))
+            newest.find(|record| host.apply_record(record, "store").is_ok());
         }
+        Stream::Members => apply_members(host, records, next, "store"),
     }
 }
 
@@ -168,6 +159,10 @@
     local::receive(host, update.rollouts, "reader");
     host.receive_drains(update.drains, "reader");
     let stream = update.load.stream();
+    match update.load.version() {
+        Some(version) => host.delivered.note_version(version),
+        None => host.delivered.note_members(update.next),
+    }
     let is_whole = match update.load {
         Changes::Routes(delta) => host.apply_routes(delta, "reader"),
         Changes::Members(records) => {
@@ -177,7 +172,10 @@
         }
     };
     if is_whole {
-        host.streams.advance_offset(stream, update.next);
+        // A sender that has the routes from a peer may not know their offset.
+        if update.next > 0 {
+            host.streams.advance_offset(stream, update.next);
+        }
     } else {
         // Earlier records are missing here, so a sync is needed whatever the version: the highest
         // number counts as newer in any case.
--- a/src/coordination/rollout/local.rs
+++ b/src/coordination/rollout/local.rs
@@ -10,9 +10,11 @@
     unit::Span,
 };
 
-/// Merges roll-outs that were received; `from` names their source in the log.
-pub fn receive(host: &Host, rollouts: Vec<Rollout>, from: &str) {
+/// Merges roll-outs that were received; `from` names their source in the log. Returns whether any
+/// was new.
+pub fn receive(host: &Host, rollouts: Vec<Rollout>, from: &str) -> bool {
     let now = Instant::now();
+    let mut is_any_new = false;
     for rollout in rollouts {
         // A node that has been running learns of an order when it is given. A node that has
         // just started computes the age from the wall clock, which may be wrong by seconds.
@@ -21,6 +23,7 @@
             false => elapsed_since(rollout.began).min(rollout.duration.duration()),
         };
         if host.rollouts.merge(rollout.clone(), age, now) {
+            is_any_new = true;
             note!(
                 host.journal,
                 Event::RolloutHeard,
@@ -33,6 +36,7 @@
             );
         }
     }
+    is_any_new
 }
 
 /// Returns which requests this node's target may get, by its release.
--- a/src/coordination/source.rs
+++ b/src/coordination/source.rs
@@ -12,6 +12,8 @@
     time::{Duration, Instant},
 };
 
+use futures_util::future::OptionFuture;
+
 use crate::{
     coordination::{
         Error,
@@ -68,6 +70,10 @@
 /// plus the duration of a call.
 const STORE_RETURN_WAIT: Duration = Duration::from_secs(2);
 
+/// Records of members that a reader reads once more, because its failure domain lacks them. They
+/// have 400 bytes each. A domain that lacks more gets them from peers.
+const MAX_REREAD_RECORDS: u64 = 256;
+
 /// The pause after a read of members, so that changes in quick succession cost one call.
 /// Nothing waits for these changes: the gate beside a target acts at once.
 const MEMBERS_BATCH_PAUSE: Duration = Duration::from_millis(200);
@@ -83,12 +89,23 @@
         Stream::Members => start::load(&host, &store, &call_peer).await,
     }
     host.streams.until_membership_settled().await;
+    follow_settled(host, store, call_peer, stream).await;
+}
+
+/// Follows a stream whose first content is loaded, while this node is the reader; never returns.
+pub async fn follow_settled(host: Arc<Host>, store: Store, call_peer: CallPeer, stream: Stream) {
     let mut reading = host.streams.reading();
     loop {
         // Can't fail: `host` owns the sender.
         let _ = reading.wait_for(|reads| *reads).await;
+        let read = async {
+            sync::learn_delivered(&host, &call_peer).await;
+            let learned = spread::send_learned(&host, &call_peer);
+            let learned = OptionFuture::from((stream == Stream::Routes).then_some(learned));
+            tokio::join!(read_tail(&host, &store, &call_peer, stream), learned);
+        };
         tokio::select! {
-            () = read_tail(&host, &store, &call_peer, stream) => {}
+            () = read => {}
             _ = reading.wait_for(|reads| !*reads) => {}
         }
     }
@@ -163,7 +180,7 @@
     let records = read?;
     records::apply_orders(host, &records.orders);
     records::apply_drains(host, &records, stream, true);
-    records::apply_records(host, stream, records.records, records.next);
+    records::apply_records(host, stream, &records.records, records.next);
     Ok(records.next)
 }
 
@@ -201,7 +218,7 @@
     loop {
         // Without an offset, or when this node is behind, the stream is read as a whole, which
         // includes the content of the earlier records.
-        let from = host.streams.offset(stream).filter(|_| !is_behind);
+        let from = read_position(host, stream).filter(|_| !is_behind);
         let read = match from {
             Some(from) => (store.tail)(stream, from, max_wait(stream)),
             None => (store.newest)(stream),
@@ -261,7 +278,22 @@
     }
 }
 
-/// Applies records from the store and sends them to the failure domain.
+/// Returns the offset from which to read a stream on, if it was ever read.
+///
+/// This node may know members from a peer whose records its failure domain lacks: then it reads
+/// these once more, and sends them.
+fn read_position(host: &Host, stream: Stream) -> Option<u64> {
+    let known = host.streams.offset(stream)?;
+    let sent = match stream {
+        // What this node knows of the routes from a peer is sent as such.
+        Stream::Routes => 0,
+        Stream::Members => host.delivered.members(),
+    };
+    let is_near = sent > 0 && known.saturating_sub(sent) <= MAX_REREAD_RECORDS;
+    Some(if is_near { known.min(sent) } else { known })
+}
+
+/// Applies records from the store, and sends to the failure domain what it lacks.
 fn apply_and_spread(
     host: &Arc<Host>,
     call_peer: &CallPeer,
@@ -269,14 +301,19 @@
     from: Option<u64>,
     records: Records,
 ) {
+    let before = host.version();
     let rollouts = records::apply_orders(host, &records.orders);
     let drains = records::apply_drains(host, &records, stream, from.is_none());
-    let load = records::apply_records(host, stream, records.records, records.next);
+    records::apply_records(host, stream, &records.records, records.next);
     host.streams.advance_offset(stream, records.next);
-    // Orders without a new version are sent with an empty delta.
-    let unchanged = || host.routes_since(host.version()).map(Changes::Routes);
     let has_orders = !rollouts.is_empty() || !drains.is_empty();
-    let load = load.or_else(|| has_orders.then(unchanged)?);
+    let load = match stream {
+        Stream::Routes => spread::undelivered_routes(host, before, has_orders),
+        Stream::Members => {
+            host.delivered.note_members(records.next);
+            (!records.records.is_empty()).then_some(Changes::Members(records.records))
+        }
+    };
     let Some(load) = load else { return };
     let update = Update {
         from: from.unwrap_or(0),
--- a/src/coordination/sync.rs
+++ b/src/coordination/sync.rs
@@ -31,8 +31,8 @@
 /// while the store fails.
 const PEERS_PER_GROUP: usize = 2;
 
-/// How long a node that has read the members from the store waits for what peers know of them. A
-/// running one answers within milliseconds.
+/// How long a node waits for peers whose answer it can do without. A running one answers within
+/// milliseconds.
 const COMPARE_WAIT: Duration = Duration::from_millis(150);
 
 /// Asks each peer that reports something newer for it; never returns.
@@ -102,10 +102,17 @@
 ) -> Option<(SocketAddr, Progress)> {
     let answer = call_peer(peer, PeerRequest::Progress).await.ok()?;
     let progress: Progress = records::decode(host, &answer, "news", "peer")?;
-    host.receive_drains(progress.drains.clone(), "peer");
+    receive_drains(host, &progress);
     Some((peer, progress))
 }
 
+/// Takes in the drains that a peer knows.
+pub fn receive_drains(host: &Host, progress: &Progress) {
+    if host.receive_drains(progress.drains.clone(), "peer") {
+        host.delivered.learned.notify_one();
+    }
+}
+
 /// Fetches the routes from a peer if its version is newer.
 pub async fn fetch_routes(
     host: &Host,
@@ -148,9 +155,13 @@
 }
 
 fn apply_routes_answer(host: &Host, answer: &[u8]) {
+    let before = host.version();
     if let Some(delta) = records::decode::<Delta>(host, answer, "news", "peer") {
         host.apply_routes(delta, "peer");
     }
+    if host.version() > before {
+        host.delivered.learned.notify_one();
+    }
 }
 
 /// Applies a peer's answer with members.
@@ -163,7 +174,9 @@
 /// Merges what a peer knows of members, without taking over its offset.
 pub fn merge_members_answer(host: &Host, answer: Members<Member>) {
     let own = &host.settings.node;
-    local::receive(host, answer.rollouts, "peer");
+    if local::receive(host, answer.rollouts, "peer") {
+        host.delivered.learned.notify_one();
+    }
     let (before, own_before) = {
         let members = host.members.read();
         let own_record = members.get(own).map(|member| member.precedence());
@@ -214,6 +227,46 @@
     }
 }
 
+/// Asks a few nodes of this failure domain what was sent to all of them.
+///
+/// A node that has just started doesn't know it, and one that was cut off may have missed some.
+pub async fn learn_delivered(host: &Host, call_peer: &CallPeer) {
+    for progress in ask_neighbors(host, call_peer, PEERS_PER_GROUP).await {
+        host.delivered.note_version(progress.sent_version);
+        host.delivered.note_members(progress.sent_members);
+    }
+}
+
+/// Asks a random node of this failure domain whether it has something newer.
+///
+/// A node checks its predecessor in the ranking, which may lack the same. Whatever some nodes of
+/// the domain have reaches the others through random ones in a number of checks that grows with
+/// the logarithm of their number, and through predecessors alone with their number.
+pub async fn compare_with_neighbor(host: &Host, call_peer: &CallPeer) {
+    ask_neighbors(host, call_peer, 1).await;
+}
+
+/// Asks random nodes of this failure domain for their progress, and follows what is newer.
+async fn ask_neighbors(host: &Host, call_peer: &CallPeer, most: usize) -> Vec<Progress> {
+    let neighbors: Vec<SocketAddr> = {
+        let members = host.members.read();
+        let (near, _) = split_by_domain(host, &members);
+        let drawn = fastrand::choose_multiple(near, most);
+        drawn.iter().map(|member| member.peers).collect()
+    };
+    let asked = neighbors.into_iter().map(|peer| {
+        let progress = fetch_progress(host, call_peer, peer);
+        tokio::time::timeout(COMPARE_WAIT, progress)
+    });
+    // A node that doesn't answer in time is left to the checks of the ranking.
+    let answers = join_all(asked).await.into_iter().flatten().flatten();
+    let answers = answers.map(|(peer, progress)| {
+        host.note_newer(progress.version, progress.members, peer);
+        progress
+    });
+    answers.collect()
+}
+
 /// Returns the other members that are present: those of this node's failure domain, and the rest.
 fn split_by_domain<'a>(
     host: &Host,
--- a/src/coordination/watch.rs
+++ b/src/coordination/watch.rs
@@ -7,8 +7,8 @@
 //! before it are checked, twice as many at a time with each round. So the ranking closes its
 //! gaps whichever nodes die and however many. The first node of each failure domain checks
 //! nodes of other domains. So one or two nodes check each node, however large the fleet is.
-//! Each check also compares the versions and offsets of both nodes, so whatever a node has
-//! missed is found within a second or two.
+//! Each check also compares the versions and offsets of both nodes, and those of a random node of
+//! the domain: a predecessor may have missed the same.
 
 use std::{
     sync::Arc,
@@ -21,7 +21,7 @@
     coordination::{
         host::Host,
         interface::{CallPeer, PeerRequest},
-        load_report, rank, rate_limit,
+        load_report, rank, rate_limit, sync,
     },
     event::Event,
     id::Node,
@@ -55,7 +55,10 @@
 pub async fn run(host: Arc<Host>, call_peer: CallPeer) {
     host.streams.until_membership_settled().await;
     loop {
-        check(&host, &call_peer).await;
+        tokio::join!(
+            check(&host, &call_peer),
+            sync::compare_with_neighbor(&host, &call_peer)
+        );
         tokio::time::sleep(CHECK_PAUSE.mul_f64(0.9 + 0.2 * fastrand::f64())).await;
     }
 }
@@ -110,7 +113,7 @@
         .and_then(|answer| rmp_serde::from_slice::<Progress>(&answer).ok());
     match progress {
         Some(progress) => {
-            host.receive_drains(progress.drains.clone(), "peer");
+            sync::receive_drains(host, &progress);
             host.note_newer(progress.version, progress.members, member.peers);
             Some(progress)
         }
--- a/src/protocol/update.rs
+++ b/src/protocol/update.rs
@@ -49,6 +49,14 @@
             Self::Members(_) => Stream::Members,
         }
     }
+
+    /// Returns the version of the routes that results; nothing if the records are of members.
+    pub fn version(&self) -> Option<u64> {
+        match self {
+            Self::Routes(delta) => Some(delta.version),
+            Self::Members(_) => None,
+        }
+    }
 }
 
 /// A stream of the store.
@@ -83,6 +91,13 @@
     /// The latest order about each failure domain that was ever drained.
     #[serde(default)]
     pub drains: Vec<Drain>,
+    /// The newest version of the routes that was sent to all nodes of its failure domain, as far
+    /// as it knows; 0 if it doesn't.
+    #[serde(default)]
+    pub sent_version: u64,
+    /// The offset up to which the records of members were sent to them; 0 if it doesn't know.
+    #[serde(default)]
+    pub sent_members: u64,
 }
 
 /// The members that a node knows, and its offset in their stream.
--- a/tests/coordination.rs
+++ b/tests/coordination.rs
@@ -21,7 +21,7 @@
         health::{AttemptResult, Health},
         idempotency::{Answer, KeyedDecision, Ledger, LedgerLimits, Record},
         interface::{Call, Log},
-        log_reader::LogReader,
+        log_reader::{self, LogReader},
         node::Node,
         pick::{Candidate, Reason, pick},
         rank,
@@ -32,7 +32,7 @@
     id::Incarnation,
     protocol::{
         log::{Assembly, Batch, split},
-        wire::{Frame, Payload, PingBody, Reply, VersionCount},
+        wire::{Frame, Payload, PingBody, Reply, Scatter, VersionCount},
     },
     settings::Settings,
     state::{
@@ -378,6 +378,49 @@
     );
 }
 
+/// Guards against records that reach a failure domain node by node, because its reader has fetched
+/// them from a peer before the log returned them.
+#[tokio::test]
+async fn records_that_a_reader_has_from_a_peer_are_scattered() {
+    let node = node(1, "d");
+    node.merge_members(vec![member(2, "d", Status::Alive, 1)]);
+    node.applier.mark_complete().await.unwrap();
+    let (sender, mut loads) = tokio::sync::mpsc::unbounded_channel();
+    let call: Call = Arc::new(move |_, frame, _| {
+        if let Frame::Scatter(scatter) = frame {
+            sender.send(scatter.payload).unwrap();
+        }
+        async move { Ok(Reply::Counted(VersionCount::default())) }.boxed()
+    });
+    let all = records(8);
+    let scattered = Scatter {
+        from: "127.0.0.1:1".parse().unwrap(),
+        payload: Payload::Records {
+            from: at(0),
+            records: all[..3].to_vec(),
+        },
+        recipients: Vec::new(),
+    };
+    log_reader::receive_scatter(&node, &call, scattered)
+        .await
+        .unwrap();
+    // The rest comes from a peer.
+    node.applier
+        .apply_records(at(3), all[3..].to_vec())
+        .await
+        .unwrap();
+    let (log, _) = fake_log(0, all.clone(), Vec::new());
+    node.joined
+        .store(true, std::sync::atomic::Ordering::Relaxed);
+    tokio::spawn(LogReader::new(node.clone(), call, log).run());
+    let load = tokio::time::timeout(Duration::from_secs(20), loads.recv()).await;
+    let wanted = Payload::Records {
+        from: at(3),
+        records: all[3..].to_vec(),
+    };
+    assert_eq!(load.expect("records are scattered"), Some(wanted));
+}
+
 #[tokio::test]
 async fn snapshot_written_in_parts_is_read_back_whole() {
     let node = node(1, "d");
