--- a/standins/examples/soak.rs
+++ b/standins/examples/soak.rs
@@ -46,6 +46,14 @@
     seconds: u64,
 }
 
+/// What the store may do to calls.
+const STORE_FAULTS: [StoreMode; 4] = [
+    StoreMode::Refusing,
+    StoreMode::Silent,
+    StoreMode::LosingAnswers,
+    StoreMode::ExecutingLate,
+];
+
 /// The time after its acknowledged drain in which a target may still receive requests, as
 /// the platform specifies.
 const DRAIN_LIMIT: Duration = Duration::from_millis(2000);
@@ -494,22 +502,14 @@
                 }
             }
             5 => {
-                let modes = [
-                    StoreMode::Refusing,
-                    StoreMode::Silent,
-                    StoreMode::LosingAnswers,
-                ];
-                node.own_store.set_own(modes[rng.usize(..3)]);
+                node.own_store
+                    .set_own(STORE_FAULTS[rng.usize(..STORE_FAULTS.len())]);
                 tokio::time::sleep(span).await;
                 node.own_store.set_own(StoreMode::Up);
             }
             6 => {
-                let modes = [
-                    StoreMode::Refusing,
-                    StoreMode::Silent,
-                    StoreMode::LosingAnswers,
-                ];
-                self.store.set(modes[rng.usize(..3)]);
+                self.store
+                    .set(STORE_FAULTS[rng.usize(..STORE_FAULTS.len())]);
                 tokio::time::sleep(span).await;
                 self.store.set(StoreMode::Up);
             }
--- a/standins/src/store.rs
+++ b/standins/src/store.rs
@@ -36,6 +36,8 @@
     Silent,
     /// Applies appends and never answers them.
     LosingAnswers,
+    /// Applies appends 1 to 6 s later, if their condition still holds, and never answers them.
+    ExecutingLate,
 }
 
 /// A running store.
@@ -327,7 +329,7 @@
         match mode {
             Mode::Refusing => return empty_response(StatusCode::SERVICE_UNAVAILABLE),
             Mode::Silent => std::future::pending().await,
-            Mode::Up | Mode::LosingAnswers => {}
+            Mode::Up | Mode::LosingAnswers | Mode::ExecutingLate => {}
         }
         let path = request.uri().path().to_owned();
         let query = query(request.uri().query().unwrap_or_default());
@@ -340,9 +342,24 @@
             .or_default() += 1;
         match path.as_str() {
             "/api/log-append" => {
-                let answer = self.append(&query, request.into_body()).await;
+                let read = body::read(request.into_body(), 2 << 20, Duration::from_secs(5)).await;
+                let Ok(ReadResult::Whole(records)) = read else {
+                    return empty_response(StatusCode::BAD_REQUEST);
+                };
+                if mode == Mode::ExecutingLate {
+                    let (store, lateness) = (self.clone(), self.lateness());
+                    tokio::spawn(async move {
+                        tokio::time::sleep(lateness).await;
+                        store.append(&query, records);
+                    });
+                    return std::future::pending().await;
+                }
+                if self.hold_back(&query["topic"], &records) {
+                    return std::future::pending().await;
+                }
+                let answer = self.append(&query, records);
                 if mode == Mode::LosingAnswers {
-                    std::future::pending::<()>().await;
+                    return std::future::pending().await;
                 }
                 answer
             }
@@ -352,14 +369,13 @@
         }
     }
 
-    async fn append(&self, query: &HashMap<String, String>, body: Body) -> Response<Body> {
-        let read = body::read(body, 2 << 20, Duration::from_secs(5)).await;
-        let Ok(ReadResult::Whole(bytes)) = read else {
-            return empty_response(StatusCode::BAD_REQUEST);
-        };
-        if self.hold_back(&query["topic"], &bytes) {
-            std::future::pending::<()>().await;
-        }
+    /// Returns how late to execute the current append: from 1 to 6 s, another time for each call.
+    fn lateness(&self) -> Duration {
+        let calls = self.calls("/api/log-append");
+        Duration::from_millis(1000 + calls * 1700 % 5000)
+    }
+
+    fn append(&self, query: &HashMap<String, String>, records: Bytes) -> Response<Body> {
         let mut log = self.log.lock();
         let offset = log.topics.entry(query["topic"].clone()).or_default().end();
         let expected = query.get("expectedOffset").and_then(|at| at.parse().ok());
@@ -368,7 +384,7 @@
             *refused.status_mut() = StatusCode::PRECONDITION_FAILED;
             return refused;
         }
-        let (offset, end) = log.append(&query["topic"], bytes);
+        let (offset, end) = log.append(&query["topic"], records);
         drop(log);
         self.changes.send_modify(|count| *count += 1);
         Response::new(Body::whole(
@@ -386,7 +402,7 @@
             match self.current_mode() {
                 Mode::Refusing => return empty_response(StatusCode::SERVICE_UNAVAILABLE),
                 Mode::Silent => std::future::pending().await,
-                Mode::Up | Mode::LosingAnswers => {}
+                Mode::Up | Mode::LosingAnswers | Mode::ExecutingLate => {}
             }
             if let Some(answer) = self.read_now(&query["topic"], from) {
                 return answer;
