Records that a node has from a peer don't mark members as overwritten

Cause: a node that has members up to an offset from a peer may get records before that offset once more, out of order; each older one marked its member as overwritten until the next update, and the list could lead to a write that nothing needs.

Change: only records beyond the known offset are held against the table. A node's own record that is newer at a peer is logged like the others (E309).

--- a/src/coordination/records.rs
+++ b/src/coordination/records.rs
@@ -111,6 +111,13 @@
             None => {}
         }
     }
+    // Records that this node has already, from a peer, don't tell what came after them.
+    let known_to = host.streams.offset(Stream::Members);
+    if known_to.is_some_and(|known_to| next <= known_to) {
+        local::receive(host, rollouts, from);
+        host.merge_members(members, from);
+        return;
+    }
     // Of several records of a roll-out, the store keeps the last one.
     let newest: BTreeMap<&Name, &Rollout> = rollouts.iter().map(|r| (&r.service, r)).collect();
     newest
--- a/src/coordination/sync.rs
+++ b/src/coordination/sync.rs
@@ -183,8 +183,8 @@
         (members.overwritten().clone(), own_record)
     };
     host.merge_members(answer.members, "peer");
-    let mut members = host.members.write();
     let known_to = host.streams.offset(Stream::Members);
+    let mut members = host.members.write();
     // A peer that has read further knows better, also of members that are no longer overwritten.
     if known_to.is_some_and(|known_to| known_to < answer.at) {
         let others = before.iter().filter(|node| *node != own);
@@ -194,16 +194,14 @@
         let overwritten = answer.overwritten.iter();
         overwritten.for_each(|node| members.set_overwritten(node, true));
     }
-    drop(members);
-    records::note_overwritten(host, &before, answer.at, "peer");
-    // Nobody else writes this node's record while it runs, so what a peer knows and this node
-    // doesn't was written before its start, and the store no longer has it.
-    let mut members = host.members.write();
+    // What a peer knows of this node and this node doesn't comes from an earlier process, and the
+    // store doesn't have it any more; or from a write of this process that wasn't answered.
     let own_record = members.get(own).map(|member| member.precedence());
     if own_before.is_some() && own_before < own_record {
         members.set_overwritten(own, true);
-        host.own_record_changed.notify_one();
     }
+    drop(members);
+    records::note_overwritten(host, &before, answer.at, "peer");
 }
 
 /// Asks a few peers for the members that they know better than the store, which has an older
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -1887,6 +1887,9 @@
         assert!(!learn(8), "the owner has written since");
         records::apply_members(&peer, &[encode(&me(3))], 9, "store");
         assert!(peer.members.read().overwritten().is_empty());
+        peer.streams.advance_offset(Stream::Members, 9);
+        records::apply_members(&peer, &[encode(&me(2))], 9, "reader");
+        assert!(peer.members.read().overwritten().is_empty(), "the peer had these records");
     }
 
     first_version_comes_from_a_higher_ranked_node_and_not_from_the_store => {
