Only the node that is to write an overwritten record again is woken

Cause: every node with a list of overwritten members woke the task that writes its own record, so a new node could write its first record before its target was there, and once more after that. Each check also collected all other members to draw one of them.

Change: the task is woken for the node's own record and for members at its address. A partner is drawn without collecting the others. The list of a peer is merged in a function of its own.

--- a/src/coordination/presence.rs
+++ b/src/coordination/presence.rs
@@ -158,9 +158,9 @@
     let mut others = members
         .iter()
         .filter(|member| member.node != host.settings.node);
-    let is_listed =
+    let lacks_mark =
         |member: &Member| member.is_present() || members.overwritten().contains(&member.node);
-    let replaced = others.find(|member| member.inbound == inbound && is_listed(member))?;
+    let replaced = others.find(|member| member.inbound == inbound && lacks_mark(member))?;
     Some(Member {
         status: Status::Gone,
         sequence: replaced.sequence + 1,
@@ -198,8 +198,8 @@
 }
 
 /// Waits until this node's record may have to be written: the node reported a change, the store
-/// has an older record, or the member table a later one than `held`. Meanwhile it checks whether the heartbeats of
-/// the target are overdue.
+/// has an older record, or the member table a later one than `held`. Meanwhile it checks whether
+/// the heartbeats of the target are overdue.
 async fn until_changed(host: &Host, held: Option<&Member>) {
     loop {
         // A change without a notification is found at the next check.
--- a/src/coordination/records.rs
+++ b/src/coordination/records.rs
@@ -130,7 +130,7 @@
 }
 
 /// Logs the members that are overwritten in the store since `before`, given what the store has up
-/// to the offset `next`, and wakes the task that writes their records.
+/// to the offset `next`. Wakes the task that writes records if it is to write one of them again.
 pub fn note_overwritten(host: &Host, before: &BTreeSet<Node>, next: u64, from: &str) {
     let mut members = host.members.write();
     let own = &host.settings.node;
@@ -149,7 +149,14 @@
             from = from
         );
     }
-    if !members.overwritten().is_empty() {
+    let inbound = host.settings.advertised().inbound;
+    let is_written_here = |node: &Node| {
+        node == own
+            || members
+                .get(node)
+                .is_some_and(|member| member.inbound == inbound)
+    };
+    if members.overwritten().iter().any(is_written_here) {
         host.own_record_changed.notify_one();
     }
 }
--- a/src/coordination/sync.rs
+++ b/src/coordination/sync.rs
@@ -49,7 +49,7 @@
     let first_ranked = first_ranked.iter().rev().take(FIRST_RANKED);
     let peers = {
         let members = host.members.read();
-        let (near, far) = split_by_domain(host, &members);
+        let (near, far) = others_by_domain(host, &members);
         // Of equally advanced peers the first in this list is chosen. First-ranked nodes come
         // first: they have the fastest links and are the first to receive updates. Nodes of
         // other failure domains come last, so that they send data only if they are ahead.
@@ -183,17 +183,8 @@
         (members.overwritten().clone(), own_record)
     };
     host.merge_members(answer.members, "peer");
-    let known_to = host.streams.offset(Stream::Members);
+    merge_overwritten(host, &answer.overwritten, answer.at);
     let mut members = host.members.write();
-    // A peer that has read further knows better, also of members that are no longer overwritten.
-    if known_to.is_some_and(|known_to| known_to < answer.at) {
-        let others = before.iter().filter(|node| *node != own);
-        others.for_each(|node| members.set_overwritten(node, false));
-    }
-    if known_to.is_none_or(|known_to| known_to <= answer.at) {
-        let overwritten = answer.overwritten.iter();
-        overwritten.for_each(|node| members.set_overwritten(node, true));
-    }
     // What a peer knows of this node and this node doesn't comes from an earlier process, and the
     // store doesn't have it any more; or from a write of this process that wasn't answered.
     let own_record = members.get(own).map(|member| member.precedence());
@@ -204,12 +195,29 @@
     records::note_overwritten(host, &before, answer.at, "peer");
 }
 
+/// Merges the list of members that are overwritten in the store, as a peer knows it up to the
+/// offset `at`. Of two lists the one that goes further applies.
+fn merge_overwritten(host: &Host, overwritten: &[Node], at: u64) {
+    let known_to = host.streams.offset(Stream::Members);
+    let mut members = host.members.write();
+    if known_to.is_some_and(|known_to| known_to < at) {
+        let ended = members.overwritten().clone();
+        // This node knows best whether it has written its record again.
+        let ended = ended.iter().filter(|node| **node != host.settings.node);
+        ended.for_each(|node| members.set_overwritten(node, false));
+    }
+    if known_to.is_none_or(|known_to| known_to <= at) {
+        let overwritten = overwritten.iter();
+        overwritten.for_each(|node| members.set_overwritten(node, true));
+    }
+}
+
 /// Asks a few peers for the members that they know better than the store, which has an older
 /// record of a node if it executed an earlier write after a later one.
 pub async fn compare_members(host: &Host, call_peer: &CallPeer) {
     let peers: Vec<SocketAddr> = {
         let members = host.members.read();
-        let (near, far) = split_by_domain(host, &members);
+        let (near, far) = others_by_domain(host, &members);
         let mut drawn = fastrand::choose_multiple(near, PEERS_PER_GROUP);
         drawn.extend(fastrand::choose_multiple(far, PEERS_PER_GROUP));
         drawn.iter().map(|member| member.peers).collect()
@@ -248,7 +256,7 @@
 async fn ask_neighbors(host: &Host, call_peer: &CallPeer, most: usize) -> Vec<Progress> {
     let neighbors: Vec<SocketAddr> = {
         let members = host.members.read();
-        let (near, _) = split_by_domain(host, &members);
+        let near = others(host, &members).filter(|other| other.domain == host.settings.domain);
         let drawn = fastrand::choose_multiple(near, most);
         drawn.iter().map(|member| member.peers).collect()
     };
@@ -265,15 +273,19 @@
     answers.collect()
 }
 
+/// Returns the other members that are present, in arbitrary order.
+fn others<'a>(host: &'a Host, members: &'a Table) -> impl Iterator<Item = &'a Arc<Member>> {
+    members
+        .iter()
+        .filter(|member| member.node != host.settings.node && member.is_present())
+}
+
 /// Returns the other members that are present: those of this node's failure domain, and the rest.
-fn split_by_domain<'a>(
-    host: &Host,
+fn others_by_domain<'a>(
+    host: &'a Host,
     members: &'a Table,
 ) -> (Vec<&'a Arc<Member>>, Vec<&'a Arc<Member>>) {
-    let others = members
-        .iter()
-        .filter(|member| member.node != host.settings.node && member.is_present());
-    others.partition(|member| member.domain == host.settings.domain)
+    others(host, members).partition(|member| member.domain == host.settings.domain)
 }
 
 /// Returns the delta from version `base` to the version in force, as MessagePack, or
