--- a/review/rig.rs
+++ b/review/rig.rs
@@ -584,14 +584,24 @@
     });
 }
 
-fn free_addresses<const N: usize>() -> [SocketAddr; N] {
-    let listeners: [TcpListener; N] = std::array::from_fn(|_| TcpListener::bind("127.0.0.1:0").unwrap());
-    listeners.map(|listener| listener.local_addr().unwrap())
+/// Returns the addresses of a machine: a free loopback address of its own, so that no connection
+/// takes one of its ports meanwhile.
+fn machine_addresses() -> [SocketAddr; 6] {
+    static NEXT: AtomicU64 = AtomicU64::new(0);
+    loop {
+        let number = NEXT.fetch_add(1, Ordering::Relaxed);
+        let pid = std::process::id();
+        let ip = [127, (16 + pid / 200 % 200) as u8, (1 + pid % 200) as u8, (number % 250 + 1) as u8];
+        let addresses = [8629, 8624, 7600, 8620, 8625, 9464].map(|port| SocketAddr::from((ip, port)));
+        if addresses.iter().all(|address| TcpListener::bind(address).is_ok()) {
+            return addresses;
+        }
+    }
 }
 
 impl Node {
     pub fn new(folder: &Path, store: &Store, name: &str, zone: &str, service: &str) -> Self {
-        let [callers, inbound, peers, targets, ready, metrics] = free_addresses();
+        let [callers, inbound, peers, targets, ready, metrics] = machine_addresses();
         Self {
             settings: Settings {
                 name: name.into(),
