--- a/review/rig.rs
+++ b/review/rig.rs
@@ -560,6 +560,16 @@
 pub const CONT: i32 = 18;
 pub const STOP: i32 = 19;
 
+/// Has a further process ended with the case.
+pub fn note_process(pid: u32) {
+    PROCESSES.lock().unwrap().push(pid);
+}
+
+/// The process has ended.
+pub fn forget_process(pid: u32) {
+    PROCESSES.lock().unwrap().retain(|other| *other != pid);
+}
+
 /// Ends all processes that the case started, and itself.
 pub fn finish(code: i32) -> ! {
     for pid in PROCESSES.lock().unwrap().drain(..) {
