--- a/review/7/main.rs
+++ b/review/7/main.rs
@@ -32,9 +32,9 @@
     let padding = format!("Cookie: {}\r\n", "c".repeat(HEAD - 160));
     let (mut sent, mut denied, mut served) = (0, 0, 0);
     for turn in 0..60 {
-        let has_moved = trouble() && turn >= 20;
+        let has_moved = trouble() && turn >= 20 && turn % 2 == 0;
         if turn == 20 && trouble() {
-            record.note("the consumers move to the zone of n2");
+            record.note("half of the consumers move to the zone of n2");
         }
         let node = if has_moved { &nodes[1] } else { &nodes[0] };
         let answer = send(&record, &node.settings, "POST", "/order/x", &new_id(), &padding, b"one door");
