A node's record gets a new key after a write to its key failed

The store keeps the newest record of a key in the order of execution, so the next start found the older one, and no running node knew better.

Ruled out: that the drain was never in the store (its offset is in the record of the run), and that the start lost it (E310 of the failing test shows the number of the first record, ...248, where ...259 with the drain had been acknowledged; no node logs E309 for it).

A key gets no other record now after a write to it failed: the next record has a key of a new generation, and readers take the greater number. The write deletes the keys before it. It needs no running node, and nothing of the store but that it keeps its keys. The same holds between two processes of a node and for marks of replaced members.

--- a/examples/capacity.rs
+++ b/examples/capacity.rs
@@ -311,6 +311,7 @@
         node: format!("node-{i}").parse::<Node>().expect("a valid name"),
         incarnation: Incarnation(1_700_000_000_000_000_000 + i as u64),
         sequence: 3,
+        generation: Default::default(),
         status: Status::Alive,
         domain: name(format!("d{}", i % DOMAINS)),
         peers: address,
--- a/examples/choice.rs
+++ b/examples/choice.rs
@@ -60,6 +60,7 @@
         node: format!("n{number}").parse()?,
         incarnation: Incarnation(1),
         sequence: 1,
+        generation: Default::default(),
         status: Status::Alive,
         domain: format!("d{}", number % DOMAINS).parse()?,
         peers: address,
--- a/examples/fleet.rs
+++ b/examples/fleet.rs
@@ -468,6 +468,7 @@
             node: format!("node-{i}").parse().ok()?,
             incarnation: Default::default(),
             sequence: 1,
+            generation: Default::default(),
             status: member::Status::Alive,
             domain: name.clone(),
             peers: any,
--- a/src/coordination/host.rs
+++ b/src/coordination/host.rs
@@ -33,6 +33,7 @@
         local::{Change, Local},
         quarantine::SharedQuarantine,
         rate_limit::RateLimits,
+        record_keys::RecordKeys,
         rollout::Rollouts,
         shared_answer::Answers,
         streams::Streams,
@@ -103,6 +104,8 @@
     pub version_changed: Arc<Notify>,
     /// Which release of a service receives its requests.
     pub rollouts: Rollouts,
+    /// The keys of this node's records in the store.
+    pub record_keys: Mutex<RecordKeys>,
     /// Wakes the task that writes this node's record to the store.
     pub own_record_changed: Notify,
     /// Wakes the task that probes unreachable nodes.
@@ -186,6 +189,7 @@
             load_reports: Arc::default(),
             version_changed: Arc::default(),
             rollouts: Rollouts::new(settings.exposure.map(|exposure| exposure.share)),
+            record_keys: Mutex::default(),
             own_record_changed: Notify::new(),
             node_unreachable: Notify::new(),
             warmup_unknown: Notify::new(),
--- a/src/coordination/interface.rs
+++ b/src/coordination/interface.rs
@@ -57,10 +57,9 @@
     /// store waits for the first record. Fails with [`Error::Expired`] if the store no
     /// longer keeps them.
     pub tail: Arc<dyn Fn(Stream, u64, Span) -> ResultFuture<Records> + Send + Sync>,
-    /// Writes a key and its record to the stream of the members, and returns the offset after the
-    /// record. A write that fails with [`Error::NoAnswer`] may still be executed, at any later
-    /// time.
-    pub put: Arc<dyn Fn(String, Bytes) -> ResultFuture<u64> + Send + Sync>,
+    /// Writes a record to the stream of the members, and returns the offset after it. A write that
+    /// fails with [`Error::NoAnswer`] may still be executed, at any later time.
+    pub put: Arc<dyn Fn(Write) -> ResultFuture<u64> + Send + Sync>,
     /// Returns the [`Contact`](crate::protocol::contact::Contact)s, encoded.
     pub contacts: Arc<dyn Fn() -> ResultFuture<Vec<Bytes>> + Send + Sync>,
     /// Writes a contact under its key.
@@ -72,6 +71,17 @@
     pub write_status: Arc<dyn Fn(Status, u64) -> ResultFuture<bool> + Send + Sync>,
 }
 
+/// A record to be written to the stream of the members.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Write {
+    /// The key of the record.
+    pub key: String,
+    /// The record, encoded.
+    pub record: Bytes,
+    /// Other keys, which the same append deletes.
+    pub obsolete: Vec<String>,
+}
+
 /// The status of a roll-out order, for operators.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct StatusRecord {
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -34,6 +34,7 @@
 //!   other nodes receive what it read;
 //! * [`probe`]: probes unreachable nodes;
 //! * [`local`], [`presence`]: the target on this host, and what is published about it;
+//! * [`record_keys`]: under which keys of the store that is written;
 //! * [`gate`], [`flow`]: admission to that target, and of large bodies to the host's link;
 //! * [`drain`]: which failure domains an operator has drained;
 //! * [`load_report`]: the exchange of the loads of targets;
@@ -73,6 +74,7 @@
 pub mod quarantine;
 pub mod rank;
 pub mod rate_limit;
+pub mod record_keys;
 pub mod records;
 pub mod rollout;
 pub mod scatter;
--- a/src/coordination/presence.rs
+++ b/src/coordination/presence.rs
@@ -10,16 +10,17 @@
 
 use crate::{
     coordination::{
+        Error,
         host::{Host, targets_text},
-        interface::Store,
+        interface::{Store, Write},
         quarantine::review,
         rollout::local::unix_millis,
         source,
     },
     event::Event,
-    id::Incarnation,
+    id::{Generation, Incarnation},
     journal::note,
-    state::member::{Member, Status, Target},
+    state::member::{Member, Status, Target, record_key},
 };
 
 /// How often the heartbeats of the target here are checked: a fraction of their period of
@@ -50,10 +51,12 @@
         .lock()
         .restore(recorded.as_deref(), Instant::now());
     if let Some(recorded) = &recorded {
+        host.record_keys.lock().note(recorded.generation);
         note!(
             host.journal,
             Event::RecordRestored,
             sequence = recorded.sequence,
+            key = recorded.key(),
             targets = targets_text(recorded)
         );
     }
@@ -66,8 +69,8 @@
         drop(tokio::time::timeout(wait, host.own_record_changed.notified()).await);
     }
     // A write that failed may be executed late, even one of an earlier process. So no two different
-    // records may have the same number: each write takes a new one, and those of this process
-    // begin at its start time. If the clock has stepped back, they follow the recorded one.
+    // records may have the same number: each takes a new one, and those of this process begin at
+    // its start time. If the clock has stepped back, they follow the recorded one.
     let mut min_sequence = unix_millis();
     let mut failures = 0;
     loop {
@@ -94,15 +97,22 @@
             continue;
         }
         let is_own = replaced.is_none();
-        if is_own {
-            min_sequence = min_sequence.max(wanted.sequence + 1);
-        }
-        let wanted = replaced.unwrap_or(wanted);
-        let record = rmp_serde::to_vec_named(&wanted).expect("a member record always encodes");
-        let key = wanted.node.to_string();
-        let since = Instant::now();
-        let put = (store.put)(key, record.into()).await;
-        host.note_store("put", &put, Some(since.elapsed()));
+        let (wanted, obsolete) = match replaced {
+            Some(replaced) => mark_as_gone(&replaced, min_sequence),
+            None => {
+                min_sequence = min_sequence.max(wanted.sequence + 1);
+                let mut keys = host.record_keys.lock();
+                // An unchanged record is written again under its own key: that does no harm,
+                // whenever it is executed.
+                let wanted = match member.as_ref() == Some(&wanted) {
+                    true => wanted,
+                    false => keys.next_record(wanted),
+                };
+                let obsolete = keys.obsolete(wanted.generation);
+                (wanted, obsolete)
+            }
+        };
+        let put = put(&host, &store, &wanted, &obsolete).await;
         match put {
             Ok(end) => {
                 failures = 0;
@@ -110,10 +120,16 @@
                 host.merge_member(wanted.clone(), "self");
                 if is_own {
                     host.streams.note_own_record(end);
+                    let mut keys = host.record_keys.lock();
+                    keys.on_written(wanted.generation, &obsolete);
+                    drop(keys);
                     member = Some(wanted);
                 }
             }
             Err(error) => {
+                if is_own {
+                    host.record_keys.lock().on_failed(wanted);
+                }
                 if failures == 0 {
                     let why = crate::logging::chain(&error);
                     note!(
@@ -133,6 +149,27 @@
     }
 }
 
+/// Writes a record to the store and deletes the node's keys of `obsolete` generations. Returns the
+/// offset after the record.
+async fn put(
+    host: &Host,
+    store: &Store,
+    record: &Member,
+    obsolete: &[Generation],
+) -> Result<u64, Error> {
+    let encoded = rmp_serde::to_vec_named(record).expect("a member record always encodes");
+    let key_of = |generation: &Generation| record_key(&record.node, *generation);
+    let write = Write {
+        key: record.key(),
+        record: encoded.into(),
+        obsolete: obsolete.iter().map(key_of).collect(),
+    };
+    let since = Instant::now();
+    let put = (store.put)(write).await;
+    host.note_store("put", &put, Some(since.elapsed()));
+    put
+}
+
 /// Returns the record of this node in the member table if it is later than `held`: another
 /// node has recorded this one as gone.
 fn later_record(host: &Host, held: Option<&Member>) -> Option<Member> {
@@ -148,10 +185,10 @@
     members.overwritten().contains(&host.settings.node)
 }
 
-/// Returns the record that marks a member as gone whose address this node has now. The member's
-/// host was replaced by this one under another name, and no other node will ever record that.
-/// Without such a record, each node would try in each of its incarnations to reach the old
-/// member, and the member table would grow with each replaced host.
+/// Returns a member whose address this node has now and that isn't marked as gone in the store. The
+/// member's host was replaced by this one under another name, and no other node will ever record
+/// that. Without a mark, each node would try in each of its incarnations to reach the old member,
+/// and the member table would grow with each replaced host.
 fn replaced_member(host: &Host) -> Option<Member> {
     let inbound = host.settings.advertised().inbound;
     let members = host.members.read();
@@ -161,12 +198,24 @@
     let lacks_mark =
         |member: &Member| member.is_present() || members.overwritten().contains(&member.node);
     let replaced = others.find(|member| member.inbound == inbound && lacks_mark(member))?;
-    Some(Member {
+    Some(replaced.as_ref().clone())
+}
+
+/// Returns the record that marks a member as gone, and the generation that it makes obsolete. The
+/// mark has a key of its own, numbered `generation`: writes of the member's last process may still
+/// be executed.
+fn mark_as_gone(member: &Member, generation: u64) -> (Member, Vec<Generation>) {
+    let mark = Member {
         status: Status::Gone,
-        sequence: replaced.sequence + 1,
+        sequence: member.sequence + 1,
+        generation: Generation(generation),
         // Keeps its targets and their drain state, in case a node of that name returns.
-        ..replaced.as_ref().clone()
-    })
+        ..member.clone()
+    };
+    let obsolete = [member.generation].into_iter();
+    let obsolete = obsolete.filter(|obsolete| *obsolete != mark.generation);
+    let obsolete = obsolete.collect();
+    (mark, obsolete)
 }
 
 /// Returns the record to be written: `held` if it is up to date, else its successor, whose sequence
@@ -179,6 +228,7 @@
         // A process continues the sequence numbers of the one before it.
         incarnation: held.map_or(Incarnation(1), |held| held.incarnation),
         sequence: held.map_or(min_sequence, |held| held.sequence),
+        generation: held.map_or(Generation::default(), |held| held.generation),
         status: Status::Alive,
         domain: settings.domain.clone(),
         peers: advertised.peers,
--- a/src/coordination/records.rs
+++ b/src/coordination/records.rs
@@ -106,7 +106,12 @@
     let (mut members, mut rollouts) = (Vec::new(), Vec::new());
     for record in records {
         match decode_record(host, record, from) {
-            Some(Record::Member(member)) => members.push(member),
+            Some(Record::Member(member)) => {
+                if member.node == host.settings.node {
+                    host.record_keys.lock().note(member.generation);
+                }
+                members.push(member);
+            }
             Some(Record::Rollout(rollout)) => rollouts.push(rollout),
             None => {}
         }
--- a/src/coordination/rollout/controller.rs
+++ b/src/coordination/rollout/controller.rs
@@ -18,7 +18,7 @@
         Error,
         decision::rollout::judge::{self, Input, TargetCounts},
         host::Host,
-        interface::Store,
+        interface::{Store, Write},
         records,
         rollout::Tracked,
     },
@@ -181,7 +181,12 @@
 async fn publish(host: &Host, store: &Store, rollout: &Rollout) -> Result<(), Error> {
     let record = rmp_serde::to_vec_named(rollout).expect("a roll-out always encodes");
     let started = Instant::now();
-    let put = (store.put)(records::rollout_key(&rollout.service), record.into()).await;
+    let write = Write {
+        key: records::rollout_key(&rollout.service),
+        record: record.into(),
+        obsolete: Vec::new(),
+    };
+    let put = (store.put)(write).await;
     host.note_store("put", &put, Some(started.elapsed()));
     put.map(drop)
 }
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -20,7 +20,7 @@
         snapshot,
     },
     event::{Event, Journal},
-    id::Incarnation,
+    id::{Generation, Incarnation},
     settings::{Listen, Security, Settings},
     state::member::{Member, Status},
     transport::{
@@ -168,6 +168,7 @@
         node: settings.node.clone(),
         incarnation: Incarnation(since.as_nanos() as u64),
         sequence: 1,
+        generation: Generation::default(),
         status: Status::Alive,
         domain: settings.domain.clone(),
         peers,
--- a/src/id.rs
+++ b/src/id.rs
@@ -186,6 +186,45 @@
     }
 }
 
+/// Distinguishes the keys of the store under which one node's records are written.
+///
+/// Generations of a node only grow. The text form is a decimal number:
+///
+/// ```
+/// use rilltrack::id::Generation;
+///
+/// let generation: Generation = "1791758000000".parse()?;
+/// assert!(generation > Generation::default());
+/// assert_eq!(generation.to_string(), "1791758000000");
+/// # Ok::<(), std::num::ParseIntError>(())
+/// ```
+#[derive(
+    Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Generation(pub u64);
+
+impl Generation {
+    /// Returns whether this is the generation of records that state none.
+    pub fn is_default(&self) -> bool {
+        *self == Self::default()
+    }
+}
+
+impl fmt::Display for Generation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+impl FromStr for Generation {
+    type Err = std::num::ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        text.parse().map(Self)
+    }
+}
+
 /// One instance of a target: the id under which its process announces itself, and the
 /// process's start time, if known.
 ///
--- a/src/state/member.rs
+++ b/src/state/member.rs
@@ -11,7 +11,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
-    id::{Incarnation, Instance, Name, Node, Release},
+    id::{Generation, Incarnation, Instance, Name, Node, Release},
     state::{evidence::Evidence, selector::Labels},
 };
 
@@ -28,6 +28,9 @@
     /// Orders the node's records of itself within one incarnation: each has a greater number than
     /// the ones before it, also than those whose write failed.
     pub sequence: u64,
+    /// The generation of the key under which the store has this record.
+    #[serde(default, skip_serializing_if = "Generation::is_default")]
+    pub generation: Generation,
     /// Whether the node is available.
     pub status: Status,
     /// The failure domain of the node.
@@ -110,6 +113,11 @@
 }
 
 impl Member {
+    /// Returns the key of the store under which this record is written.
+    pub fn key(&self) -> String {
+        record_key(&self.node, self.generation)
+    }
+
     /// Returns the precedence of the report: of two reports about a node, the one
     /// with the greater value is newer.
     pub fn precedence(&self) -> (Incarnation, u64, Status) {
@@ -136,6 +144,16 @@
     }
 }
 
+/// Returns the key of the store for a node's records of a generation. No two nodes share a key,
+/// because names don't contain `@`.
+pub fn record_key(node: &Node, generation: Generation) -> String {
+    if generation.is_default() {
+        node.to_string()
+    } else {
+        format!("{node}@{generation}")
+    }
+}
+
 /// Returns the bucket of a node, below [`BUCKETS`].
 pub fn bucket(node: &Node) -> usize {
     xxh3_64(node.as_str().as_bytes()) as usize % BUCKETS
--- a/standins/src/load/fleet.rs
+++ b/standins/src/load/fleet.rs
@@ -198,6 +198,7 @@
         node: format!("n{number}").parse().expect("a letter and a number"),
         incarnation: Incarnation(1),
         sequence: 1,
+        generation: Default::default(),
         status: Status::Alive,
         domain: domain.clone(),
         peers: address,
--- a/standins/src/store.rs
+++ b/standins/src/store.rs
@@ -275,15 +275,30 @@
         is_held
     }
 
-    /// Returns the newest record of a node in the topic of the members.
+    /// Takes the record of the append that was held back; it is not executed any more.
+    pub fn take_held_member(&self) -> Option<Member> {
+        let (_, records) = self.log.lock().held.pop()?;
+        let (_, rest) = records.split_at_checked(4)?;
+        let (key_length, rest) = rest.split_first()?;
+        rmp_serde::from_slice(rest.get(usize::from(*key_length)..)?).ok()
+    }
+
+    /// Returns the latest record of a node in the topic of the members, whatever its key.
     pub fn member(&self, node: &str) -> Option<Member> {
+        let members = self.members(node).into_iter();
+        members.max_by_key(Member::precedence)
+    }
+
+    /// Returns the newest record of each key that has a record of a node.
+    pub fn members(&self, node: &str) -> Vec<Member> {
         let log = self.log.lock();
-        let (record, _) = log
-            .topics
-            .get("keyed.rilltrack-members")?
-            .newest
-            .get(node.as_bytes())?;
-        rmp_serde::from_slice(record).ok()
+        let topic = log.topics.get("keyed.rilltrack-members");
+        let records = topic.into_iter().flat_map(|topic| topic.newest.values());
+        let members =
+            records.filter_map(|(record, _)| rmp_serde::from_slice::<Member>(record).ok());
+        members
+            .filter(|member| member.node.as_str() == node)
+            .collect()
     }
 
     /// Returns the number of calls to a path, over all topics.
--- a/standins/tests/slowness.rs
+++ b/standins/tests/slowness.rs
@@ -113,6 +113,7 @@
         node: name.parse().unwrap(),
         incarnation: Incarnation(1),
         sequence: 1,
+        generation: Default::default(),
         status: Status::Alive,
         domain: "here".parse().unwrap(),
         peers: address,
--- a/tests/coordination.rs
+++ b/tests/coordination.rs
@@ -65,6 +65,7 @@
         node: format!("n{i}").parse().unwrap(),
         incarnation: Incarnation(1),
         sequence,
+        generation: Default::default(),
         status,
         domain: domain.parse().unwrap(),
         peers: address(i),
--- a/tests/load_report.rs
+++ b/tests/load_report.rs
@@ -45,6 +45,7 @@
         node: format!("host-{number:03}").parse().unwrap(),
         incarnation: Incarnation(1_791_758_000_000_000 + number as u64),
         sequence: 1,
+        generation: Default::default(),
         status: Status::Alive,
         domain: format!("d-{}", number % 3).parse().unwrap(),
         peers: address,
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -112,6 +112,7 @@
         node: node.parse().unwrap(),
         incarnation: Incarnation(1),
         sequence: 1,
+        generation: Default::default(),
         status: Status::Alive,
         domain: name(domain),
         peers: address,
@@ -189,9 +190,9 @@
     let store = Store {
         newest: Arc::new(|_| std::future::pending().boxed()),
         tail: Arc::new(|_, _, _| std::future::pending().boxed()),
-        put: Arc::new(move |key, record| {
-            let member: Member = rmp_serde::from_slice(&record).unwrap();
-            assert_eq!(member.node.as_str(), key);
+        put: Arc::new(move |write| {
+            let member: Member = rmp_serde::from_slice(&write.record).unwrap();
+            assert_eq!(member.key(), write.key);
             sender.send(member).unwrap();
             async { Ok(0) }.boxed()
         }),
--- a/tests/rollout.rs
+++ b/tests/rollout.rs
@@ -53,6 +53,7 @@
         node: node.parse().unwrap(),
         incarnation: Incarnation(1),
         sequence,
+        generation: Default::default(),
         status: Status::Alive,
         domain: name("here"),
         peers: address,
--- a/tests/slowness.rs
+++ b/tests/slowness.rs
@@ -164,6 +164,7 @@
         node: node.parse().unwrap(),
         incarnation: Incarnation(1),
         sequence: 1,
+        generation: Default::default(),
         status: Status::Alive,
         domain: name("here"),
         peers: address,
--- a/tests/spread.rs
+++ b/tests/spread.rs
@@ -68,6 +68,7 @@
         node: format!("n{place}").parse().unwrap(),
         incarnation: Incarnation(1),
         sequence: 1,
+        generation: Default::default(),
         status: Status::Alive,
         domain: domain(place).parse().unwrap(),
         peers: address(place),
@@ -228,7 +229,7 @@
     Store {
         newest: Arc::new(|_| std::future::pending().boxed()),
         tail: Arc::new(|_, _, _| std::future::pending().boxed()),
-        put: Arc::new(|_, _| std::future::pending().boxed()),
+        put: Arc::new(|_| std::future::pending().boxed()),
         contacts: Arc::new(|| std::future::pending().boxed()),
         put_contact: Arc::new(|_, _| std::future::pending().boxed()),
         read_status: Arc::new(|_| std::future::pending().boxed()),
--- a/tests/start.rs
+++ b/tests/start.rs
@@ -93,9 +93,9 @@
             let records = tail.tail(from);
             async { Ok(records) }.boxed()
         }),
-        put: Arc::new(move |key, record| {
+        put: Arc::new(move |write| {
             let mut members = put.members.lock();
-            members.push((key, record));
+            members.push((write.key, write.record));
             let end = members.len() as u64;
             async move { Ok(end) }.boxed()
         }),
@@ -166,6 +166,7 @@
         node: format!("n{number}").parse().unwrap(),
         incarnation: Incarnation(1),
         sequence: 1,
+        generation: Default::default(),
         status: Status::Alive,
         domain: DOMAINS[number % DOMAINS.len()].parse().unwrap(),
         peers: address(number),
