--- a/src/state/member.rs
+++ b/src/state/member.rs
@@ -28,9 +28,6 @@
     /// Orders the node's records of itself within one incarnation: each has a greater number than
     /// the ones before it, also than those whose write failed.
     pub sequence: u64,
-    /// The generation of the key under which the store has this record.
-    #[serde(default, skip_serializing_if = "Generation::is_default")]
-    pub generation: Generation,
     /// Whether the node is available.
     pub status: Status,
     /// The failure domain of the node.
@@ -49,6 +46,10 @@
     /// Its evidence of requests under which targets crashed.
     #[serde(default, skip_serializing_if = "Evidence::is_empty")]
     pub evidence: Evidence,
+    /// The generation of the key under which the store has this record. Daemons send members to
+    /// each other without the names of fields, so it comes last and is left out if it is not set.
+    #[serde(default, skip_serializing_if = "Generation::is_default")]
+    pub generation: Generation,
 }
 
 /// The availability of a member.
