Limits on heads are judged where a request comes in, and nowhere else

Cause: the next node counted the headers that nodes add, by the limit that was in force when its connection began, and the 100 headers that the HTTP library takes. Its own refusal passed for an answer of the target, since that was told by a missing header alone. Ruled out: the first node (it served all heads beside the target) and the target (it saw none).

Now the first node judges the head to the byte, also one that comes in one piece. Between nodes only memory is bounded (1 MiB), and more than 90 headers go in one. An answer of a node without its report is a failed attempt (E403), which does not count against a node if it is a 4xx, and not as run if the body was only offered. E416 is a line for bytes that are refused where they come in. rilltrackd had the same faults: its servers for nodes take larger heads than those for callers, and an answer without an outcome is none of the target.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -29,7 +29,7 @@
         operators::{self, Desk},
         outbound::{self, Outbound},
         peers,
-        server::{self, Listener, PEER_IDLE_TIMEOUT, Running},
+        server::{self, Client, Listener, PEER_IDLE_TIMEOUT, Running},
         targets::{self, Targets},
     },
 };
@@ -247,10 +247,20 @@
         let settings = &leaving.settings;
         let header_timeout = settings.requests.header_timeout;
         let callers = callers
-            .serve(to_callers, header_timeout, &Security::Plaintext)
+            .serve(
+                Client::Outside,
+                to_callers,
+                header_timeout,
+                &Security::Plaintext,
+            )
             .await;
         let nodes = inbound_at
-            .serve(to_nodes, PEER_IDLE_TIMEOUT, &settings.security)
+            .serve(
+                Client::Nodes,
+                to_nodes,
+                PEER_IDLE_TIMEOUT,
+                &settings.security,
+            )
             .await;
         let (Ok(callers), Ok(nodes)) = (callers, nodes) else {
             return;
@@ -282,6 +292,7 @@
         let servers: Result<Vec<Running>, _> = futures_util::future::try_join_all([
             peers_at
                 .serve(
+                    Client::Nodes,
                     peers::router(node.clone(), call.clone()),
                     PEER_IDLE_TIMEOUT,
                     &settings.security,
@@ -289,13 +300,19 @@
                 .boxed(),
             targets_at
                 .serve(
+                    Client::Outside,
                     targets::router(targets.clone()),
                     header_timeout,
                     &Security::Plaintext,
                 )
                 .boxed(),
             operators_at
-                .serve(operators::router(desk), header_timeout, &settings.security)
+                .serve(
+                    Client::Outside,
+                    operators::router(desk),
+                    header_timeout,
+                    &settings.security,
+                )
                 .boxed(),
         ])
         .await;
--- a/src/event.rs
+++ b/src/event.rs
@@ -99,6 +99,7 @@
     413 Warn  CutShort: "A target ended midway through an answer; the caller is told by a broken body.";
     414 Info  BodyTaken: "A request's body was taken in over the host's link, or could not be in time.";
     415 Info  NoRoom: "A request was refused without asking any target: by the load reports, none has room for it.";
+    416 Info  BytesRefused: "Bytes of a caller were refused before they were a request: too large, too slow or not valid.";
     420 Info  KeyIssued: "Idempotency keys were issued.";
     421 Info  Replayed: "A keyed request came again and got the recorded answer.";
     422 Warn  KeyRefused: "A keyed request could not be run or replayed.";
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -218,11 +218,19 @@
         / 2;
     let (host, phase) = (host.clone(), phase.clone());
     move |client, handler| {
-        let host = host.clone();
+        let (limited, refusing) = (host.clone(), host.clone());
         Server {
             client,
             handler,
-            limits: Arc::new(move || host.limits()),
+            limits: Arc::new(move || limited.limits()),
+            on_refused: Arc::new(move |status| {
+                note!(
+                    refusing.journal,
+                    Event::BytesRefused,
+                    status = status.as_u16(),
+                    version = refusing.version()
+                );
+            }),
             phase: phase.clone(),
             max_connections,
             open_connections: Arc::new(AtomicUsize::new(0)),
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -5,6 +5,7 @@
 //! * [`update`]: updates of the store's streams, between host processes;
 //! * [`contact`]: the nodes that a starting node asks first;
 //! * [`hop`]: the request and response header between two nodes;
+//! * [`header_block`]: the headers of a request with many of them, between two nodes;
 //! * [`answer`]: the headers and outcomes that callers see;
 //! * [`operator`]: messages of the command-line tool;
 //! * [`rollout`]: orders for roll-outs and their status;
@@ -17,6 +18,7 @@
 pub mod answer;
 pub mod contact;
 pub mod dialect;
+pub mod header_block;
 pub mod hop;
 pub mod load_report;
 pub mod log;
--- a/src/transport/attempt.rs
+++ b/src/transport/attempt.rs
@@ -275,6 +275,22 @@
             );
         }
     };
+    if !http::has_outcome(response.headers()) {
+        // The HTTP library of the node refused the bytes, or another program has its address.
+        // Neither is an answer of the target; the former says nothing about the node.
+        let status = response.status();
+        let reason = format!("{} without an outcome", status.as_u16());
+        let failed = Failed {
+            refusal: Refusal::unknown(502, reason),
+            node,
+            was_sent: true,
+        };
+        let end = match status.is_client_error() {
+            true => AttemptResult::Abandoned,
+            false => AttemptResult::Failed,
+        };
+        return (end, Err(failed));
+    }
     let load = http::parse(response.headers(), answer::LOAD);
     let Some(refusal) = http::refusal(&response) else {
         let is_server_error = response.status().is_server_error();
--- a/src/transport/http.rs
+++ b/src/transport/http.rs
@@ -135,6 +135,11 @@
     res.replace_body(ResBody::Once(text.into()));
 }
 
+/// Returns whether an answer states an outcome, as all answers of nodes do.
+pub fn has_outcome(headers: &HeaderMap) -> bool {
+    parse::<answer::Outcome>(headers, answer::OUTCOME).is_some()
+}
+
 /// Returns the refusal in a node's answer, or `None` if the answer is not a refusal.
 pub fn refusal(response: &reqwest::Response) -> Option<Refusal> {
     let headers = response.headers();
--- a/src/transport/relay/codec.rs
+++ b/src/transport/relay/codec.rs
@@ -10,10 +10,13 @@
     header::{self, HeaderName, HeaderValue},
 };
 
-use crate::transport::relay::body::Body;
+use crate::{transport::relay::body::Body, unit::Size};
 
-/// The most headers of a request. Callers send about ten.
-const MAX_HEADERS: usize = 100;
+/// The headers of a request for which there is room on the stack. Callers send about ten.
+const USUAL_HEADERS: usize = 100;
+
+/// The size of the smallest header, in bytes: a name, a colon and the end of the line.
+const MIN_HEADER_BYTES: usize = 4;
 
 /// The longest line of a chunk's size and extensions (which are ignored), and
 /// the longest trailer line, in bytes.
@@ -40,10 +43,16 @@
     Chunked,
 }
 
-/// The bytes are not a valid request.
+/// The bytes are not an acceptable request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
-#[error("{0}")]
-pub struct Error(&'static str);
+pub enum Error {
+    /// They are not a valid request.
+    #[error("{0}")]
+    Invalid(&'static str),
+    /// The head is larger than allowed.
+    #[error("the request head is too large")]
+    TooLarge,
+}
 
 /// The next piece of a body in the received bytes.
 #[derive(Debug, Eq, PartialEq)]
@@ -78,45 +87,72 @@
 ///
 /// # Errors
 ///
-/// If the bytes are not a request, or its body could be delimited in two ways.
-pub fn head(bytes: &mut BytesMut) -> Result<Option<Head>, Error> {
+/// If the bytes are not a request, its head is larger than `max`, or its body could be delimited in
+/// two ways.
+pub fn head(bytes: &mut BytesMut, max: Size) -> Result<Option<Head>, Error> {
     // Empty lines before a request are allowed.
     while bytes.starts_with(b"\r\n") {
         bytes.advance(2);
     }
-    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
-    let mut parsed = httparse::Request::new(&mut headers);
-    let status = parsed.parse(bytes);
-    let length = match status.map_err(|_| Error("the request head is not HTTP/1"))? {
-        httparse::Status::Partial => return Ok(None),
-        httparse::Status::Complete(length) => length,
+    let mut headers = [httparse::EMPTY_HEADER; USUAL_HEADERS];
+    let parsed = match parse(bytes, &mut headers, max) {
+        Err(httparse::Error::TooManyHeaders) => {
+            let most = bytes.len() / MIN_HEADER_BYTES;
+            parse(bytes, &mut vec![httparse::EMPTY_HEADER; most], max)
+        }
+        parsed => parsed,
+    };
+    let parsed = parsed.map_err(|_| Error::Invalid("the request head is not HTTP/1"))?;
+    let Some((head, length)) = parsed? else {
+        return Ok(None);
     };
-    let head = decode(&parsed)?;
     bytes.advance(length);
     Ok(Some(head))
 }
 
+/// Parses a head, with room for as many headers as `headers` has; returns it with its length, or
+/// `None` if it is not complete.
+fn parse<'a>(
+    bytes: &'a [u8],
+    headers: &mut [httparse::Header<'a>],
+    max: Size,
+) -> Result<Result<Option<(Head, usize)>, Error>, httparse::Error> {
+    let mut parsed = httparse::Request::new(headers);
+    let (length, is_complete) = match parsed.parse(bytes)? {
+        httparse::Status::Partial => (bytes.len(), false),
+        httparse::Status::Complete(length) => (length, true),
+    };
+    if length as u64 > max.as_bytes() {
+        return Ok(Err(Error::TooLarge));
+    }
+    Ok(match is_complete {
+        true => decode(&parsed).map(|head| Some((head, length))),
+        false => Ok(None),
+    })
+}
+
 fn decode(parsed: &httparse::Request<'_, '_>) -> Result<Head, Error> {
     let version = match parsed.version {
         Some(1) => Version::HTTP_11,
         _ => Version::HTTP_10,
     };
     let method = parsed.method.unwrap_or_default();
-    let method =
-        Method::from_bytes(method.as_bytes()).map_err(|_| Error("the method is not valid"))?;
+    let method = Method::from_bytes(method.as_bytes())
+        .map_err(|_| Error::Invalid("the method is not valid"))?;
     let uri: Uri = parsed
         .path
         .unwrap_or_default()
         .parse()
-        .map_err(|_| Error("the request target is not valid"))?;
-    let mut headers = HeaderMap::with_capacity(parsed.headers.len());
+        .map_err(|_| Error::Invalid("the request target is not valid"))?;
+    let mut headers = HeaderMap::new();
     for field in parsed.headers.iter() {
         let name = HeaderName::from_bytes(field.name.as_bytes());
         let value = HeaderValue::from_bytes(field.value);
-        headers.append(
-            name.map_err(|_| Error("a header name is not valid"))?,
-            value.map_err(|_| Error("a header value is not valid"))?,
+        let appended = headers.try_append(
+            name.map_err(|_| Error::Invalid("a header name is not valid"))?,
+            value.map_err(|_| Error::Invalid("a header value is not valid"))?,
         );
+        appended.map_err(|_| Error::TooLarge)?;
     }
     let framing = framing(&headers, version)?;
     let is_persistent = is_keep_alive(&headers, version);
@@ -141,13 +177,13 @@
     let mut lengths = headers.get_all(header::CONTENT_LENGTH).iter();
     match (codings.next(), lengths.next()) {
         (None, None) => Ok(Framing::Length(0)),
-        (Some(_), Some(_)) => Err(Error("both content-length and transfer-encoding")),
+        (Some(_), Some(_)) => Err(Error::Invalid("both content-length and transfer-encoding")),
         (Some(coding), None) => {
             let is_chunked = coding.as_bytes().eq_ignore_ascii_case(b"chunked");
             if is_chunked && codings.next().is_none() && version == Version::HTTP_11 {
                 Ok(Framing::Chunked)
             } else {
-                Err(Error("transfer-encoding other than chunked"))
+                Err(Error::Invalid("transfer-encoding other than chunked"))
             }
         }
         (None, Some(length)) => {
@@ -155,7 +191,7 @@
             let is_number = !digits.is_empty() && digits.bytes().all(|b| b.is_ascii_digit());
             match digits.parse() {
                 Ok(length) if is_number && lengths.next().is_none() => Ok(Framing::Length(length)),
-                _ => Err(Error("content-length is not one number")),
+                _ => Err(Error::Invalid("content-length is not one number")),
             }
         }
     }
@@ -219,7 +255,7 @@
                         return Ok(Decoded::Incomplete);
                     }
                     if !bytes.starts_with(b"\r\n") {
-                        return Err(Error("no line break after the data of a chunk"));
+                        return Err(Error::Invalid("no line break after the data of a chunk"));
                     }
                     bytes.advance(2);
                     *self = Self::ChunkLine;
@@ -252,13 +288,13 @@
             Ok(Some(size))
         }
         Ok(httparse::Status::Partial) => check_line_length(bytes).map(|()| None),
-        Err(_) => Err(Error("the size of a chunk is not valid")),
+        Err(_) => Err(Error::Invalid("the size of a chunk is not valid")),
     }
 }
 
 fn check_line_length(bytes: &BytesMut) -> Result<(), Error> {
     if bytes.len() > MAX_LINE {
-        return Err(Error("a chunk size line or a trailer is too long"));
+        return Err(Error::Invalid("a chunk size line or a trailer is too long"));
     }
     Ok(())
 }
--- a/src/transport/relay/http1_server.rs
+++ b/src/transport/relay/http1_server.rs
@@ -29,7 +29,7 @@
         body::Body,
         codec::{self, Decoded, Decoder, Framing, Head, ResponseFraming},
         empty_response,
-        serve::{CurrentLimits, Handler, Phase},
+        serve::{CurrentLimits, Handler, OnRefused, Phase},
     },
 };
 
@@ -60,6 +60,8 @@
     pub handler: Handler,
     /// Returns the limits of the version in force.
     pub limits: CurrentLimits,
+    /// Is called for each refusal of bytes that are no acceptable request.
+    pub on_refused: OnRefused,
     /// The phase of the process's shutdown.
     pub phase: watch::Receiver<Phase>,
 }
@@ -212,20 +214,14 @@
         if let Some(head) = self.waiting_head.take() {
             return Some(head);
         }
-        match codec::head(&mut self.bytes) {
-            Ok(Some(head)) => Some(head),
-            Ok(None) => {
-                let limits = (self.front.limits)();
-                if self.bytes.len() as u64 > limits.head.as_bytes() {
-                    self.refuse(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE);
-                }
-                None
-            }
-            Err(_) => {
-                self.refuse(StatusCode::BAD_REQUEST);
-                None
-            }
-        }
+        let max = (self.front.limits)().head;
+        let status = match codec::head(&mut self.bytes, max) {
+            Ok(head) => return head,
+            Err(codec::Error::TooLarge) => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+            Err(codec::Error::Invalid(_)) => StatusCode::BAD_REQUEST,
+        };
+        self.refuse(status);
+        None
     }
 
     /// Calls the handler for a request and prepares to pass on its body, if it has one.
@@ -267,6 +263,7 @@
 
     /// Responds to invalid input with `status`, after the responses to all requests before it.
     fn refuse(&mut self, status: StatusCode) {
+        (self.front.on_refused)(status);
         self.is_closing = true;
         self.answers.push_back(Box::pin(async move {
             Answer {
--- a/src/transport/relay/ingress.rs
+++ b/src/transport/relay/ingress.rs
@@ -6,7 +6,7 @@
 };
 
 use futures_util::FutureExt;
-use hyper::{Request, Response, StatusCode, header::HeaderValue, http::request};
+use hyper::{HeaderMap, Request, Response, StatusCode, header::HeaderValue, http::request};
 
 use crate::{
     coordination::{
@@ -21,7 +21,7 @@
     journal::{Field, note},
     protocol::{
         answer::{Outcome, Refusal},
-        hop,
+        header_block, hop,
     },
     state::rollout::Role,
     transport::{
@@ -282,8 +282,9 @@
 
     /// Answers a request of a peer.
     async fn handle(&self, request: Request<Body>) -> Response<Body> {
-        let (head, incoming) = request.into_parts();
-        let result = match self.parse_delivery(&head) {
+        let (mut head, incoming) = request.into_parts();
+        let delivery = unfold_headers(&mut head.headers).and_then(|()| self.parse_delivery(&head));
+        let result = match delivery {
             Ok(delivery) => self.deliver(&delivery, &head, incoming).await,
             Err(refusal) => Err(Refused::before_arrival(refusal)),
         };
@@ -439,7 +440,6 @@
 
     /// Returns the delivery that a peer requests; refuses if this node can't accept it.
     fn parse_delivery(&self, head: &request::Parts) -> Result<Delivery, Refusal> {
-        let not_understood = || Refusal::rejected(400, "a node says what it asks for");
         let ask: hop::Request =
             http::parse(&head.headers, hop::HEADER).ok_or_else(not_understood)?;
         if ask.to != self.host.settings.node {
@@ -461,6 +461,29 @@
     }
 }
 
+/// Returns the refusal of a request of a peer whose headers can't be understood.
+fn not_understood() -> Refusal {
+    Refusal::rejected(400, "a node says what it asks for")
+}
+
+/// Adds the headers that a peer sent in one block, if there is one.
+fn unfold_headers(headers: &mut HeaderMap) -> Result<(), Refusal> {
+    let Some(block) = headers.remove(header_block::HEADER) else {
+        return Ok(());
+    };
+    let unfolded = header_block::decode(&block).map_err(|_| not_understood())?;
+    // A header of several values comes with its name once.
+    let mut last = None;
+    for (name, value) in unfolded {
+        last = name.or(last);
+        let name = last.clone().ok_or_else(not_understood)?;
+        headers
+            .try_append(name, value)
+            .map_err(|_| not_understood())?;
+    }
+    Ok(())
+}
+
 fn response_of_status(status: u16) -> Response<Body> {
     empty_response(StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY))
 }
--- a/src/transport/relay/peer_client.rs
+++ b/src/transport/relay/peer_client.rs
@@ -8,7 +8,7 @@
     time::{Duration, Instant},
 };
 
-use hyper::{Request, Response};
+use hyper::{HeaderMap, Request, Response, StatusCode, header::CONTENT_LENGTH};
 
 use crate::{
     coordination::{
@@ -18,7 +18,7 @@
         },
         host::Host,
     },
-    protocol::{answer::Refusal, hop},
+    protocol::{answer::Refusal, header_block, hop},
     state::{member::Member, routing::Kind},
     transport::{
         http,
@@ -94,10 +94,10 @@
             self.send_offer(member, delivery, request).await
         } else {
             let sending = self.pool.send(member.inbound, request, delivery.deadline);
-            sending.await
+            sending.await.map(|exchange| (exchange, true))
         };
-        let exchange = match result {
-            Ok(exchange) => exchange,
+        let (exchange, is_body_sent) = match result {
+            Ok(sent) => sent,
             Err(failure) => {
                 guard.node_failure = Some(node_failure(&failure));
                 if matches!(guard.node_failure, Some(AttemptResult::Lost(_))) {
@@ -110,24 +110,31 @@
             response,
             connection,
         } = exchange;
-        let report = http::parse::<hop::Reply>(response.headers(), hop::HEADER);
+        let Some(report) = http::parse::<hop::Reply>(response.headers(), hop::HEADER) else {
+            // The HTTP library of the peer refused the bytes, or another program has its address.
+            // Neither is an answer of the target; the former says nothing about the peer.
+            let status = response.status();
+            guard.node_failure = Some(match status.is_client_error() {
+                true => AttemptResult::Abandoned,
+                false => AttemptResult::Failed,
+            });
+            return AttemptOutcome::Refused(unreported(status, is_body_sent));
+        };
         let slowness = http::parse(response.headers(), hop::SLOWNESS_HEADER);
         if slowness.is_some() {
             self.host.load_reports.enable_soon();
         }
-        let refused = report.and_then(|report| {
-            guard.report = Report {
-                load: Some(report.load),
-                slowdown: Some(report.slowdown),
-                run_time: report.run_time.map(Span::duration),
-                is_large,
-                notice: None,
-                slowness,
-            };
-            self.host
-                .note_newer(report.version, report.members_offset, member.peers);
-            delivery::peer_refusal(response.status(), report)
-        });
+        guard.report = Report {
+            load: Some(report.load),
+            slowdown: Some(report.slowdown),
+            run_time: report.run_time.map(Span::duration),
+            is_large,
+            notice: None,
+            slowness,
+        };
+        self.host
+            .note_newer(report.version, report.members_offset, member.peers);
+        let refused = delivery::peer_refusal(response.status(), report);
         let (head, incoming) = response.into_parts();
         let remaining = call.deadline.saturating_duration_since(Instant::now());
         let read = body::read(incoming, MAX_BUFFERED_BODY, remaining).await;
@@ -161,13 +168,14 @@
     }
 
     /// Sends a request whose body is sent only once the peer accepts it. Until then, any
-    /// failure means that nothing of the body was sent.
+    /// failure means that nothing of the body was sent. Returns the response, and whether the peer
+    /// accepted the body before.
     async fn send_offer(
         &self,
         member: &Member,
         delivery: &Delivery,
         request: Request<Body>,
-    ) -> Result<Exchange, Failure> {
+    ) -> Result<(Exchange, bool), Failure> {
         let (request, offer) = offer::offer(request);
         let offer_deadline = Instant::now() + delivery.arrival.max_wait + OFFER_TIMEOUT;
         let sending = self.pool.send(member.inbound, request, delivery.deadline);
@@ -178,6 +186,7 @@
             Err(_) if offer.withdraw() => return Err(Failure::NotAccepted),
             Err(_) => sending.await,
         };
+        let result = result.map(|exchange| (exchange, !offer.withdraw()));
         result.map_err(|failure| match failure {
             Failure::Broken(error) if offer.withdraw() => {
                 let is_timeout = Failure::Broken(error).is_timeout();
@@ -204,7 +213,7 @@
         let mut request = Request::new(body);
         *request.method_mut() = call.head.method.clone();
         *request.uri_mut() = run::origin_form(&call.head.uri);
-        *request.headers_mut() = forwarded_headers(&call.head.headers);
+        *request.headers_mut() = peer_headers(&call.head.headers);
         let now = Instant::now();
         let remaining = |until: Instant| Span::from_duration(until.saturating_duration_since(now));
         let ask = hop::Request {
@@ -230,6 +239,21 @@
     }
 }
 
+/// Returns the headers of a caller's request as they are sent to a peer: in one block if they are
+/// many. The framing of the body stays outside, since it belongs to the connection.
+fn peer_headers(headers: &HeaderMap) -> HeaderMap {
+    let mut forwarded = forwarded_headers(headers);
+    if forwarded.len() <= header_block::MAX_SEPARATE {
+        return forwarded;
+    }
+    let length = forwarded.remove(CONTENT_LENGTH);
+    let block = header_block::encode(&forwarded);
+    forwarded.clear();
+    forwarded.insert(header_block::HEADER, block);
+    forwarded.extend(length.map(|length| (CONTENT_LENGTH, length)));
+    forwarded
+}
+
 /// Returns whether a request's body is offered before it is sent: it is large or of unknown
 /// length, or the request may run only once.
 pub fn is_offered(call: &Call, body: &Body) -> bool {
@@ -237,6 +261,19 @@
     is_large || (call.route.kind == Kind::Once && body.length() != Some(0))
 }
 
+/// Returns the refusal for a request whose response has no report of a peer.
+fn unreported(status: StatusCode, is_body_sent: bool) -> Refused {
+    let reason = format!("{} without a report of the node", status.as_u16());
+    let refusal = match is_body_sent {
+        true => Refusal::unknown(502, reason),
+        false => Refusal::not_run(reason, UNREACHABLE_RETRY_AFTER),
+    };
+    Refused {
+        refusal,
+        has_arrived: is_body_sent,
+    }
+}
+
 /// Returns the refusal for a request that got no response from a peer.
 fn refuse_failure(failure: &Failure) -> Refused {
     let (refusal, has_arrived) = match failure {
--- a/src/transport/relay/serve.rs
+++ b/src/transport/relay/serve.rs
@@ -11,7 +11,10 @@
 };
 
 use futures_util::future::BoxFuture;
-use hyper::{Request, Response, body::Incoming, server::conn::http1::Builder, service::service_fn};
+use hyper::{
+    Request, Response, StatusCode, body::Incoming, server::conn::http1::Builder,
+    service::service_fn,
+};
 use hyper_util::rt::TokioTimer;
 use tokio::{
     net::{TcpListener, TcpStream},
@@ -30,11 +33,20 @@
 /// Responds to a request.
 pub type Handler = Arc<dyn Fn(Request<Body>) -> BoxFuture<'static, Response<Body>> + Send + Sync>;
 
-/// Returns the limits for a new connection.
+/// Returns the limits of callers' requests.
 pub type CurrentLimits = Arc<dyn Fn() -> Limits + Send + Sync>;
 
-/// The smallest buffer that hyper allows, in bytes.
-const MIN_BUFFER: usize = 8 << 10;
+/// Is called with the status of a refusal of bytes that are no acceptable request.
+pub type OnRefused = Arc<dyn Fn(StatusCode) + Send + Sync>;
+
+/// The largest head on an internal connection, in bytes. The limits of callers' requests don't
+/// apply there: the node that took a request in has judged it, by the version in force there,
+/// and has added headers. This one only bounds the memory of a connection.
+const MAX_INTERNAL_HEAD: usize = 1 << 20;
+
+/// How long an internal connection may be idle. It is longer than clients keep theirs, so that they
+/// close them.
+const INTERNAL_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 
 /// The pause of the server when it can accept no connection (at its limit, or
 /// the process has no file descriptors left), and the interval at which a
@@ -69,8 +81,10 @@
     pub client: ClientKind,
     /// Responds to requests.
     pub handler: Handler,
-    /// The limits of new connections.
+    /// The limits of callers' requests.
     pub limits: CurrentLimits,
+    /// Is called for each refusal of a caller's bytes that are no acceptable request.
+    pub on_refused: OnRefused,
     /// The phase of the process.
     pub phase: watch::Receiver<Phase>,
     /// The most open connections; further ones wait to be accepted.
@@ -137,23 +151,22 @@
             let front = Http1Server {
                 handler: self.handler.clone(),
                 limits: self.limits.clone(),
+                on_refused: self.on_refused.clone(),
                 phase: self.phase.clone(),
             };
             return front.serve(stream).await;
         }
-        let limits = (self.limits)();
         let (io, _) = Io::new(stream);
         let handler = self.handler.clone();
         let service = service_fn(move |request: Request<Incoming>| {
             let response = handler(request.map(Body::incoming));
             async move { Ok::<_, std::convert::Infallible>(response.await) }
         });
-        let head = limits.head.as_bytes() as usize;
         let connection = Builder::new()
             .timer(TokioTimer::new())
             // hyper includes the time before the first byte, so this is the idle timeout.
-            .header_read_timeout(limits.idle_timeout.duration())
-            .max_buf_size(head.max(MIN_BUFFER))
+            .header_read_timeout(INTERNAL_IDLE_TIMEOUT)
+            .max_buf_size(MAX_INTERNAL_HEAD)
             .serve_connection(io, service);
         let mut connection = std::pin::pin!(connection);
         let mut phase = self.phase.clone();
--- a/src/transport/server.rs
+++ b/src/transport/server.rs
@@ -16,6 +16,24 @@
     unit::Span,
 };
 
+/// The most headers of a message from another node. Callers may send 100, the default of the HTTP
+/// library, and the node that took the request in adds its own.
+const MAX_NODE_HEADERS: usize = 128;
+
+/// The largest head of a message from another node, in bytes: beyond what the HTTP library takes
+/// from callers by default, about 400 KiB.
+const MAX_NODE_HEAD: u32 = 512 << 10;
+
+/// Whose requests a server takes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Client {
+    /// Those of callers, targets and operators.
+    Outside,
+    /// Those of other nodes, whose heads may be larger: the node that took a request in has judged
+    /// its head, and no other node may refuse it for what nodes add.
+    Nodes,
+}
+
 /// A bound address whose connections are not accepted until it is served.
 #[derive(Debug)]
 pub struct Listener {
@@ -40,7 +58,7 @@
         bind().map_err(|source| Error::Listen { address, source })
     }
 
-    /// Starts a server for `router` that runs until the returned handle stops it.
+    /// Starts a server for requests of `client` that runs `router` until the returned handle stops it.
     /// It must be called within a runtime, which runs the server as a task.
     ///
     /// `header_timeout` limits the time in which the whole head of the next request
@@ -52,6 +70,7 @@
     /// is invalid.
     pub async fn serve(
         self,
+        client: Client,
         router: Router,
         header_timeout: Span,
         security: &Security,
@@ -64,6 +83,7 @@
         match security {
             Security::Plaintext => Ok(run(
                 self.try_bind().await.map_err(listen)?,
+                client,
                 router,
                 header_timeout,
             )),
@@ -71,6 +91,7 @@
                 let listener = RustlsListener::new(tls::server(tls)?, self);
                 Ok(run(
                     listener.try_bind().await.map_err(listen)?,
+                    client,
                     router,
                     header_timeout,
                 ))
@@ -110,13 +131,19 @@
     }
 }
 
-fn run<A>(acceptor: A, router: Router, header_timeout: Span) -> Running
+fn run<A>(acceptor: A, client: Client, router: Router, header_timeout: Span) -> Running
 where
     A: Acceptor + Send + 'static,
 {
     // A sender that never completes its headers must not occupy a connection.
     let fuse = FuseConfig::default().with_http1_header_timeout(header_timeout.duration());
-    let server = Server::new(acceptor).fuse_config(fuse);
+    let mut server = Server::new(acceptor).fuse_config(fuse);
+    if client == Client::Nodes {
+        let http1 = server.http1_mut();
+        http1.max_headers(MAX_NODE_HEADERS);
+        http1.max_buf_size(MAX_NODE_HEAD as usize);
+        server.http2_mut().max_header_list_size(MAX_NODE_HEAD);
+    }
     let handle = server.handle();
     // Prevents the library from replacing empty error answers by pages of its own.
     let service = Service::new(router).catcher(Catcher::new(NoCatcher));
--- a/standins/src/store.rs
+++ b/standins/src/store.rs
@@ -150,6 +150,7 @@
             client: ClientKind::Internal,
             handler,
             limits: Arc::new(Limits::default),
+            on_refused: Arc::new(|_| {}),
             phase: seen,
             max_connections: 1000,
             open_connections: Arc::default(),
--- /dev/null
+++ b/standins/tests/limits.rs
@@ -0,0 +1,219 @@
+//! The limits on what a caller may send, over the whole path.
+
+use rilltrack::{
+    id::{Generation, Incarnation},
+    state::member::{Member, Status, Target},
+};
+use rilltrack_standins::{
+    fleet::{Host, version},
+    raw,
+    store::Store,
+    until,
+};
+use serde_json::{Value, json};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpListener,
+};
+
+/// The largest head that callers may send, in bytes.
+const MAX_HEAD: usize = 16_384;
+
+/// Where the target of a request is.
+#[derive(Clone, Copy, Debug)]
+enum Place {
+    /// On the host at which the request comes in.
+    Beside,
+    /// On another host of the failure domain.
+    Near,
+    /// In a failure domain of another region.
+    Far,
+}
+
+/// Returns a version whose limit on heads is `max_head`.
+fn version_with(number: u64, max_head: usize) -> Value {
+    let mut version = version(number, &["a", "b"]);
+    version["resources"][0]["spec"]["maxHeaderBytes"] = json!(max_head);
+    version
+}
+
+/// A host at which requests come in, and the one with the target of service b, which may be the same.
+struct Path {
+    store: Store,
+    hosts: Vec<Host>,
+}
+
+impl Path {
+    async fn start(place: Place, version: &Value) -> Self {
+        let store = Store::start().await;
+        store.publish(version);
+        let hosts = match place {
+            Place::Beside => vec![Host::start(&store, "n1", "here", "b").await],
+            Place::Near => vec![
+                Host::start(&store, "n1", "here", "a").await,
+                Host::start(&store, "n2", "here", "b").await,
+            ],
+            Place::Far => vec![
+                Host::start(&store, "n1", "here", "a").await,
+                Host::start(&store, "n2", "there", "b").await,
+            ],
+        };
+        let target = hosts.last().unwrap().name.clone();
+        until("the target is known", async || hosts[0].knows(&target)).await;
+        Self { store, hosts }
+    }
+
+    /// Sends a request to the first host; returns the status of the answer.
+    async fn send(&self, request: &str) -> String {
+        let callers = self.hosts[0].callers();
+        let answer = raw::exchange_until_closed(callers, request.as_bytes()).await;
+        answer.get(9..12).unwrap_or_default().to_owned()
+    }
+
+    fn target(&self) -> &rilltrack_standins::target::Target {
+        &self.hosts.last().unwrap().target
+    }
+}
+
+/// Returns the start of a POST with a body of one byte.
+fn start_of_head(id: &str) -> String {
+    format!(
+        "POST /post/b/x HTTP/1.1\r\nHost: fares.example\r\nRilltrack-Attempt-Id: {id}\r\n\
+         Rilltrack-Deadline-Ms: 20000\r\nContent-Length: 1\r\nConnection: close\r\n"
+    )
+}
+
+/// Returns a request whose head has `size` bytes.
+fn with_head_of(size: usize) -> String {
+    let start = start_of_head("c1");
+    let padding = size - start.len() - "Cookie: \r\n\r\n".len();
+    let request = format!("{start}Cookie: {}\r\n\r\n", "c".repeat(padding));
+    assert_eq!(request.len(), size);
+    request + "x"
+}
+
+/// Returns a request with `count` headers.
+fn with_headers(count: usize) -> String {
+    let start = start_of_head("c1");
+    let further = count + 1 - start.lines().count();
+    let headers: String = (0..further).map(|i| format!("X-{i}: {i}\r\n")).collect();
+    format!("{start}{headers}\r\nx")
+}
+
+macro_rules! heads {
+    ($($name:ident: $place:ident, $request:expr => $status:literal;)*) => {$(
+        // Guards against a request within the limits that is refused on its way to the target, and
+        // one beyond them that reaches it.
+        #[tokio::test(flavor = "multi_thread")]
+        async fn $name() {
+            let path = Path::start(Place::$place, &version_with(5, MAX_HEAD)).await;
+            let request: String = $request;
+            assert_eq!(path.send(&request).await, $status);
+            let seen = path.target().seen();
+            assert_eq!(seen.len(), usize::from($status == "200"));
+            let sent = request.lines().filter_map(|line| line.split_once(": "));
+            let forwarded = sent.filter(|(name, _)| name.starts_with("X-") || *name == "Cookie");
+            for (name, value) in forwarded.filter(|_| $status == "200") {
+                assert_eq!(seen[0].header(&name.to_lowercase()), value, "{name}");
+            }
+        }
+    )*};
+}
+
+heads! {
+    head_below_the_limit_reaches_the_own_target: Beside, with_head_of(MAX_HEAD - 1) => "200";
+    head_at_the_limit_reaches_the_own_target: Beside, with_head_of(MAX_HEAD) => "200";
+    head_beyond_the_limit_is_refused_beside_the_target: Beside, with_head_of(MAX_HEAD + 1) => "431";
+    head_below_the_limit_reaches_another_host: Near, with_head_of(MAX_HEAD - 1) => "200";
+    head_at_the_limit_reaches_another_host: Near, with_head_of(MAX_HEAD) => "200";
+    head_beyond_the_limit_is_refused_where_it_comes_in: Near, with_head_of(MAX_HEAD + 1) => "431";
+    head_at_the_limit_reaches_another_region: Far, with_head_of(MAX_HEAD) => "200";
+    usual_headers_reach_another_host: Near, with_headers(12) => "200";
+    headers_of_which_most_are_sent_separately_reach_another_host: Near, with_headers(92) => "200";
+    hundred_headers_reach_the_own_target: Beside, with_headers(100) => "200";
+    hundred_headers_reach_another_host: Near, with_headers(100) => "200";
+    more_headers_than_the_library_takes_reach_the_own_target: Beside, with_headers(101) => "200";
+    more_headers_than_the_library_takes_reach_another_host: Near, with_headers(101) => "200";
+    a_thousand_headers_reach_another_region: Far, with_headers(1000) => "200";
+    headers_beyond_the_limit_in_bytes_are_refused: Near, with_headers(1600) => "431";
+}
+
+// Guards against connections between nodes that keep the limits that were in force when they began.
+#[tokio::test(flavor = "multi_thread")]
+async fn raised_limit_holds_on_kept_connections_between_nodes() {
+    let path = Path::start(Place::Near, &version_with(5, 1024)).await;
+    assert_eq!(path.send(&with_head_of(1024)).await, "200");
+    assert_eq!(path.send(&with_head_of(1025)).await, "431");
+    path.store.publish(&version_with(6, MAX_HEAD));
+    for host in &path.hosts {
+        until("the new limit is in force", async || host.version() == 6).await;
+    }
+    assert_eq!(path.send(&with_head_of(MAX_HEAD)).await, "200");
+}
+
+/// Starts a program that answers each request with `answer`, and makes it known to a node as the
+/// node beside a target of service b.
+async fn introduce_program(host: &Host, answer: String) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let answer = answer.clone();
+            tokio::spawn(async move {
+                let mut bytes = [0; 4096];
+                drop(stream.read(&mut bytes).await);
+                drop(stream.write_all(answer.as_bytes()).await);
+            });
+        }
+    });
+    host.introduce(Member {
+        node: "n9".parse().unwrap(),
+        incarnation: Incarnation(1),
+        sequence: 1,
+        generation: Generation::default(),
+        status: Status::Alive,
+        domain: "here".parse().unwrap(),
+        peers: address,
+        inbound: address,
+        labels: Default::default(),
+        targets: vec![Target {
+            service: "b".parse().unwrap(),
+            address,
+            http2: false,
+            draining: false,
+            slots: 4,
+            instance: "i9".into(),
+            release: None,
+            verdict: None,
+        }],
+        bandwidth: 0,
+        evidence: Default::default(),
+    });
+}
+
+macro_rules! unreported {
+    ($($name:ident: $answer:literal => $get:literal, $post:literal;)*) => {$(
+        // Guards against an answer of a peer's HTTP library that passes for one of the target.
+        #[tokio::test(flavor = "multi_thread")]
+        async fn $name() {
+            let store = Store::start().await;
+            store.publish(&version(5, &["a", "b"]));
+            let host = Host::start(&store, "n1", "here", "a").await;
+            let answer = format!("HTTP/1.1 {}\r\nContent-Length: 0\r\n\r\n", $answer);
+            introduce_program(&host, answer).await;
+            let get = host.ask_within("GET", "/get/b/x", "c1", "", 2000).await;
+            assert!(get.starts_with(concat!("HTTP/1.1 ", $get)), "{get}");
+            // Its body was never asked for, so the request has certainly not run.
+            let post = host.ask_within("POST", "/post/b/x", "c2", "one", 2000).await;
+            assert!(post.starts_with(concat!("HTTP/1.1 ", $post)), "{post}");
+        }
+    )*};
+}
+
+unreported! {
+    peers_400_is_no_answer_of_the_target: "400 Bad Request" => "502", "503";
+    peers_408_is_no_answer_of_the_target: "408 Request Timeout" => "502", "503";
+    peers_413_is_no_answer_of_the_target: "413 Content Too Large" => "502", "503";
+    peers_431_is_no_answer_of_the_target: "431 Request Header Fields Too Large" => "502", "503";
+    other_programs_200_is_no_answer_of_the_target: "200 OK" => "502", "503";
+}
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -344,6 +344,7 @@
         client,
         handler,
         limits: Arc::new(move || limits),
+        on_refused: Arc::new(|_| {}),
         phase: seen,
         max_connections: 100,
         open_connections: Arc::default(),
@@ -1375,7 +1376,7 @@
     }
 
     ambiguous_body_framing_is_rejected => {
-        let head = |text: &str| codec::head(&mut BytesMut::from(text)).map(|h| h.map(|h| h.framing));
+        let head = |text: &str| codec::head(&mut BytesMut::from(text), Size::from_bytes(1024)).map(|h| h.map(|h| h.framing));
         let post = |headers: &str| head(&format!("POST /a HTTP/1.1\r\nhost: x\r\n{headers}\r\n"));
         assert_eq!(post(""), Ok(Some(Framing::Length(0))));
         assert_eq!(post("content-length: 12\r\n"), Ok(Some(Framing::Length(12))));
--- a/tests/requests.rs
+++ b/tests/requests.rs
@@ -384,6 +384,45 @@
         assert_eq!(outcome(&client().get(mesh.url(0, "/s")).send().await.unwrap()), "answered");
     }
 
+    // Guards against a node that refuses another one's request for the headers that nodes add.
+    request_with_as_many_headers_as_callers_may_send_reaches_the_target => {
+        let mesh = two_nodes(json!({})).await;
+        let target = mesh.target(1, "s").await;
+        let headers: String = (0..98).map(|i| format!("x-{i}: {i}\r\n")).collect();
+        let request = format!("GET /s HTTP/1.1\r\nhost: h\r\nconnection: close\r\n{headers}\r\n");
+        let answer = raw::exchange_until_closed(mesh.daemons[0].listen.callers, request.as_bytes()).await;
+        assert!(answer.starts_with("HTTP/1.1 200 "), "{answer}");
+        assert_eq!(target.hits(), 1);
+    }
+
+    // Guards against an answer of a node's HTTP library that passes for one of the target.
+    answer_of_a_node_without_an_outcome_is_no_answer_of_the_target => {
+        let program = Path::new(env!("CARGO_BIN_EXE_rilltrackd"));
+        let log = Log::start();
+        let mut nodes = processes(program, &log, &[("a1", "palermo"), ("b1", "catania")]).await;
+        let version = publish(nodes[0].listen.operators, "base", ops(&resources(&DOMAINS, "s", json!({})))).await;
+        for node in &nodes {
+            wait_for_version(&node.listen, version).await;
+        }
+        let target = Target::start("t", "s");
+        let listens = [&nodes[0].listen, &nodes[1].listen];
+        attach(&target, listens[1], &listens).await;
+        nodes[1].signal(libc::SIGKILL);
+        nodes[1].wait().await;
+        let listener = tokio::net::TcpListener::bind(nodes[1].listen.inbound).await.unwrap();
+        tokio::spawn(async move {
+            while let Ok((mut stream, _)) = listener.accept().await {
+                let mut bytes = [0; 4096];
+                drop(stream.read(&mut bytes).await);
+                let refusal = b"HTTP/1.1 431 Request Header Fields Too Large\r\ncontent-length: 0\r\n\r\n";
+                drop(stream.write_all(refusal).await);
+            }
+        });
+        let sent = client().post(format!("http://{}/s", nodes[0].listen.callers)).body("x").send();
+        let response = sent.await.unwrap();
+        assert_eq!((response.status().as_u16(), outcome(&response)), (502, "unknown"));
+    }
+
     target_cannot_set_outcome_headers => {
         let mesh = two_nodes(json!({})).await;
         let forged = b"HTTP/1.1 503 Full\r\nrilltrack-outcome: not-run\r\nrilltrack-reason: full\r\ncontent-length: 2\r\n\r\nok".to_vec();
