A target's bytes without end hold no request beyond its deadline

Callers of a target that sends a body in small pieces without end got no answer: 60 s after a request with a deadline of 1.5 s there was none. With informational responses without end they got 504 at the deadline, after 20 s of reading.

Causes: the small body of an answer was bounded by the pause between two pieces, not as a whole; hyper bounds the head of a response, but not what comes before it. Ruled out by the same tests: heads, status lines, empty lines, trailers, excess bytes and refusals without end, which were bounded.

A body that is read whole is bounded by the request's deadline now, at the target, between nodes and from callers (408), and a connection reads 512 KiB before a response's head. The log tells bytes that are no answer from a target that broke off. The soak plays three kinds.

--- a/src/transport/relay/body.rs
+++ b/src/transport/relay/body.rs
@@ -316,6 +316,22 @@
     }
 }
 
+/// Reads a body as [`read`] does, all of it by `deadline`: a body that comes in small pieces could
+/// take for ever otherwise.
+///
+/// # Errors
+///
+/// If nothing is received for `idle`, the deadline passes, or the body ends early.
+pub async fn read_until(
+    body: Body,
+    max: usize,
+    idle: Duration,
+    deadline: Instant,
+) -> Result<ReadResult, ReadError> {
+    let reading = tokio::time::timeout_at(deadline.into(), read(body, max, idle));
+    reading.await.unwrap_or(Err(ReadError::Stalled))
+}
+
 /// The pieces of a body. A single piece is not copied when they are joined.
 #[derive(Default)]
 struct Pieces {
--- a/src/transport/relay/delivery.rs
+++ b/src/transport/relay/delivery.rs
@@ -35,6 +35,10 @@
 /// request.
 pub const TARGET_BROKE_OFF: &str = "target broke off";
 
+/// The reason of a refusal because a running target sent bytes that are no response, or too many
+/// before one.
+pub const NO_RESPONSE: &str = "target sent bytes that are no answer";
+
 /// The reason of a refusal because the request body ended early, which is no fault of the
 /// target.
 pub const BODY_BROKE_OFF: &str = "request body broke off";
--- a/src/transport/relay/egress.rs
+++ b/src/transport/relay/egress.rs
@@ -157,11 +157,10 @@
             return Ok(ReadResult::Partial(Bytes::new(), incoming));
         }
         let idle_timeout = limits.idle_timeout.duration();
-        let remaining = call.deadline.saturating_duration_since(Instant::now());
         let buffered = usize::try_from(max_bytes)
             .unwrap_or(MAX_BUFFERED_BODY)
             .min(MAX_BUFFERED_BODY);
-        match body::read(incoming, buffered, idle_timeout.min(remaining)).await {
+        match body::read_until(incoming, buffered, idle_timeout, call.deadline).await {
             Ok(ReadResult::Partial(first, _)) if first.len() as u64 > max_bytes => Err(too_large()),
             Ok(read) => Ok(read),
             Err(ReadError::Stalled) => Err(Refusal::rejected(408, "request body stood still")),
--- a/src/transport/relay/io.rs
+++ b/src/transport/relay/io.rs
@@ -4,7 +4,10 @@
     io,
     mem::MaybeUninit,
     pin::Pin,
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
     task::{Context, Poll, ready},
     time::Duration,
 };
@@ -29,9 +32,49 @@
 /// Unanswered keepalive probes after which the connection is closed.
 const KEEPALIVE_PROBES: u32 = 2;
 
+/// The kind of the error of a read beyond the [`ReadBudget`].
+pub const TOO_MANY_BYTES: io::ErrorKind = io::ErrorKind::InvalidData;
+
 /// A TCP stream as hyper reads and writes it.
 pub struct Io {
     stream: Arc<TcpStream>,
+    budget: ReadBudget,
+}
+
+/// How many bytes may still be read from a stream; without a limit at first.
+///
+/// hyper bounds the head of one response. It reads any number of informational responses before
+/// that, which a faulty server may send without end.
+#[derive(Clone, Debug)]
+pub struct ReadBudget(Arc<AtomicU64>);
+
+impl Default for ReadBudget {
+    fn default() -> Self {
+        Self(Arc::new(AtomicU64::new(u64::MAX)))
+    }
+}
+
+impl ReadBudget {
+    /// Allows `bytes` from now on; beyond it, reads fail.
+    pub fn limit(&self, bytes: u64) {
+        self.0.store(bytes, Ordering::Relaxed);
+    }
+
+    /// Removes the limit.
+    pub fn lift(&self) {
+        self.limit(u64::MAX);
+    }
+
+    /// Takes `count` bytes from the budget; returns whether it has as many.
+    fn take(&self, count: usize) -> bool {
+        let left = self.0.load(Ordering::Relaxed);
+        if left == u64::MAX {
+            return true;
+        }
+        self.0
+            .store(left.saturating_sub(count as u64), Ordering::Relaxed);
+        left >= count as u64
+    }
 }
 
 /// The state of an idle connection.
@@ -50,7 +93,13 @@
     pub fn new(stream: TcpStream) -> (Self, Arc<TcpStream>) {
         let stream = Arc::new(stream);
         let handle = stream.clone();
-        (Self { stream }, handle)
+        let budget = ReadBudget::default();
+        (Self { stream, budget }, handle)
+    }
+
+    /// Returns the budget of reads from this stream.
+    pub fn budget(&self) -> ReadBudget {
+        self.budget.clone()
     }
 }
 
@@ -93,6 +142,9 @@
         loop {
             ready!(self.stream.poll_read_ready(cx))?;
             match self.stream.try_read(&mut bytes[..len]) {
+                Ok(count) if !self.budget.take(count) => {
+                    return Poll::Ready(Err(TOO_MANY_BYTES.into()));
+                }
                 Ok(count) => {
                     buf.put_slice(&bytes[..count]);
                     return Poll::Ready(Ok(()));
--- a/src/transport/relay/peer_client.rs
+++ b/src/transport/relay/peer_client.rs
@@ -25,7 +25,7 @@
         relay::{
             MAX_BUFFERED_BODY,
             attempt::{AttemptGuard, AttemptOutcome},
-            body::{self, Body, ReadResult},
+            body::{self, Body, ReadError, ReadResult},
             call::Call,
             delivery::{self, Delivery, Refused},
             forwarded_headers, offer,
@@ -137,7 +137,8 @@
         let refused = delivery::peer_refusal(response.status(), report);
         let (head, incoming) = response.into_parts();
         let remaining = call.deadline.saturating_duration_since(Instant::now());
-        let read = body::read(incoming, MAX_BUFFERED_BODY, remaining).await;
+        let deadline = call.deadline;
+        let read = body::read_until(incoming, MAX_BUFFERED_BODY, remaining, deadline).await;
         let body = match (read, refused) {
             (Ok(ReadResult::Whole(_)), Some(refused)) if !is_offered => {
                 self.pool.put_back(connection);
@@ -153,8 +154,13 @@
             (Ok(ReadResult::Partial(first, rest)), None) => {
                 Body::streamed(first, rest, call.deadline).holding(connection)
             }
-            (Err(_), None) => {
-                let refusal = Refusal::unknown(502, "the answer broke off between nodes");
+            (Err(error), None) => {
+                let refusal = match error {
+                    ReadError::Stalled => Refusal::unknown(504, "no whole answer in time"),
+                    ReadError::Interrupted(_) => {
+                        Refusal::unknown(502, "the answer broke off between nodes")
+                    }
+                };
                 return AttemptOutcome::Refused(Refused {
                     refusal,
                     has_arrived: true,
--- a/src/transport/relay/pool.rs
+++ b/src/transport/relay/pool.rs
@@ -21,13 +21,17 @@
 
 use crate::transport::relay::{
     body::Body,
-    io::{self, Idle, Io},
+    io::{self, Idle, Io, ReadBudget, TOO_MANY_BYTES},
 };
 
 /// How long the system takes to close all sockets of a process that ended, with a margin.
 /// Short compared with the wait of a request whose connection broke.
 const SOCKET_CLOSE_TIME: Duration = Duration::from_millis(5);
 
+/// The most bytes that are read before the head of a response is complete: that head, and
+/// informational responses before it. hyper takes heads of 400 KiB.
+const MAX_BYTES_BEFORE_RESPONSE: u64 = 512 << 10;
+
 /// A pool of connections, by address.
 pub struct Pool {
     settings: Settings,
@@ -78,6 +82,16 @@
             Self::TimedOut | Self::NotAccepted => true,
         }
     }
+
+    /// Returns whether the other end sent bytes that are no response, or too many before one.
+    pub fn is_no_response(&self) -> bool {
+        let Self::Broken(error) = self else {
+            return false;
+        };
+        let source = std::error::Error::source(error);
+        let source = source.and_then(|source| source.downcast_ref::<std::io::Error>());
+        error.is_parse() || source.is_some_and(|error| error.kind() == TOO_MANY_BYTES)
+    }
 }
 
 /// A response whose body is not yet read, and its connection.
@@ -93,6 +107,7 @@
     address: SocketAddr,
     sender: SendRequest<Body>,
     stream: Arc<TcpStream>,
+    budget: ReadBudget,
     /// How long it may be idle: the pool's setting, or four fifths of the `timeout` that
     /// the other end announced.
     idle_timeout: Duration,
@@ -183,10 +198,12 @@
                 Some(idle) => (idle, false),
                 None => (self.connect(address, deadline).await?, true),
             };
+            connection.budget.limit(MAX_BYTES_BEFORE_RESPONSE);
             let sent = connection.sender.try_send_request(request);
             match tokio::time::timeout_at(deadline.into(), sent).await {
                 Err(_) => return Err(Failure::TimedOut),
                 Ok(Ok(response)) => {
+                    connection.budget.lift();
                     connection.set_idle_timeout(&response);
                     return Ok(Exchange {
                         response: response.map(Body::incoming),
@@ -285,6 +302,7 @@
             .map_err(Failure::NotSent)?;
         io::prepare(&stream).map_err(Failure::NotSent)?;
         let (io, stream) = Io::new(stream);
+        let budget = io.budget();
         let connected = http1::handshake::<_, Body>(io).await;
         let (sender, driver) =
             connected.map_err(|error| Failure::NotSent(std::io::Error::other(error)))?;
@@ -294,6 +312,7 @@
             address,
             sender,
             stream,
+            budget,
             idle_timeout: self.settings.idle_timeout,
         })
     }
--- a/src/transport/relay/run.rs
+++ b/src/transport/relay/run.rs
@@ -138,10 +138,13 @@
             Failure::Broken(error) if error.is_user() => {
                 Refused::after_arrival(Refusal::unknown(502, reasons::BODY_BROKE_OFF))
             }
-            Failure::Broken(_) => Refused::after_arrival(Refusal::unknown(
-                502,
-                self.disconnect_reason(permit, run).await,
-            )),
+            Failure::Broken(_) => {
+                let reason = match self.disconnect_reason(permit, run).await {
+                    reasons::TARGET_BROKE_OFF if failure.is_no_response() => reasons::NO_RESPONSE,
+                    reason => reason,
+                };
+                Refused::after_arrival(Refusal::unknown(502, reason))
+            }
             Failure::TimedOut | Failure::NotAccepted => {
                 Refused::after_arrival(Refusal::unknown(504, "target did not answer in time"))
             }
@@ -273,7 +276,8 @@
         } = exchange;
         let (head, incoming) = response.into_parts();
         let remaining = delivery.deadline.saturating_duration_since(Instant::now());
-        let read = body::read(incoming, MAX_BUFFERED_BODY, remaining).await;
+        let deadline = delivery.deadline;
+        let read = body::read_until(incoming, MAX_BUFFERED_BODY, remaining, deadline).await;
         let read = match read {
             Ok(read) => read,
             Err(error @ body::ReadError::Stalled) => {
--- a/standins/examples/soak.rs
+++ b/standins/examples/soak.rs
@@ -25,7 +25,7 @@
     fleet::version,
     proxy::{Harm, Proxy},
     store::{Mode as StoreMode, Store},
-    target::{Mode, Target},
+    target::{Endless, Mode, Target},
 };
 use serde_json::json;
 
@@ -565,6 +565,9 @@
                     Mode::Unframed,
                     Mode::Twice,
                     Mode::Hangs,
+                    Mode::Endless(Endless::Headers),
+                    Mode::Endless(Endless::Interim),
+                    Mode::Endless(Endless::Drip),
                 ];
                 node.target.set(modes[rng.usize(..modes.len())]);
                 tokio::time::sleep(span).await;
--- a/standins/src/target.rs
+++ b/standins/src/target.rs
@@ -1,6 +1,14 @@
 //! A stand-in for a target, with faults to inject.
 
-use std::{collections::HashMap, net::SocketAddr, sync::Arc};
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
 
 use parking_lot::Mutex;
 use tokio::{
@@ -34,6 +42,61 @@
     Hangs,
     /// Rejects them with 421, as an instance other than the expected one does.
     Other,
+    /// Runs them and sends bytes without end.
+    Endless(Endless),
+}
+
+/// What comes without end, until the client closes the connection.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Endless {
+    /// Bytes that are no response.
+    Junk,
+    /// Empty lines.
+    EmptyLines,
+    /// The status line.
+    StatusLine,
+    /// One header.
+    Header,
+    /// Headers.
+    Headers,
+    /// Informational responses.
+    Interim,
+    /// Chunks of the body.
+    Chunks,
+    /// A body without a length.
+    Unframed,
+    /// The body, one byte after the other with pauses.
+    Drip,
+    /// Trailers after the body.
+    Trailers,
+    /// Bytes after a complete response.
+    Excess,
+    /// The body of a refusal.
+    Refusal,
+}
+
+impl Endless {
+    /// Returns what comes first, given the headers of a response, and what is repeated.
+    fn parts(self, headers: &str) -> (String, &'static str) {
+        let ok = format!("HTTP/1.1 200 OK\r\n{headers}");
+        let chunked = format!("{ok}Transfer-Encoding: chunked\r\n\r\n");
+        match self {
+            Self::Junk => (String::new(), "\u{1}junk"),
+            Self::EmptyLines => (String::new(), "\r\n"),
+            Self::StatusLine => ("HTTP/1.1 200 ".into(), "OK"),
+            Self::Header => (format!("{ok}X: "), "value"),
+            Self::Headers => (ok, "X: value\r\n"),
+            Self::Interim => (String::new(), "HTTP/1.1 102 Processing\r\n\r\n"),
+            Self::Chunks | Self::Drip => (chunked, "1\r\nx\r\n"),
+            Self::Unframed => (format!("{ok}\r\n"), "x"),
+            Self::Trailers => (format!("{chunked}0\r\n"), "X: value\r\n"),
+            Self::Excess => (format!("{ok}Content-Length: 2\r\n\r\nok"), "x"),
+            Self::Refusal => (
+                "HTTP/1.1 503 Full\r\nRilltrack-Not-Executed: 1\r\n\r\n".into(),
+                "x",
+            ),
+        }
+    }
 }
 
 /// A request as a target received it.
@@ -70,6 +133,8 @@
     /// Header lines that it adds to its answers.
     notice: Arc<Mutex<String>>,
     pace: Arc<Mutex<Pace>>,
+    /// Connections on which it sends bytes without end.
+    endless: Arc<AtomicUsize>,
 }
 
 /// How long a target takes for requests, and what it states about that.
@@ -124,6 +189,7 @@
             cold: Arc::default(),
             notice: Arc::default(),
             pace: Arc::default(),
+            endless: Arc::default(),
         };
         target.run(socket);
         target
@@ -299,6 +365,36 @@
             .count()
     }
 
+    /// Returns the number of connections with bytes without end that the client hasn't closed.
+    pub fn endless_connections(&self) -> usize {
+        self.endless.load(Ordering::Relaxed)
+    }
+
+    async fn send_endlessly(
+        &self,
+        endless: Endless,
+        seen: &Seen,
+        mut stream: TcpStream,
+    ) -> Option<()> {
+        self.endless.fetch_add(1, Ordering::Relaxed);
+        let id = seen.header("rilltrack-attempt-id");
+        let headers =
+            format!("Rilltrack-Attempt-Id: {id}\r\nRilltrack-Response-Signature: 1.2.3\r\n");
+        let (first, piece) = endless.parts(&headers);
+        let (pieces, pause) = match endless {
+            Endless::Drip => (1, Duration::from_millis(20)),
+            _ => (1000, Duration::ZERO),
+        };
+        let pieces = piece.repeat(pieces);
+        let mut sent = stream.write_all(first.as_bytes()).await;
+        while sent.is_ok() {
+            tokio::time::sleep(pause).await;
+            sent = stream.write_all(pieces.as_bytes()).await;
+        }
+        self.endless.fetch_sub(1, Ordering::Relaxed);
+        None
+    }
+
     async fn serve(&self, mut stream: TcpStream) -> Option<()> {
         loop {
             let mut seen = read(&mut stream).await?;
@@ -327,6 +423,9 @@
                 drop(stream.read_u8().await);
                 return None;
             }
+            if let Mode::Endless(endless) = mode {
+                return self.send_endlessly(endless, &seen, stream).await;
+            }
             let run_time = self.pace.lock().run_time();
             if seen.ran && !run_time.is_zero() && !seen.line.contains("quick") {
                 tokio::time::sleep(run_time).await;
@@ -380,7 +479,7 @@
         Mode::Halves => (served[..served.len() - 2].into(), true),
         Mode::Unframed => (format!("HTTP/1.1 200 OK\r\n{echo}{proof}\r\n{body}"), true),
         Mode::Twice => (format!("{served}{served}"), false),
-        Mode::Hangs => unreachable!("never answers"),
+        Mode::Hangs | Mode::Endless(_) => unreachable!("has no whole answer"),
     };
     Some((text.into_bytes(), closes))
 }
--- a/tests/requests.rs
+++ b/tests/requests.rs
@@ -61,6 +61,38 @@
         }
     }
 
+    // Guards against a node that reads from a target without end.
+    head_without_an_end_is_not_read_beyond_the_deadline => {
+        let endless: [(&'static str, &'static str); 3] = [
+            ("HTTP/1.1 200 OK\r\n", "x: value\r\n"),
+            ("HTTP/1.1 200 OK\r\nx: ", "value"),
+            ("", "HTTP/1.1 102 Processing\r\n\r\n"),
+        ];
+        for (first, piece) in endless {
+            let mesh = two_nodes(json!({"timeout": "1s"})).await;
+            let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let address = listener.local_addr().unwrap();
+            let (closed, mut closes) = tokio::sync::mpsc::unbounded_channel();
+            tokio::spawn(async move {
+                while let Ok((mut stream, _)) = listener.accept().await {
+                    let closed = closed.clone();
+                    tokio::spawn(async move {
+                        drop(stream.read_u8().await);
+                        let mut sent = stream.write_all(first.as_bytes()).await;
+                        while sent.is_ok() {
+                            sent = stream.write_all(piece.repeat(1000).as_bytes()).await;
+                        }
+                        closed.send(()).unwrap();
+                    });
+                }
+            });
+            mesh.announce(1, "s", address).await;
+            let response = client().post(mesh.url(0, "/s")).body("x").send().await.unwrap();
+            assert_eq!(outcome(&response), "unknown");
+            closes.recv().await.unwrap();
+        }
+    }
+
     request_on_a_reused_connection_that_closes_is_sent_once => {
         let mesh = two_nodes(json!({})).await;
         let ok = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok".to_vec();
