The limit on a body counts each byte once, when it is received

Cause: a limit counted the bytes that a body yielded. Beside its own target a node reads the start of a body and puts it back, so the start counted twice. Now bytes count when they are received. One version's limit holds for a whole request, and a body that the caller broke off or that was too large is no evidence about the target.

--- a/src/transport/relay/attempt.rs
+++ b/src/transport/relay/attempt.rs
@@ -129,6 +129,8 @@
                 }
                 Outcome::NotRun if refused.refusal.reason == gate::SLOW => AttemptResult::Slow,
                 Outcome::NotRun => AttemptResult::Refused,
+                // The caller sent too much, or not all of it.
+                _ if refused.refusal.reason == delivery::BODY_BROKE_OFF => AttemptResult::Abandoned,
                 _ => AttemptResult::Failed,
             },
         };
--- a/src/transport/relay/body.rs
+++ b/src/transport/relay/body.rs
@@ -37,7 +37,7 @@
     _guard: Option<Box<dyn Any + Send + Sync>>,
 }
 
-/// The limit of a body's length.
+/// The limit on what is still to be received of a body.
 struct Limit {
     /// Bytes that may still be received.
     left: u64,
@@ -150,12 +150,16 @@
         }
     }
 
-    /// Returns the body with a limit of `max` bytes. Beyond it the body fails and
-    /// sets `is_exceeded`.
+    /// Returns the body with a limit of `max` bytes, among them those that were received already.
+    /// Beyond it the body fails and sets `is_exceeded`.
+    ///
+    /// Bytes count when they are received, so a start that is read and put back with
+    /// [`streamed`](Self::streamed) counts once.
     pub fn limited(self, max: u64, is_exceeded: Arc<AtomicBool>) -> Self {
+        let received = self.first.as_ref().map_or(0, |first| first.len() as u64);
         Self {
             limit: Some(Limit {
-                left: max,
+                left: max.saturating_sub(received),
                 is_exceeded,
             }),
             ..self
@@ -204,7 +208,7 @@
             }
         }
         if let Some(first) = self.first.take() {
-            return Poll::Ready(Some(self.check_limit(first)));
+            return Poll::Ready(Some(Ok(Frame::data(first))));
         }
         if let Some(deadline) = &mut self.deadline
             && deadline.as_mut().poll(cx).is_ready()
--- a/src/transport/relay/egress.rs
+++ b/src/transport/relay/egress.rs
@@ -28,7 +28,7 @@
     host::metrics,
     journal::note,
     protocol::{answer::Refusal, notice::Notice},
-    state::member::Member,
+    state::{member::Member, routing::Limits},
     transport::{
         http,
         relay::{
@@ -122,7 +122,9 @@
             Ok(found) => found,
             Err(denied) => return refusal_response(&denied.refusal, denied.remaining),
         };
-        let body = match self.read_body(incoming, &call).await {
+        // One version's limits hold for the whole request.
+        let limits = self.host.limits();
+        let body = match read_body(incoming, &call, &limits).await {
             Ok(body) => body,
             Err(refusal) => {
                 return finish(
@@ -135,7 +137,9 @@
             }
         };
         let mut attempts = Attempts::default();
-        let result = self.run_attempts(&call, body, &mut attempts).await;
+        let result = self
+            .run_attempts(&call, body, limits.body, &mut attempts)
+            .await;
         if let Ok(response) = &result {
             self.host
                 .until_bandwidth_free(response.body().length())
@@ -144,40 +148,14 @@
         finish(&self.host, &call, version, &attempts, result)
     }
 
-    /// Reads a small body whole, and the start of a larger one.
-    async fn read_body(&self, incoming: Body, call: &Call) -> Result<ReadResult, Refusal> {
-        let limits = self.host.limits();
-        let max_bytes = limits.body.as_bytes();
-        let too_large = || Refusal::rejected(413, too_large_reason(limits.body));
-        let length: Option<u64> = http::parse(&call.head.headers, "content-length");
-        if length.is_some_and(|length| length > max_bytes) {
-            return Err(too_large());
-        }
-        if length.is_some_and(|length| length > MAX_BUFFERED_BODY as u64) {
-            return Ok(ReadResult::Partial(Bytes::new(), incoming));
-        }
-        let idle_timeout = limits.idle_timeout.duration();
-        let buffered = usize::try_from(max_bytes)
-            .unwrap_or(MAX_BUFFERED_BODY)
-            .min(MAX_BUFFERED_BODY);
-        match body::read_until(incoming, buffered, idle_timeout, call.deadline).await {
-            Ok(ReadResult::Partial(first, _)) if first.len() as u64 > max_bytes => Err(too_large()),
-            Ok(read) => Ok(read),
-            Err(ReadError::Stalled) => Err(Refusal::rejected(408, "request body stood still")),
-            Err(error @ ReadError::Interrupted(_)) => {
-                Err(Refusal::rejected(400, error.to_string()))
-            }
-        }
-    }
-
     /// Tries one target after another until one answers or no further attempt is allowed.
     async fn run_attempts(
         &self,
         call: &Call,
         body: ReadResult,
+        max_body: Size,
         attempts: &mut Attempts,
     ) -> Result<Response<Body>, Refusal> {
-        let max_body = self.host.limits().body;
         let is_exceeded = Arc::new(AtomicBool::new(false));
         let (mut streamed, whole) = match body {
             ReadResult::Whole(bytes) => (None, Some(bytes)),
@@ -452,6 +430,29 @@
     }
 }
 
+/// Reads a small body whole, and the start of a larger one.
+async fn read_body(incoming: Body, call: &Call, limits: &Limits) -> Result<ReadResult, Refusal> {
+    let max_bytes = limits.body.as_bytes();
+    let too_large = || Refusal::rejected(413, too_large_reason(limits.body));
+    let length: Option<u64> = http::parse(&call.head.headers, "content-length");
+    if length.is_some_and(|length| length > max_bytes) {
+        return Err(too_large());
+    }
+    if length.is_some_and(|length| length > MAX_BUFFERED_BODY as u64) {
+        return Ok(ReadResult::Partial(Bytes::new(), incoming));
+    }
+    let idle_timeout = limits.idle_timeout.duration();
+    let buffered = usize::try_from(max_bytes)
+        .unwrap_or(MAX_BUFFERED_BODY)
+        .min(MAX_BUFFERED_BODY);
+    match body::read_until(incoming, buffered, idle_timeout, call.deadline).await {
+        Ok(ReadResult::Partial(first, _)) if first.len() as u64 > max_bytes => Err(too_large()),
+        Ok(read) => Ok(read),
+        Err(ReadError::Stalled) => Err(Refusal::rejected(408, "request body stood still")),
+        Err(error @ ReadError::Interrupted(_)) => Err(Refusal::rejected(400, error.to_string())),
+    }
+}
+
 fn too_large_reason(max: Size) -> String {
     format!("request body is larger than {max}")
 }
--- a/standins/tests/limits.rs
+++ b/standins/tests/limits.rs
@@ -3,6 +3,7 @@
 use rilltrack::{
     id::{Generation, Incarnation},
     state::member::{Member, Status, Target},
+    transport::relay::MAX_BUFFERED_BODY,
 };
 use rilltrack_standins::{
     fleet::{Host, version},
@@ -13,12 +14,18 @@
 use serde_json::{Value, json};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::TcpListener,
+    net::{TcpListener, TcpStream},
 };
 
 /// The largest head that callers may send, in bytes.
 const MAX_HEAD: usize = 16_384;
 
+/// The largest body that callers may send, in bytes.
+const MAX_BODY: usize = 1 << 20;
+
+/// The largest body that a node holds whole, in bytes.
+const MAX_BUFFERED: usize = MAX_BUFFERED_BODY;
+
 /// Where the target of a request is.
 #[derive(Clone, Copy, Debug)]
 enum Place {
@@ -32,8 +39,12 @@
 
 /// Returns a version whose limit on heads is `max_head`.
 fn version_with(number: u64, max_head: usize) -> Value {
+    version_with_limit(number, "maxHeaderBytes", max_head)
+}
+
+fn version_with_limit(number: u64, limit: &str, max: usize) -> Value {
     let mut version = version(number, &["a", "b"]);
-    version["resources"][0]["spec"]["maxHeaderBytes"] = json!(max_head);
+    version["resources"][0]["spec"][limit] = json!(max);
     version
 }
 
@@ -217,3 +228,130 @@
     peers_431_is_no_answer_of_the_target: "431 Request Header Fields Too Large" => "502", "503";
     other_programs_200_is_no_answer_of_the_target: "200 OK" => "502", "503";
 }
+
+/// How a body is framed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Framing {
+    Length,
+    Chunked,
+}
+
+/// An upload of which a caller has sent the head.
+struct Upload {
+    stream: TcpStream,
+    framing: Framing,
+}
+
+impl Upload {
+    async fn start(path: &Path, id: &str, framing: Framing, size: usize) -> Self {
+        let mut stream = TcpStream::connect(path.hosts[0].callers()).await.unwrap();
+        let framed = match framing {
+            Framing::Length => format!("Content-Length: {size}"),
+            Framing::Chunked => "Transfer-Encoding: chunked".into(),
+        };
+        let head = format!(
+            "POST /post/b/x HTTP/1.1\r\nHost: fares.example\r\nRilltrack-Attempt-Id: {id}\r\n\
+             Rilltrack-Deadline-Ms: 20000\r\nConnection: close\r\n{framed}\r\n\r\n"
+        );
+        stream.write_all(head.as_bytes()).await.unwrap();
+        Self { stream, framing }
+    }
+
+    /// Sends a part of the body. The node may have refused it already, so a failure is no error.
+    async fn send(&mut self, part: &[u8]) {
+        let sent = match self.framing {
+            Framing::Length => self.stream.write_all(part).await,
+            Framing::Chunked => {
+                let line = format!("{:x}\r\n", part.len());
+                let chunk = [line.as_bytes(), part, b"\r\n"].concat();
+                self.stream.write_all(&chunk).await
+            }
+        };
+        drop(sent);
+    }
+
+    /// Ends the body; returns the status of the answer.
+    async fn finish(mut self) -> String {
+        if self.framing == Framing::Chunked {
+            drop(self.stream.write_all(b"0\r\n\r\n").await);
+        }
+        let mut answer = Vec::new();
+        drop(self.stream.read_to_end(&mut answer).await);
+        let status = answer.get(9..12).unwrap_or_default();
+        String::from_utf8_lossy(status).into()
+    }
+}
+
+/// Returns a body in which each part differs from the others.
+fn body(size: usize) -> Vec<u8> {
+    (0..size as u32).map(|i| (i % 251) as u8).collect()
+}
+
+macro_rules! bodies {
+    ($($name:ident: $place:ident, $framing:ident, $piece:expr;)*) => {$(
+        // Guards against an upload within the limit that is refused for its size, or doesn't reach the
+        // target byte for byte, and against a target that passes for broken after one beyond it.
+        #[tokio::test(flavor = "multi_thread")]
+        async fn $name() {
+            let path = Path::start(Place::$place, &version_with_limit(5, "maxBodyBytes", MAX_BODY)).await;
+            let sizes = [
+                1, MAX_BUFFERED - 1, MAX_BUFFERED, MAX_BUFFERED + 1, 700_000, MAX_BODY - 1, MAX_BODY,
+                MAX_BODY + 1, MAX_BODY + 1, MAX_BODY + 1, MAX_BODY + 1, MAX_BODY + 1, MAX_BODY,
+            ];
+            for (i, size) in sizes.into_iter().enumerate() {
+                let id = format!("u{i}");
+                let body = body(size);
+                let mut upload = Upload::start(&path, &id, Framing::$framing, size).await;
+                for part in body.chunks($piece) {
+                    upload.send(part).await;
+                }
+                let expected = if size <= MAX_BODY { "200" } else { "413" };
+                assert_eq!(upload.finish().await, expected, "{size} bytes, {id}");
+                let seen = path.target().seen();
+                let arrived = seen.iter().find(|seen| seen.header("rilltrack-attempt-id") == id);
+                assert_eq!(arrived.is_some(), size <= MAX_BODY, "{size} bytes");
+                assert!(arrived.is_none_or(|arrived| arrived.body == body), "{size} bytes");
+            }
+        }
+    )*};
+}
+
+bodies! {
+    body_with_a_length_in_one_write_beside_the_target: Beside, Length, usize::MAX;
+    body_with_a_length_in_many_writes_beside_the_target: Beside, Length, 5000;
+    chunked_body_in_one_write_beside_the_target: Beside, Chunked, usize::MAX;
+    chunked_body_in_many_writes_beside_the_target: Beside, Chunked, 5000;
+    body_with_a_length_in_one_write_on_another_host: Near, Length, usize::MAX;
+    body_with_a_length_in_many_writes_on_another_host: Near, Length, 5000;
+    chunked_body_in_one_write_on_another_host: Near, Chunked, usize::MAX;
+    chunked_body_in_many_writes_on_another_host: Near, Chunked, 5000;
+    chunked_body_in_one_write_in_another_region: Far, Chunked, usize::MAX;
+    chunked_body_in_many_writes_in_another_region: Far, Chunked, 5000;
+}
+
+macro_rules! changed_limits {
+    ($($name:ident: $before:expr => $after:expr, $size:expr, $status:literal;)*) => {$(
+        // Guards against an upload that is judged by two versions.
+        #[tokio::test(flavor = "multi_thread")]
+        async fn $name() {
+            for place in [Place::Beside, Place::Near] {
+                let path = Path::start(place, &version_with_limit(5, "maxBodyBytes", $before)).await;
+                let body = body($size);
+                let (first, rest) = body.split_at(600_000);
+                let mut upload = Upload::start(&path, "u1", Framing::Chunked, $size).await;
+                upload.send(first).await;
+                path.store.publish(&version_with_limit(6, "maxBodyBytes", $after));
+                for host in &path.hosts {
+                    until("the new limit is in force", async || host.version() == 6).await;
+                }
+                upload.send(rest).await;
+                assert_eq!(upload.finish().await, $status, "{place:?}");
+            }
+        }
+    )*};
+}
+
+changed_limits! {
+    limit_lowered_amid_an_upload: MAX_BODY => 650_000, 700_000, "200";
+    limit_raised_amid_an_upload: 650_000 => MAX_BODY, 700_000, "413";
+}
