A cancelled run stays evidence until the target's deadline

Cause: a run was evidence as long as the node waited for its answer, and not as long as the target might be working on it. Ruled out: reports that don't reach the other nodes and a search that doesn't find the request, which both work with callers that wait (TROUBLE=0).

A run that ends here first, since its caller left, its deadline passed or its body broke off, counts until the deadline that the target was given. A crash is also found by a refused connection and by the heartbeat of another instance.

--- a/src/coordination/decision/quarantine/mod.rs
+++ b/src/coordination/decision/quarantine/mod.rs
@@ -17,6 +17,10 @@
 //! request to its own target as a trial, after a delay that grows with the number of targets
 //! that crashed under it. A response releases the request at all nodes.
 //!
+//! A run that was cancelled here, because its caller left or its deadline passed, may go on at the
+//! target. Until its deadline it counts among the requests that a crashed target was running
+//! (`docs/design/cancelled-runs.md`).
+//!
 //! Limits: a request under which targets crash only sometimes is cleared by each response in
 //! between. Nodes that can reach neither the store nor each other each quarantine a request on
 //! their own evidence alone.
@@ -48,6 +52,7 @@
 //! # Ok::<(), rilltrack::id::Error>(())
 //! ```
 
+mod cancelled;
 mod culprits;
 mod own;
 mod recent;
@@ -60,6 +65,7 @@
 
 pub use self::reports::PeerEvidence;
 use self::{
+    cancelled::CancelledRuns,
     culprits::{MIN_CRASHES, culprits},
     own::Own,
     recent::RecentAnswers,
@@ -120,6 +126,7 @@
 #[derive(Debug, Default)]
 pub struct Quarantine {
     own: Own,
+    cancelled: CancelledRuns,
     /// The evidence of this node as of the last review.
     last_own: Evidence,
     is_restored: bool,
@@ -182,8 +189,47 @@
         }
     }
 
-    /// Records that the local target crashed while it was running a request.
-    pub fn note_crash(&mut self, instance: &Instance, content: Fingerprint, now: Instant) {
+    /// Records that the local target crashed while it was running a request. Returns the requests
+    /// that it may have been running besides, since their runs were cancelled.
+    pub fn note_crash(
+        &mut self,
+        instance: &Instance,
+        content: Fingerprint,
+        now: Instant,
+    ) -> Vec<Fingerprint> {
+        self.add_to_crash(instance, content, now);
+        self.note_end(instance, now)
+    }
+
+    /// Records that the local target is found to have crashed. Returns the requests that it may have
+    /// been running, since their runs were cancelled.
+    pub fn note_end(&mut self, instance: &Instance, now: Instant) -> Vec<Fingerprint> {
+        let cancelled = self.cancelled.take(instance, now);
+        for content in &cancelled {
+            self.add_to_crash(instance, *content, now);
+        }
+        cancelled
+    }
+
+    /// Records that a run at the local target was cancelled. The target may work on until the
+    /// deadline. Returns whether it is known to have crashed meanwhile.
+    pub fn note_cancelled(
+        &mut self,
+        instance: &Instance,
+        content: Fingerprint,
+        deadline: Instant,
+        now: Instant,
+    ) -> bool {
+        let has_crashed = self.learned.contains_key(&(None::<Node>, instance.clone()));
+        if has_crashed {
+            self.add_to_crash(instance, content, now);
+        } else {
+            self.cancelled.add(instance, content, deadline);
+        }
+        has_crashed
+    }
+
+    fn add_to_crash(&mut self, instance: &Instance, content: Fingerprint, now: Instant) {
         if self.explained.contains(instance) {
             return;
         }
--- a/src/coordination/host.rs
+++ b/src/coordination/host.rs
@@ -49,6 +49,7 @@
     protocol::update::Progress,
     state::{
         drain::Drain,
+        fingerprint::Fingerprint,
         member::{Member, Table},
         routing::{self, Delta},
     },
@@ -285,6 +286,20 @@
         true
     }
 
+    /// Logs the requests that a crashed target may have been running after their runs were
+    /// cancelled.
+    pub fn log_cancelled(&self, instance: &Instance, contents: &[Fingerprint]) {
+        for content in contents {
+            note!(
+                self.journal,
+                Event::TargetEnded,
+                instance = instance,
+                content = content,
+                cancelled = true
+            );
+        }
+    }
+
     /// Counts input from outside that can't be used; `what` is its kind.
     pub fn count_unusable(&self, what: &'static str) {
         self.add_unusable(what, 1);
--- a/src/coordination/quarantine/mod.rs
+++ b/src/coordination/quarantine/mod.rs
@@ -50,13 +50,37 @@
         }
     }
 
-    /// Records that the local target crashed while it was running a request.
-    pub fn note_crash(&self, instance: &Instance, content: Fingerprint) {
+    /// Records that the local target crashed while it was running a request. Returns the requests
+    /// that it may have been running besides, since their runs were cancelled.
+    pub fn note_crash(&self, instance: &Instance, content: Fingerprint) -> Vec<Fingerprint> {
         let mut quarantine = self.quarantine.lock();
-        quarantine.note_crash(instance, content, Instant::now());
+        let cancelled = quarantine.note_crash(instance, content, Instant::now());
         self.is_active.store(true, Ordering::Relaxed);
         drop(quarantine);
         self.wake.notify_one();
+        cancelled
+    }
+
+    /// Records that the local target is found to have crashed. Returns the requests that it may have
+    /// been running, since their runs were cancelled.
+    pub fn note_end(&self, instance: &Instance) -> Vec<Fingerprint> {
+        let mut quarantine = self.quarantine.lock();
+        let cancelled = quarantine.note_end(instance, Instant::now());
+        if !cancelled.is_empty() {
+            self.is_active.store(true, Ordering::Relaxed);
+            self.wake.notify_one();
+        }
+        cancelled
+    }
+
+    /// Records that a run at the local target was cancelled. The target may work on until the
+    /// deadline.
+    pub fn note_cancelled(&self, instance: &Instance, content: Fingerprint, deadline: Instant) {
+        let mut quarantine = self.quarantine.lock();
+        if quarantine.note_cancelled(instance, content, deadline, Instant::now()) {
+            self.is_active.store(true, Ordering::Relaxed);
+            self.wake.notify_one();
+        }
     }
 
     /// Records that a target answered a request.
--- a/src/transport/relay/control.rs
+++ b/src/transport/relay/control.rs
@@ -29,6 +29,7 @@
         sync,
     },
     event::Event,
+    id::Instance,
     journal::note,
     protocol::{announce::TargetCall, load_report::Message},
     state::fingerprint::Fingerprint,
@@ -376,10 +377,24 @@
 
 fn apply(host: &Host, message: &TargetCall) -> Change {
     let mut local = host.local.lock();
-    match message {
+    let running = local.target().filter(|target| !target.draining);
+    let running = running.map(|target| target.instance.clone());
+    let change = match message {
         TargetCall::Heartbeat(heartbeat) => local.apply_heartbeat(heartbeat, Instant::now()),
         TargetCall::Leave(instance) => local.leave(instance),
+    };
+    let is_replaced = |before: &Instance| {
+        let current = local.target().map(|target| &target.instance);
+        current.is_some_and(|current| !current.may_match(before))
+    };
+    let crashed = running.filter(is_replaced);
+    drop(local);
+    // An instance that another one replaced without a leave has crashed.
+    if let Some(crashed) = crashed {
+        let cancelled = host.quarantine.note_end(&crashed);
+        host.log_cancelled(&crashed, &cancelled);
     }
+    change
 }
 
 /// Waits until the latest state of the target is in the store; returns whether it is.
--- a/src/transport/relay/pool.rs
+++ b/src/transport/relay/pool.rs
@@ -83,6 +83,16 @@
         }
     }
 
+    /// Returns whether this side ended the exchange, so that the other end may still be working on
+    /// the request: the deadline passed, or the body of the request ended with an error.
+    pub fn is_cancellation(&self) -> bool {
+        match self {
+            Self::TimedOut => true,
+            Self::Broken(error) => error.is_user(),
+            Self::NotSent(_) | Self::NotAccepted => false,
+        }
+    }
+
     /// Returns whether the other end sent bytes that are no response, or too many before one.
     pub fn is_no_response(&self) -> bool {
         let Self::Broken(error) = self else {
--- a/src/transport/relay/run.rs
+++ b/src/transport/relay/run.rs
@@ -16,8 +16,10 @@
     coordination::{
         gate::{NO_TARGET, Permit},
         host::Host,
+        quarantine::SharedQuarantine,
     },
     event::Event,
+    id::Instance,
     journal::note,
     protocol::{answer::Refusal, notice::Notice},
     state::fingerprint::Fingerprint,
@@ -56,6 +58,26 @@
     pub deadline: Instant,
 }
 
+/// A run that the target has not ended yet. If it is dropped before, because its caller left or its
+/// deadline passed, the target may still be working on it.
+struct OngoingRun<'a> {
+    quarantine: &'a SharedQuarantine,
+    instance: Instance,
+    content: Fingerprint,
+    deadline: Instant,
+    has_ended: bool,
+}
+
+impl Drop for OngoingRun<'_> {
+    fn drop(&mut self) {
+        if !self.has_ended {
+            let (instance, content) = (&self.instance, self.content);
+            self.quarantine
+                .note_cancelled(instance, content, self.deadline);
+        }
+    }
+}
+
 /// Runs requests at the target on this host.
 pub struct Runner {
     host: Arc<Host>,
@@ -86,10 +108,22 @@
     ) -> Result<Response<Body>, Refused> {
         let request = self.target_request(delivery, &permit, run.head, body);
         let address = permit.target.address;
+        let mut ongoing = OngoingRun {
+            quarantine: &self.host.quarantine,
+            instance: permit.target.instance.clone(),
+            content: run.content,
+            deadline: run.deadline,
+            has_ended: false,
+        };
         let exchange = match self.pool.send(address, request, delivery.deadline).await {
             Ok(exchange) => exchange,
-            Err(failure) => return Err(self.refuse_failure(&permit, run, &failure).await),
+            Err(failure) => {
+                let refused = self.refuse_failure(&permit, run, &failure).await;
+                ongoing.has_ended = !failure.is_cancellation();
+                return Err(refused);
+            }
         };
+        ongoing.has_ended = self.is_not_run(&exchange.response);
         let id = run.head.headers.get(&self.host.decoders.dialect.attempt_id);
         if exchange.response.status() == StatusCode::MISDIRECTED_REQUEST {
             self.mark_unreachable(&permit, "another instance answers");
@@ -97,7 +131,9 @@
             self.receive_notice(&permit, &exchange.response);
         }
         self.check_response(id, &exchange.response)?;
-        self.relay_response(delivery, permit, run, exchange).await
+        let result = self.relay_response(delivery, permit, run, exchange).await;
+        ongoing.has_ended = !matches!(&result, Err(refused) if refused.refusal.status == 504);
+        result
     }
 
     /// Returns the request as it is sent to the target.
@@ -130,7 +166,12 @@
     /// Returns the refusal for a request that the target did not answer.
     async fn refuse_failure(&self, permit: &Permit, run: &Run<'_>, failure: &Failure) -> Refused {
         match failure {
-            Failure::NotSent(_) => {
+            Failure::NotSent(error) => {
+                if error.kind() == std::io::ErrorKind::ConnectionRefused {
+                    let instance = &permit.target.instance;
+                    let cancelled = self.host.quarantine.note_end(instance);
+                    self.host.log_cancelled(instance, &cancelled);
+                }
                 self.mark_unreachable(permit, failure);
                 Refused::before_arrival(Refusal::not_run(NO_TARGET, Span::from_millis(100)))
             }
@@ -162,9 +203,11 @@
             return reasons::TARGET_BROKE_OFF;
         }
         let dialect = &self.host.decoders.dialect;
-        self.host
+        let cancelled = self
+            .host
             .quarantine
             .note_crash(&target.instance, run.content);
+        self.host.log_cancelled(&target.instance, &cancelled);
         note!(
             self.host.journal,
             Event::TargetEnded,
--- a/standins/src/target.rs
+++ b/standins/src/target.rs
@@ -125,8 +125,8 @@
     pub address: SocketAddr,
     mode: Arc<Mutex<Mode>>,
     seen: Arc<Mutex<Vec<Seen>>>,
-    /// A part of a request line; requests that contain it crash the target.
-    fatal: Arc<Mutex<Option<String>>>,
+    /// A part of a request line; requests that contain it crash the target, after this time.
+    fatal: Arc<Mutex<Option<(String, Duration)>>>,
     process: Arc<Mutex<ProcessState>>,
     /// What its health answers tell, while it is cold.
     cold: Arc<Mutex<Option<Cold>>>,
@@ -218,7 +218,13 @@
 
     /// Makes it crash whenever it starts a request whose request line contains `part`.
     pub fn end_under(&self, part: &str) {
-        *self.fatal.lock() = Some(part.into());
+        self.end_under_after(part, Duration::ZERO);
+    }
+
+    /// Makes it crash some time after it starts such a request, even if the client has closed the
+    /// connection meanwhile.
+    pub fn end_under_after(&self, part: &str, time: Duration) {
+        *self.fatal.lock() = Some((part.into(), time));
     }
 
     /// Returns whether its process is running.
@@ -413,7 +419,8 @@
             self.seen.lock().push(seen.clone());
             self.crash_if_overrun();
             let fatal = self.fatal.lock().clone();
-            if fatal.is_some_and(|part| seen.line.contains(&part)) {
+            if let Some((_, time)) = fatal.filter(|(part, _)| seen.line.contains(part)) {
+                tokio::time::sleep(time).await;
                 self.end();
                 // The crash closes this connection with all others.
                 std::future::pending::<()>().await;
--- a/standins/tests/fatal.rs
+++ b/standins/tests/fatal.rs
@@ -114,6 +114,14 @@
         }
     }
 
+    /// Sends the poison request at a node, and leaves after 100 ms; returns the answer if one came
+    /// before that.
+    async fn leave_early(&self, i: usize, id: &str) -> String {
+        let asked = self.hosts[i].ask("GET", POISON_PATH, id, "");
+        let answer = tokio::time::timeout(Duration::from_millis(100), asked).await;
+        answer.unwrap_or_default()
+    }
+
     /// Sends the poison request once at every node; returns the last answer.
     async fn round(&mut self, round: usize) -> String {
         let mut last = String::new();
@@ -143,6 +151,30 @@
         assert_eq!(fleet.crash_count(), 1, "targets crashed, with the retries of one node");
     }
 
+    // Guards against a request that crashes one target after the other, because its callers leave
+    // before the crash and nobody knows any more that the target was running it.
+    request_whose_callers_leave_is_quarantined => {
+        let mut fleet = Fleet::start().await;
+        for host in &fleet.hosts {
+            host.target.end_under_after("fatal", Duration::from_millis(300));
+        }
+        for round in 0..ROUNDS {
+            for i in 0..fleet.hosts.len() {
+                let before = fleet.crash_count();
+                let answer = fleet.leave_early(i, &format!("left-{round}-{i}")).await;
+                if answer.contains(QUARANTINED) {
+                    continue;
+                }
+                until("a target crashes", async || fleet.crash_count() > before).await;
+                fleet.restart().await;
+                // The evidence of one node reaches the others by way of the store.
+                tokio::time::sleep(Duration::from_millis(500)).await;
+            }
+        }
+        let crashes = fleet.crash_count();
+        assert!((2..=MAX_CRASHES).contains(&crashes), "{crashes} targets crashed");
+    }
+
     restarted_nodes_keep_requests_quarantined => {
         let mut fleet = Fleet::start().await;
         fleet.until_quarantined().await;
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -144,6 +144,13 @@
         }
     }
 
+    /// Cancels a run at a target, whose caller has a second left.
+    fn cancel(&mut self, target: usize, number: u64) {
+        let instance = Instance::from(format!("i{target}-{}", self.crash_counts[target]).as_str());
+        let deadline = self.now + Duration::from_secs(1);
+        self.nodes[target].note_cancelled(&instance, content(number), deadline, self.now);
+    }
+
     fn answer(&mut self, node: usize, number: u64) {
         self.nodes[node].note_answer(content(number), self.now);
     }
@@ -371,11 +378,44 @@
         assert_eq!(rmp_serde::from_slice::<Evidence>(&bytes).unwrap(), *quarantine.evidence());
     }
 
+    // Guards against a request that nobody knows to have been running, since its caller left.
+    cancelled_run_counts_until_its_deadline => {
+        let (now, second) = (Instant::now(), Duration::from_secs(1));
+        let deadline = now + 3 * second;
+        let crashed_after = |span| {
+            let mut quarantine = Quarantine::default();
+            quarantine.note_cancelled(&"i1".into(), content(1), deadline, now);
+            quarantine.note_cancelled(&"i0".into(), content(2), deadline, now);
+            quarantine.note_crash(&"i1".into(), content(3), now + span)
+        };
+        assert_eq!(crashed_after(3 * second), [content(1)]);
+        assert_eq!(crashed_after(5 * second), []);
+        let mut quarantine = Quarantine::default();
+        assert!(!quarantine.note_cancelled(&"i1".into(), content(1), deadline, now));
+        assert_eq!(quarantine.note_end(&"i1".into(), now + second), [content(1)]);
+        assert!(quarantine.evidence().implicates(&content(1)));
+        // Another caller leaves after the crash was found.
+        assert!(quarantine.note_cancelled(&"i1".into(), content(4), deadline, now + second));
+        assert!(quarantine.evidence().implicates(&content(4)));
+        assert_eq!(quarantine.note_end(&"i2".into(), now + second), []);
+    }
+
+    // Guards against callers that leave and make popular requests pass for fatal ones.
+    popular_requests_are_served_while_callers_leave_and_targets_crash => {
+        let mut all = (0, 0);
+        for seed in 0..20 {
+            let (refused, sent) = popular(seed, LEAVERS);
+            all = (all.0 + refused, all.1 + sent);
+        }
+        println!("{all:?} refused");
+        assert!(all.0 * 200 <= all.1, "{all:?} refused");
+    }
+
     // Popular requests are running at every crash of a target, whatever its cause.
     popular_requests_are_served_while_targets_crash_for_other_reasons => {
         let mut all = (0, 0);
         for seed in 0..20 {
-            let (refused, sent) = popular(seed);
+            let (refused, sent) = popular(seed, 0);
             assert!(refused * 200 <= sent, "seed {seed}: {refused} of {sent} refused");
             all = (all.0 + refused, all.1 + sent);
         }
@@ -401,9 +441,13 @@
     (100.0 * rng.f64().powi(3)) as u64
 }
 
+/// Requests whose callers have left and whose deadlines haven't passed, at one target: a fifth of
+/// those of two seconds, at 33 a second.
+const LEAVERS: usize = 13;
+
 /// Returns how many popular requests are refused within a minute in which a target crashes every
-/// two seconds, and how many were sent.
-fn popular(seed: u64) -> (usize, usize) {
+/// two seconds, with the requests of `leavers` that it may be running, and how many were sent.
+fn popular(seed: u64, leavers: usize) -> (usize, usize) {
     let mut fleet = Fleet::new(12, seed);
     let mut rng = fastrand::Rng::with_seed(seed);
     let (mut refused, mut sent) = (0, 0);
@@ -421,6 +465,9 @@
         if step % 100 == 99 {
             let running_requests: Vec<u64> = (0..18).map(|_| draw(&mut rng)).collect();
             let target = rng.usize(0..12);
+            for _ in 0..leavers {
+                fleet.cancel(target, draw(&mut rng));
+            }
             fleet.crash(target, &running_requests);
         }
         fleet.pass(Duration::from_millis(20));
