A key passes for obsolete only once its record is known here

Generations are noted after the merge now. An answer that belongs to the run ends it for the target, even if it is not passed on.

--- a/src/coordination/records.rs
+++ b/src/coordination/records.rs
@@ -15,7 +15,7 @@
         spread,
     },
     event::Event,
-    id::{Name, Node},
+    id::{Generation, Name, Node},
     journal::note,
     protocol::update::{Changes, Update},
     state::{
@@ -106,16 +106,24 @@
     let (mut members, mut rollouts) = (Vec::new(), Vec::new());
     for record in records {
         match decode_record(host, record, from) {
-            Some(Record::Member(member)) => {
-                if member.node == host.settings.node {
-                    host.record_keys.lock().note(member.generation);
-                }
-                members.push(member);
-            }
+            Some(Record::Member(member)) => members.push(member),
             Some(Record::Rollout(rollout)) => rollouts.push(rollout),
             None => {}
         }
     }
+    let is_own = |member: &&Member| member.node == host.settings.node;
+    let own_generations = members.iter().filter(is_own).map(|own| own.generation);
+    let own_generations: Vec<Generation> = own_generations.collect();
+    merge_members(host, members, rollouts, next, from);
+    // After the merge: a key must not pass for obsolete before its record is known.
+    let mut keys = host.record_keys.lock();
+    own_generations
+        .into_iter()
+        .for_each(|generation| keys.note(generation));
+}
+
+/// Merges records of members and roll-outs from the store, up to the offset `next`.
+fn merge_members(host: &Host, members: Vec<Member>, rollouts: Vec<Rollout>, next: u64, from: &str) {
     // Records that this node has already, from a peer, don't tell what came after them.
     let known_to = host.streams.offset(Stream::Members);
     if known_to.is_some_and(|known_to| next <= known_to) {
--- a/src/transport/relay/run.rs
+++ b/src/transport/relay/run.rs
@@ -123,8 +123,8 @@
                 return Err(refused);
             }
         };
-        ongoing.has_ended = self.is_not_run(&exchange.response);
         let id = run.head.headers.get(&self.host.decoders.dialect.attempt_id);
+        ongoing.has_ended = self.answers(id, &exchange.response);
         if exchange.response.status() == StatusCode::MISDIRECTED_REQUEST {
             self.mark_unreachable(&permit, "another instance answers");
         } else if self.answers(id, &exchange.response) {
