An answer whose end can't be told is no answer

What callers saw: a target's answer with Transfer-Encoding chunkd, empty, identity or `chunked, gzip` arrived as 200 with the chunk lines as its body; one with a damaged name of Content-Length or Transfer-Encoding as 200 with what came before the end; one with both fields, or either of them twice, by one of two possible ends; status 101, 600 and 999 were passed on.

Cause: the HTTP library takes a length that it doesn't understand for no length, and the end of the connection for the end of the body.

One module, protocol::framing, says where a body ends, for callers' requests (whose rules it takes over unchanged) and for the responses of targets, other hosts, the store and health checks. What could be delimited in two ways is bytes that are no answer: 502, as the request may have run.

--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -4,6 +4,7 @@
 //! * [`log`]: records of the platform's log;
 //! * [`update`]: updates of the store's streams, between host processes;
 //! * [`contact`]: the nodes that a starting node asks first;
+//! * [`framing`]: where the body of a message ends;
 //! * [`hop`]: the request and response header between two nodes;
 //! * [`header_block`]: the headers of a request with many of them, between two nodes;
 //! * [`answer`]: the headers and outcomes that callers see;
@@ -18,6 +19,7 @@
 pub mod answer;
 pub mod contact;
 pub mod dialect;
+pub mod framing;
 pub mod header_block;
 pub mod hop;
 pub mod load_report;
--- a/src/transport/http.rs
+++ b/src/transport/http.rs
@@ -12,7 +12,10 @@
 };
 
 use crate::{
-    protocol::answer::{self, Refusal},
+    protocol::{
+        answer::{self, Refusal},
+        framing,
+    },
     settings::Settings,
     unit::{Size, Span},
 };
@@ -216,6 +219,19 @@
     res.stream(pieces);
 }
 
+/// Checks the head of the response to a request of `method`.
+///
+/// # Errors
+///
+/// If it doesn't tell where the body ends, or isn't that of a final response.
+pub fn check_response(
+    method: &http::Method,
+    response: &reqwest::Response,
+) -> Result<(), framing::Error> {
+    let (status, version) = (response.status(), response.version());
+    framing::check_response(method, status, version, response.headers())
+}
+
 /// A request to a node or target.
 pub struct Outgoing {
     /// The method.
@@ -265,13 +281,17 @@
     client: &reqwest::Client,
     out: Outgoing,
 ) -> Result<reqwest::Response, Failure> {
+    let method = out.method.clone();
     let request = client
         .request(out.method, out.url)
         .headers(out.headers)
         .body(out.body)
         .send();
     match tokio::time::timeout_at(out.deadline.into(), request).await {
-        Ok(Ok(response)) => Ok(response),
+        Ok(Ok(response)) => match check_response(&method, &response) {
+            Ok(()) => Ok(response),
+            Err(_) => Err(Failure::Broken),
+        },
         Ok(Err(error)) if error.is_connect() => Err(Failure::NotSent),
         Ok(Err(_)) => Err(Failure::Broken),
         Err(_) => Err(Failure::TimedOut),
--- a/src/transport/log.rs
+++ b/src/transport/log.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use ::http::StatusCode;
+use ::http::{Method, StatusCode};
 use bytes::Bytes;
 use futures_util::FutureExt;
 
@@ -55,7 +55,7 @@
             // Status 410 means that the records at `from` have expired. The body gives
             // the offsets that the log still has.
             let has_batch = response.status().is_success() || response.status() == StatusCode::GONE;
-            if !has_batch {
+            if !has_batch || http::check_response(&Method::GET, &response).is_err() {
                 return Err(Error::Unexpected("the log".into()));
             }
             let body = response
@@ -80,6 +80,9 @@
                 .send()
                 .await;
             let response = sent.map_err(|error| classify(&error, "the log"))?;
+            if http::check_response(&Method::POST, &response).is_err() {
+                return Err(Error::NoAnswer("the log".into()));
+            }
             match response.status() {
                 status if status.is_success() => {}
                 // With these statuses the log reports that it did not append the record.
--- a/src/transport/peers.rs
+++ b/src/transport/peers.rs
@@ -56,7 +56,8 @@
         .send()
         .await;
     let response = sent.map_err(|error| classify(&error, url))?;
-    if !response.status().is_success() {
+    let is_valid = http::check_response(&::http::Method::POST, &response).is_ok();
+    if !is_valid || !response.status().is_success() {
         return Err(Error::Unexpected(url.into()));
     }
     let body = response
--- a/src/transport/relay/codec.rs
+++ b/src/transport/relay/codec.rs
@@ -6,11 +6,15 @@
 
 use bytes::{Buf, Bytes, BytesMut};
 use hyper::{
-    HeaderMap, Method, Request, Response, StatusCode, Uri, Version,
+    HeaderMap, Method, Request, Response, Uri, Version,
     header::{self, HeaderName, HeaderValue},
 };
 
-use crate::{transport::relay::body::Body, unit::Size};
+use crate::{
+    protocol::framing::{self, Framing, may_have_body},
+    transport::relay::body::Body,
+    unit::Size,
+};
 
 /// The headers of a request for which there is room on the stack. Callers send about ten.
 const USUAL_HEADERS: usize = 100;
@@ -34,15 +38,6 @@
     pub expects_continue: bool,
 }
 
-/// How the body of a request is delimited.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Framing {
-    /// By its length in bytes; 0 if there is no body.
-    Length(u64),
-    /// By the chunked transfer encoding.
-    Chunked,
-}
-
 /// The bytes are not an acceptable request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
 pub enum Error {
@@ -154,7 +149,9 @@
         );
         appended.map_err(|_| Error::TooLarge)?;
     }
-    let framing = framing(&headers, version)?;
+    let framing = framing::of(&headers, version);
+    let framing = framing.map_err(|error| Error::Invalid(error.reason()))?;
+    let framing = framing.unwrap_or(Framing::Length(0));
     let is_persistent = is_keep_alive(&headers, version);
     let expects_continue = headers
         .get(header::EXPECT)
@@ -172,31 +169,6 @@
     })
 }
 
-fn framing(headers: &HeaderMap, version: Version) -> Result<Framing, Error> {
-    let mut codings = headers.get_all(header::TRANSFER_ENCODING).iter();
-    let mut lengths = headers.get_all(header::CONTENT_LENGTH).iter();
-    match (codings.next(), lengths.next()) {
-        (None, None) => Ok(Framing::Length(0)),
-        (Some(_), Some(_)) => Err(Error::Invalid("both content-length and transfer-encoding")),
-        (Some(coding), None) => {
-            let is_chunked = coding.as_bytes().eq_ignore_ascii_case(b"chunked");
-            if is_chunked && codings.next().is_none() && version == Version::HTTP_11 {
-                Ok(Framing::Chunked)
-            } else {
-                Err(Error::Invalid("transfer-encoding other than chunked"))
-            }
-        }
-        (None, Some(length)) => {
-            let digits = length.to_str().unwrap_or_default();
-            let is_number = !digits.is_empty() && digits.bytes().all(|b| b.is_ascii_digit());
-            match digits.parse() {
-                Ok(length) if is_number && lengths.next().is_none() => Ok(Framing::Length(length)),
-                _ => Err(Error::Invalid("content-length is not one number")),
-            }
-        }
-    }
-}
-
 fn is_keep_alive(headers: &HeaderMap, version: Version) -> bool {
     let has_option = |name: &str| {
         let values = headers.get_all(header::CONNECTION).iter();
@@ -353,13 +325,6 @@
     framing
 }
 
-/// Returns whether a response with this status may have a body.
-pub fn may_have_body(status: StatusCode) -> bool {
-    !status.is_informational()
-        && status != StatusCode::NO_CONTENT
-        && status != StatusCode::NOT_MODIFIED
-}
-
 fn write_header(out: &mut BytesMut, name: &str, value: &[u8]) {
     out.extend_from_slice(name.as_bytes());
     out.extend_from_slice(b": ");
--- a/src/transport/relay/http1_server.rs
+++ b/src/transport/relay/http1_server.rs
@@ -24,10 +24,11 @@
 };
 
 use crate::{
+    protocol::framing::{Framing, may_have_body},
     state::routing::Limits,
     transport::relay::{
         body::Body,
-        codec::{self, Decoded, Decoder, Framing, Head, ResponseFraming},
+        codec::{self, Decoded, Decoder, Head, ResponseFraming},
         empty_response,
         serve::{CurrentLimits, Handler, OnRefused, Phase},
     },
@@ -402,7 +403,7 @@
     } = answer;
     let mut out = BytesMut::with_capacity(READ_BYTES);
     let framing = codec::write_head(&response, &method, version, is_persistent, &mut out);
-    let has_body = method != Method::HEAD && codec::may_have_body(response.status());
+    let has_body = method != Method::HEAD && may_have_body(response.status());
     let mut body = response.into_body();
     while has_body && let Some(frame) = body.frame().await {
         let Ok(data) = frame?.into_data() else {
--- a/src/transport/relay/peer_client.rs
+++ b/src/transport/relay/peer_client.rs
@@ -203,6 +203,9 @@
                 };
                 Failure::NotSent(kind.into())
             }
+            Failure::Invalid(_) if offer.withdraw() => {
+                Failure::NotSent(std::io::ErrorKind::InvalidData.into())
+            }
             Failure::TimedOut if offer.withdraw() => Failure::NotAccepted,
             failure => failure,
         })
@@ -292,6 +295,10 @@
             false,
         ),
         Failure::Broken(_) => (Refusal::unknown(502, "node broke off"), true),
+        Failure::Invalid(_) => (
+            Refusal::unknown(502, "node sent bytes that are no answer"),
+            true,
+        ),
         Failure::TimedOut => (Refusal::unknown(504, "no answer in time"), true),
     };
     Refused {
--- a/src/transport/relay/pool.rs
+++ b/src/transport/relay/pool.rs
@@ -19,9 +19,12 @@
 use parking_lot::Mutex;
 use tokio::net::TcpStream;
 
-use crate::transport::relay::{
-    body::Body,
-    io::{self, Idle, Io, ReadBudget, TOO_MANY_BYTES},
+use crate::{
+    protocol::framing,
+    transport::relay::{
+        body::Body,
+        io::{self, Idle, Io, ReadBudget, TOO_MANY_BYTES},
+    },
 };
 
 /// How long the system takes to close all sockets of a process that ended, with a margin.
@@ -63,6 +66,9 @@
     /// The other end did not send `100 Continue` in time; nothing of the body was sent.
     #[error("no 100 Continue in time")]
     NotAccepted,
+    /// The other end sent a response whose head doesn't tell where its body ends.
+    #[error("no valid response")]
+    Invalid(#[source] framing::Error),
     /// The deadline passed after something may have been sent.
     #[error("no answer in time")]
     TimedOut,
@@ -80,6 +86,7 @@
                 source.is_some_and(|error| error.kind() == std::io::ErrorKind::TimedOut)
             }
             Self::TimedOut | Self::NotAccepted => true,
+            Self::Invalid(_) => false,
         }
     }
 
@@ -89,14 +96,16 @@
         match self {
             Self::TimedOut => true,
             Self::Broken(error) => error.is_user(),
-            Self::NotSent(_) | Self::NotAccepted => false,
+            Self::NotSent(_) | Self::NotAccepted | Self::Invalid(_) => false,
         }
     }
 
     /// Returns whether the other end sent bytes that are no response, or too many before one.
     pub fn is_no_response(&self) -> bool {
-        let Self::Broken(error) = self else {
-            return false;
+        let error = match self {
+            Self::Invalid(_) => return true,
+            Self::Broken(error) => error,
+            Self::NotSent(_) | Self::NotAccepted | Self::TimedOut => return false,
         };
         let source = std::error::Error::source(error);
         let source = source.and_then(|source| source.downcast_ref::<std::io::Error>());
@@ -202,6 +211,7 @@
         request: Request<Body>,
         deadline: Instant,
     ) -> Result<Exchange, Failure> {
+        let method = request.method().clone();
         let mut request = request;
         loop {
             let (mut connection, is_new) = match self.take(address) {
@@ -214,6 +224,9 @@
                 Err(_) => return Err(Failure::TimedOut),
                 Ok(Ok(response)) => {
                     connection.budget.lift();
+                    let (status, version) = (response.status(), response.version());
+                    framing::check_response(&method, status, version, response.headers())
+                        .map_err(Failure::Invalid)?;
                     connection.set_idle_timeout(&response);
                     return Ok(Exchange {
                         response: response.map(Body::incoming),
--- a/src/transport/relay/run.rs
+++ b/src/transport/relay/run.rs
@@ -179,7 +179,7 @@
             Failure::Broken(error) if error.is_user() => {
                 Refused::after_arrival(Refusal::unknown(502, reasons::BODY_BROKE_OFF))
             }
-            Failure::Broken(_) => {
+            Failure::Broken(_) | Failure::Invalid(_) => {
                 let reason = match self.disconnect_reason(permit, run).await {
                     reasons::TARGET_BROKE_OFF if failure.is_no_response() => reasons::NO_RESPONSE,
                     reason => reason,
--- a/standins/src/target.rs
+++ b/standins/src/target.rs
@@ -99,6 +99,26 @@
     }
 }
 
+/// An answer of given bytes, as a target in trouble sends it.
+#[derive(Clone, Debug)]
+pub struct Script {
+    /// The bytes, in which `{id}` stands for the attempt id.
+    pub answer: String,
+    /// Whether it comes before the body of the request is read.
+    pub is_early: bool,
+    /// What the target does with the connection afterwards.
+    pub end: End,
+}
+
+/// What a target does with a connection after a [`Script`].
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum End {
+    /// Closes it orderly, and reads what the client still sends.
+    Close,
+    /// Resets it.
+    Reset,
+}
+
 /// A request as a target received it.
 #[derive(Clone, Debug, Default)]
 pub struct Seen {
@@ -106,7 +126,7 @@
     pub line: String,
     pub headers: HashMap<String, String>,
     pub body: Vec<u8>,
-    /// When it was read completely.
+    /// When its head was read.
     pub at: Option<std::time::Instant>,
     /// Whether the target ran it.
     pub ran: bool,
@@ -135,6 +155,7 @@
     pace: Arc<Mutex<Pace>>,
     /// Connections on which it sends bytes without end.
     endless: Arc<AtomicUsize>,
+    script: Arc<Mutex<Option<Script>>>,
 }
 
 /// How long a target takes for requests, and what it states about that.
@@ -190,6 +211,7 @@
             notice: Arc::default(),
             pace: Arc::default(),
             endless: Arc::default(),
+            script: Arc::default(),
         };
         target.run(socket);
         target
@@ -348,6 +370,11 @@
         *self.mode.lock() = mode;
     }
 
+    /// Makes it answer later requests as scripted, instead of by its mode.
+    pub fn play(&self, script: Option<Script>) {
+        *self.script.lock() = script;
+    }
+
     /// Returns all received requests.
     pub fn seen(&self) -> Vec<Seen> {
         self.seen.lock().clone()
@@ -401,9 +428,39 @@
         None
     }
 
+    /// Answers a request with the bytes of a script, and ends the connection.
+    async fn run_script(script: &Script, seen: &Seen, mut stream: TcpStream) -> Option<()> {
+        let id = seen.header("rilltrack-attempt-id");
+        let answer = script.answer.replace("{id}", id);
+        stream.write_all(answer.as_bytes()).await.ok()?;
+        match script.end {
+            End::Reset => {
+                // The client reads the answer before the reset overtakes it.
+                tokio::time::sleep(Duration::from_millis(100)).await;
+                stream.set_zero_linger().ok()
+            }
+            End::Close => {
+                stream.shutdown().await.ok()?;
+                while stream.read(&mut [0; 4096]).await.ok()? > 0 {}
+                None
+            }
+        }
+    }
+
     async fn serve(&self, mut stream: TcpStream) -> Option<()> {
         loop {
-            let mut seen = read(&mut stream).await?;
+            let mut seen = read_head(&mut stream).await?;
+            let script = self.script.lock().clone();
+            let script = script.filter(|_| !seen.line.starts_with("GET /health "));
+            if let Some(script) = script.as_ref().filter(|script| script.is_early) {
+                self.seen.lock().push(seen.clone());
+                return Self::run_script(script, &seen, stream).await;
+            }
+            seen.body = read_body(&mut stream, &seen.headers).await?;
+            if let Some(script) = script {
+                self.seen.lock().push(seen.clone());
+                return Self::run_script(&script, &seen, stream).await;
+            }
             let mode = *self.mode.lock();
             if seen.line.starts_with("GET /health ") {
                 let left = self.cold_left();
@@ -491,7 +548,8 @@
     Some((text.into_bytes(), closes))
 }
 
-async fn read(stream: &mut TcpStream) -> Option<Seen> {
+/// Reads the head of a request.
+async fn read_head(stream: &mut TcpStream) -> Option<Seen> {
     let mut head = Vec::new();
     while !head.ends_with(b"\r\n\r\n") {
         head.push(stream.read_u8().await.ok()?);
@@ -503,21 +561,23 @@
         .filter_map(|line| line.split_once(':'))
         .map(|(name, value)| (name.to_lowercase(), value.trim().to_owned()))
         .collect();
-    let body = if headers.contains_key("transfer-encoding") {
-        read_chunks(stream).await?
-    } else {
-        let length = headers.get("content-length").and_then(|l| l.parse().ok());
-        read_exact(stream, length.unwrap_or(0)).await?
-    };
     Some(Seen {
         line,
         headers,
-        body,
+        body: Vec::new(),
         at: Some(std::time::Instant::now()),
         ran: false,
     })
 }
 
+async fn read_body(stream: &mut TcpStream, headers: &HashMap<String, String>) -> Option<Vec<u8>> {
+    if headers.contains_key("transfer-encoding") {
+        return read_chunks(stream).await;
+    }
+    let length = headers.get("content-length").and_then(|l| l.parse().ok());
+    read_exact(stream, length.unwrap_or(0)).await
+}
+
 async fn read_exact(stream: &mut TcpStream, length: usize) -> Option<Vec<u8>> {
     let mut bytes = vec![0; length];
     stream.read_exact(&mut bytes).await.ok()?;
--- a/tests/requests.rs
+++ b/tests/requests.rs
@@ -61,6 +61,45 @@
         }
     }
 
+    // Guards against a damaged answer that passes for the target's.
+    answer_with_a_damaged_head_is_not_forwarded => {
+        let chunks = "5\r\nhello\r\n0\r\n\r\n";
+        let answers = [
+            "HTTP/1.1 200 OK\r\ntransfer-encoding: chunkd\r\n\r\nCHUNKS",
+            "HTTP/1.1 200 OK\r\ntransfer-encoding:\r\n\r\nCHUNKS",
+            "HTTP/1.1 200 OK\r\ntransfer-encoding: identity\r\n\r\nhello",
+            "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\ncontent-length: 5\r\n\r\nCHUNKS",
+            "HTTP/1.1 200 OK\r\nzransfer-encoding: chunked\r\n\r\nCHUNKS",
+            "HTTP/1.1 200 OK\r\ncontent-length: 5x\r\n\r\nhello",
+            "HTTP/1.1 200 OK\r\ncontent-length: 5, 5\r\n\r\nhello",
+            "HTTP/1.1 200 OK\r\ncontent_length: 5\r\n\r\nhello",
+            "HTTP/1.1 200 OK\r\ncontent length: 5\r\n\r\nhello",
+            "HTTP/1.1 200 OK\r\njunk\r\ncontent-length: 5\r\n\r\nhello",
+            "HTTP/1.1 000 OK\r\ncontent-length: 5\r\n\r\nhello",
+            "HTTP/1.1 101 OK\r\n\r\n",
+            "HTTP/1.1 999 OK\r\ncontent-length: 5\r\n\r\nhello",
+        ];
+        let mesh = two_nodes(json!({})).await;
+        let number = std::sync::Arc::new(std::sync::atomic::AtomicUsize::new(0));
+        let current = number.clone();
+        let (address, hits) = raw::target(move |_| {
+            let answer = answers[current.load(Ordering::SeqCst)].replace("CHUNKS", chunks);
+            Some(answer.into_bytes())
+        })
+        .await;
+        mesh.announce(1, "s", address).await;
+        // Through another node, and beside the target.
+        for node in [0, 1] {
+            for (i, answer) in answers.iter().enumerate() {
+                number.store(i, Ordering::SeqCst);
+                let before = hits.load(Ordering::SeqCst);
+                let response = client().post(mesh.url(node, "/s")).body("x").send().await.unwrap();
+                assert_eq!((response.status().as_u16(), outcome(&response)), (502, "unknown"), "{answer:?}");
+                assert_eq!(hits.load(Ordering::SeqCst), before + 1, "{answer:?}");
+            }
+        }
+    }
+
     // Guards against a node that reads from a target without end.
     head_without_an_end_is_not_read_beyond_the_deadline => {
         let endless: [(&'static str, &'static str); 3] = [
