The head of an answer is checked by the grammar, and not repaired

What callers saw: a target's answer with a line feed alone in its head arrived as 200; where there were two of them, the rest of the head was the start of the body.

Cause: the HTTP library takes a line feed alone for the end of a line, so that one in a damaged line ends a field, or the head, too early. Blanks and control bytes in names, lines without a colon and status 000 were refused before.

A connection checks the bytes of an expected response before the library gets them, byte by byte (protocol::response_head; any split gives the same result, 512 cases of tests/framing.rs). rilltrackd reaches its targets over the same connections now, as a client of reqwest can't be given such a check.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -244,6 +244,7 @@
         let to_callers = server::everything(outbound::OutboundHandler(outbound.clone()));
         let to_nodes = server::everything(inbound::InboundHandler(inbound.clone()));
         tokio::spawn(outbound.tidy());
+        tokio::spawn(inbound.prune());
         let settings = &leaving.settings;
         let header_timeout = settings.requests.header_timeout;
         let callers = callers
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -5,6 +5,7 @@
 //! * [`update`]: updates of the store's streams, between host processes;
 //! * [`contact`]: the nodes that a starting node asks first;
 //! * [`framing`]: where the body of a message ends;
+//! * [`response_head`]: the strict check of the head of a response;
 //! * [`hop`]: the request and response header between two nodes;
 //! * [`header_block`]: the headers of a request with many of them, between two nodes;
 //! * [`answer`]: the headers and outcomes that callers see;
@@ -26,6 +27,7 @@
 pub mod log;
 pub mod notice;
 pub mod operator;
+pub mod response_head;
 pub mod rollout;
 pub mod update;
 pub mod wire;
--- a/src/transport/inbound.rs
+++ b/src/transport/inbound.rs
@@ -9,7 +9,7 @@
     time::{Duration, Instant},
 };
 
-use ::http::HeaderMap;
+use ::http::{HeaderMap, header::HOST};
 use futures_util::StreamExt;
 use salvo::{Depot, FlowCtrl, Handler, Request, Response};
 
@@ -35,6 +35,10 @@
         http::{self, Failure, Outgoing},
         identity::{self, Identity},
         keyed::{self, Keys},
+        relay::{
+            body::Body,
+            pool::{self, Pool, Settings},
+        },
         targets::Targets,
     },
     unit::Span,
@@ -48,6 +52,17 @@
 /// the target closes the connection.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// The interval at which connections that were idle for too long are closed.
+const PRUNE_INTERVAL: Duration = Duration::from_secs(2);
+
+/// Settings of the connections to targets without HTTP/2.
+const POOL: Settings = Settings {
+    connect_timeout: http::CONNECT_TIMEOUT,
+    idle_timeout: IDLE_TIMEOUT,
+    max_idle_per_address: 64,
+    max_idle: 256,
+};
+
 /// The inbound proxy of a node.
 pub struct Inbound {
     /// The node it belongs to.
@@ -56,7 +71,8 @@
     pub keys: Keys,
     targets: Arc<Targets>,
     dialect: Dialect,
-    http1: reqwest::Client,
+    /// Checks the heads of responses strictly, which a client of reqwest doesn't.
+    http1: Arc<Pool>,
     http2: reqwest::Client,
 }
 
@@ -81,7 +97,6 @@
     ///
     /// Returns an error if an HTTP client can't be built.
     pub fn new(node: Arc<Node>, targets: Arc<Targets>) -> Result<Arc<Self>, super::Error> {
-        let http1 = http::client().pool_idle_timeout(IDLE_TIMEOUT).build()?;
         let http2 = http::client()
             .pool_idle_timeout(IDLE_TIMEOUT)
             .http2_prior_knowledge()
@@ -92,7 +107,7 @@
             keys,
             targets,
             dialect: Dialect::default(),
-            http1,
+            http1: Arc::new(Pool::new(POOL)),
             http2,
         }))
     }
@@ -221,26 +236,63 @@
         req: Onward,
         body: reqwest::Body,
     ) -> Result<reqwest::Response, Failure> {
-        let url = format!("http://{}{}", visit.target.address, req.path);
-        let client = if visit.target.http2 {
-            &self.http2
-        } else {
-            &self.http1
+        let response = match visit.target.http2 {
+            true => self.run_http2(visit, req, body).await?,
+            false => self.run_http1(visit, req, body).await?,
         };
-        let Onward {
-            method, headers, ..
-        } = req;
+        let notice = Notice::of(response.headers(), &self.dialect);
+        self.receive_notice(visit, notice);
+        Ok(response)
+    }
+
+    async fn run_http2(
+        &self,
+        visit: &Visit,
+        req: Onward,
+        body: reqwest::Body,
+    ) -> Result<reqwest::Response, Failure> {
         let outgoing = Outgoing {
-            method,
-            url,
-            headers,
+            method: req.method,
+            url: format!("http://{}{}", visit.target.address, req.path),
+            headers: req.headers,
             body,
             deadline: visit.deadline,
         };
-        let response = http::forward(client, outgoing).await?;
-        let notice = Notice::of(response.headers(), &self.dialect);
-        self.receive_notice(visit, notice);
-        Ok(response)
+        http::forward(&self.http2, outgoing).await
+    }
+
+    async fn run_http1(
+        &self,
+        visit: &Visit,
+        req: Onward,
+        body: reqwest::Body,
+    ) -> Result<reqwest::Response, Failure> {
+        let mut request = ::http::Request::new(Body::other(body));
+        *request.method_mut() = req.method;
+        // A path that was received is valid.
+        *request.uri_mut() = req.path.parse().map_err(|_| Failure::NotSent)?;
+        *request.headers_mut() = req.headers;
+        if !request.headers().contains_key(HOST) {
+            http::set(request.headers_mut(), "host", visit.target.address);
+        }
+        let sent = self
+            .http1
+            .send(visit.target.address, request, visit.deadline);
+        let exchange = sent.await.map_err(|failure| match failure {
+            pool::Failure::NotSent(_) => Failure::NotSent,
+            pool::Failure::Broken(_) | pool::Failure::Invalid(_) => Failure::Broken,
+            pool::Failure::TimedOut | pool::Failure::NotAccepted => Failure::TimedOut,
+        })?;
+        let response = exchange.into_response(&self.http1);
+        Ok(response.map(reqwest::Body::wrap).into())
+    }
+
+    /// Closes connections to targets that were idle for too long; never returns.
+    pub async fn prune(self: Arc<Self>) {
+        loop {
+            tokio::time::sleep(PRUNE_INTERVAL).await;
+            self.http1.prune();
+        }
     }
 
     /// Keeps from now on to what the target stated in a response about the requests that it
--- a/src/transport/relay/body.rs
+++ b/src/transport/relay/body.rs
@@ -14,7 +14,7 @@
 
 use bytes::{Bytes, BytesMut};
 use http_body::{Body as _, Frame, SizeHint};
-use http_body_util::BodyExt;
+use http_body_util::{BodyExt, combinators::BoxBody};
 use hyper::body::Incoming;
 use tokio::{
     sync::{mpsc, oneshot},
@@ -49,6 +49,7 @@
 enum Rest {
     Incoming(Incoming),
     Channel(Channel),
+    Other(BoxBody<Bytes, Fault>),
 }
 
 /// Pieces that the reader of a caller's connection sends. An empty piece is the
@@ -101,6 +102,18 @@
         }
     }
 
+    /// Returns a body of another library.
+    pub fn other<B>(body: B) -> Self
+    where
+        B: http_body::Body<Data = Bytes, Error: Into<Fault>> + Send + Sync + 'static,
+    {
+        let body = body.map_err(Into::into).boxed();
+        Self {
+            rest: Some(Rest::Other(body)).filter(|rest| !rest.is_end()),
+            ..Self::whole("")
+        }
+    }
+
     /// Returns a body whose pieces come from a channel; an empty piece ends it.
     /// `length` is its length, if known.
     pub fn from_channel(pieces: mpsc::Receiver<Bytes>, length: Option<u64>) -> Self {
@@ -252,6 +265,7 @@
                 frame.map(|frame| frame.map(|frame| frame.map_err(Into::into)))
             }
             Self::Channel(channel) => channel.poll(cx),
+            Self::Other(body) => Pin::new(body).poll_frame(cx),
         }
     }
 
@@ -259,6 +273,7 @@
         match self {
             Self::Incoming(incoming) => incoming.is_end_stream(),
             Self::Channel(channel) => channel.has_ended,
+            Self::Other(body) => body.is_end_stream(),
         }
     }
 
@@ -266,6 +281,7 @@
         match self {
             Self::Incoming(incoming) => incoming.size_hint().exact(),
             Self::Channel(channel) => channel.left,
+            Self::Other(body) => body.size_hint().exact(),
         }
     }
 }
--- a/src/transport/relay/io.rs
+++ b/src/transport/relay/io.rs
@@ -4,18 +4,18 @@
     io,
     mem::MaybeUninit,
     pin::Pin,
-    sync::{
-        Arc,
-        atomic::{AtomicU64, Ordering},
-    },
+    sync::Arc,
     task::{Context, Poll, ready},
     time::Duration,
 };
 
 use hyper::rt::{Read, ReadBufCursor, Write};
+use parking_lot::Mutex;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 
+use crate::protocol::response_head::Scanner;
+
 /// The most bytes taken by one read. Ordinary requests and responses have 0.4 to
 /// 9 KB; uploads take several reads.
 const READ_SIZE: usize = 16 << 10;
@@ -32,48 +32,57 @@
 /// Unanswered keepalive probes after which the connection is closed.
 const KEEPALIVE_PROBES: u32 = 2;
 
-/// The kind of the error of a read beyond the [`ReadBudget`].
-pub const TOO_MANY_BYTES: io::ErrorKind = io::ErrorKind::InvalidData;
+/// The kind of the error of a read that the [`ResponseCheck`] rejects.
+pub const NO_RESPONSE: io::ErrorKind = io::ErrorKind::InvalidData;
 
 /// A TCP stream as hyper reads and writes it.
 pub struct Io {
     stream: Arc<TcpStream>,
-    budget: ReadBudget,
+    check: ResponseCheck,
 }
 
-/// How many bytes may still be read from a stream; without a limit at first.
+/// The check of what is read from a stream while a response is expected; none at first.
 ///
-/// hyper bounds the head of one response. It reads any number of informational responses before
-/// that, which a faulty server may send without end.
-#[derive(Clone, Debug)]
-pub struct ReadBudget(Arc<AtomicU64>);
-
-impl Default for ReadBudget {
-    fn default() -> Self {
-        Self(Arc::new(AtomicU64::new(u64::MAX)))
-    }
+/// hyper repairs heads that differ from the grammar, and bounds the head of one response alone: it
+/// reads any number of informational responses before that, which a faulty server may send
+/// without end.
+#[derive(Clone, Debug, Default)]
+pub struct ResponseCheck(Arc<Mutex<Option<Expected>>>);
+
+/// A response that is expected.
+#[derive(Debug)]
+struct Expected {
+    /// The bytes that may still be read.
+    left: usize,
+    head: Scanner,
 }
 
-impl ReadBudget {
-    /// Allows `bytes` from now on; beyond it, reads fail.
-    pub fn limit(&self, bytes: u64) {
-        self.0.store(bytes, Ordering::Relaxed);
+impl ResponseCheck {
+    /// Expects a response whose head has ended within `max` bytes. Otherwise, or if the head is
+    /// not valid, reads fail.
+    pub fn expect_within(&self, max: usize) {
+        let head = Scanner::default();
+        *self.0.lock() = Some(Expected { left: max, head });
     }
 
-    /// Removes the limit.
-    pub fn lift(&self) {
-        self.limit(u64::MAX);
+    /// Ends the check.
+    pub fn end(&self) {
+        *self.0.lock() = None;
     }
 
-    /// Takes `count` bytes from the budget; returns whether it has as many.
-    fn take(&self, count: usize) -> bool {
-        let left = self.0.load(Ordering::Relaxed);
-        if left == u64::MAX {
-            return true;
+    /// Checks bytes that were read.
+    fn check(&self, bytes: &[u8]) -> io::Result<()> {
+        let mut expected = self.0.lock();
+        let Some(response) = &mut *expected else {
+            return Ok(());
+        };
+        let left = response.left.checked_sub(bytes.len());
+        response.left = left.ok_or(NO_RESPONSE)?;
+        let has_ended = response.head.scan(bytes);
+        if has_ended.map_err(|error| io::Error::new(NO_RESPONSE, error))? {
+            *expected = None;
         }
-        self.0
-            .store(left.saturating_sub(count as u64), Ordering::Relaxed);
-        left >= count as u64
+        Ok(())
     }
 }
 
@@ -93,13 +102,13 @@
     pub fn new(stream: TcpStream) -> (Self, Arc<TcpStream>) {
         let stream = Arc::new(stream);
         let handle = stream.clone();
-        let budget = ReadBudget::default();
-        (Self { stream, budget }, handle)
+        let check = ResponseCheck::default();
+        (Self { stream, check }, handle)
     }
 
-    /// Returns the budget of reads from this stream.
-    pub fn budget(&self) -> ReadBudget {
-        self.budget.clone()
+    /// Returns the check of what is read from this stream.
+    pub fn check(&self) -> ResponseCheck {
+        self.check.clone()
     }
 }
 
@@ -142,10 +151,8 @@
         loop {
             ready!(self.stream.poll_read_ready(cx))?;
             match self.stream.try_read(&mut bytes[..len]) {
-                Ok(count) if !self.budget.take(count) => {
-                    return Poll::Ready(Err(TOO_MANY_BYTES.into()));
-                }
                 Ok(count) => {
+                    self.check.check(&bytes[..count])?;
                     buf.put_slice(&bytes[..count]);
                     return Poll::Ready(Ok(()));
                 }
--- a/src/transport/relay/pool.rs
+++ b/src/transport/relay/pool.rs
@@ -23,7 +23,7 @@
     protocol::framing,
     transport::relay::{
         body::Body,
-        io::{self, Idle, Io, ReadBudget, TOO_MANY_BYTES},
+        io::{self, Idle, Io, NO_RESPONSE, ResponseCheck},
     },
 };
 
@@ -33,7 +33,7 @@
 
 /// The most bytes that are read before the head of a response is complete: that head, and
 /// informational responses before it. hyper takes heads of 400 KiB.
-const MAX_BYTES_BEFORE_RESPONSE: u64 = 512 << 10;
+const MAX_BYTES_BEFORE_RESPONSE: usize = 512 << 10;
 
 /// A pool of connections, by address.
 pub struct Pool {
@@ -109,7 +109,7 @@
         };
         let source = std::error::Error::source(error);
         let source = source.and_then(|source| source.downcast_ref::<std::io::Error>());
-        error.is_parse() || source.is_some_and(|error| error.kind() == TOO_MANY_BYTES)
+        error.is_parse() || source.is_some_and(|error| error.kind() == NO_RESPONSE)
     }
 }
 
@@ -121,12 +121,42 @@
     pub connection: Connection,
 }
 
+impl Exchange {
+    /// Returns the response; once its body is dropped, the connection goes back to `pool`, which
+    /// reuses it if the body was read to its end.
+    pub fn into_response(self, pool: &Arc<Pool>) -> Response<Body> {
+        let Self {
+            response,
+            connection,
+        } = self;
+        let borrowed = Borrowed {
+            pool: pool.clone(),
+            connection: Some(connection),
+        };
+        response.map(|body| body.holding(borrowed))
+    }
+}
+
+/// A connection that goes back to its pool when it is dropped.
+struct Borrowed {
+    pool: Arc<Pool>,
+    connection: Option<Connection>,
+}
+
+impl Drop for Borrowed {
+    fn drop(&mut self) {
+        if let Some(connection) = self.connection.take() {
+            self.pool.put_back(connection);
+        }
+    }
+}
+
 /// A connection in use. Dropping it closes it.
 pub struct Connection {
     address: SocketAddr,
     sender: SendRequest<Body>,
     stream: Arc<TcpStream>,
-    budget: ReadBudget,
+    check: ResponseCheck,
     /// How long it may be idle: the pool's setting, or four fifths of the `timeout` that
     /// the other end announced.
     idle_timeout: Duration,
@@ -218,12 +248,12 @@
                 Some(idle) => (idle, false),
                 None => (self.connect(address, deadline).await?, true),
             };
-            connection.budget.limit(MAX_BYTES_BEFORE_RESPONSE);
+            connection.check.expect_within(MAX_BYTES_BEFORE_RESPONSE);
             let sent = connection.sender.try_send_request(request);
             match tokio::time::timeout_at(deadline.into(), sent).await {
                 Err(_) => return Err(Failure::TimedOut),
                 Ok(Ok(response)) => {
-                    connection.budget.lift();
+                    connection.check.end();
                     let (status, version) = (response.status(), response.version());
                     framing::check_response(&method, status, version, response.headers())
                         .map_err(Failure::Invalid)?;
@@ -325,7 +355,7 @@
             .map_err(Failure::NotSent)?;
         io::prepare(&stream).map_err(Failure::NotSent)?;
         let (io, stream) = Io::new(stream);
-        let budget = io.budget();
+        let check = io.check();
         let connected = http1::handshake::<_, Body>(io).await;
         let (sender, driver) =
             connected.map_err(|error| Failure::NotSent(std::io::Error::other(error)))?;
@@ -335,7 +365,7 @@
             address,
             sender,
             stream,
-            budget,
+            check,
             idle_timeout: self.settings.idle_timeout,
         })
     }
--- a/standins/tests/answers.rs
+++ b/standins/tests/answers.rs
@@ -133,9 +133,17 @@
     length_without_a_colon: with("Content-Length 5\r\n") => is_fault;
     name_of_the_length_alone: with("Content-Length\r\n") => is_fault;
     line_of_control_bytes: with("\u{1}\u{2}\r\nContent-Length: 5\r\n") => is_fault;
+    folded_line: with("X: y\r\n z\r\nContent-Length: 5\r\n") => is_fault;
     folded_length: with("Content-Length:\r\n 5\r\n") => is_fault;
+    line_feed_alone: with("X: y\nContent-Length: 5\r\n") => is_fault;
+    length_swallowed_by_a_line_feed: with("X: y\n\nContent-Length: 5\r\n") => is_fault;
+    carriage_return_alone: with("X: y\rContent-Length: 5\r\n") => is_fault;
     null_in_a_value: with("X: y\u{0}z\r\nContent-Length: 5\r\n") => is_fault;
     control_byte_in_a_value: with("X: y\u{1}z\r\nContent-Length: 5\r\n") => is_fault;
+    line_feed_before_the_body:
+        format!("HTTP/1.1 200 OK\r\n{MARKS}Content-Length: 5\r\n\nhello") => is_fault;
+    status_line_ended_by_a_line_feed:
+        format!("HTTP/1.1 200 OK\n{MARKS}Content-Length: 5\r\n\r\nhello") => is_fault;
 
     status_000: status_line("HTTP/1.1 000 OK") => is_fault;
     status_099: status_line("HTTP/1.1 099 OK") => is_fault;
--- a/tests/framing.rs
+++ b/tests/framing.rs
@@ -1,7 +1,64 @@
-//! Fields that resemble those for the length of a body.
+//! Where messages end: heads of responses in pieces, and fields that resemble those for the length.
 
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, Version};
-use rilltrack::protocol::framing;
+use proptest::{collection::vec, prelude::*, test_runner::RngSeed};
+use rilltrack::protocol::{framing, response_head::Scanner};
+
+/// A head with an informational response before it, and the start of a body.
+const HEAD: &[u8] = b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n\
+    HTTP/1.1 200 OK\r\nX: y\tz\r\nY:\r\nContent-Length: 5\r\n\r\nhello";
+
+/// Returns what a scanner says of `bytes` that come in pieces of these sizes, and then the rest.
+fn scan(bytes: &[u8], sizes: &[usize]) -> Result<bool, ()> {
+    let mut scanner = Scanner::default();
+    let mut rest = bytes;
+    for size in sizes {
+        let (piece, after) = rest.split_at((*size).min(rest.len()));
+        scanner.scan(piece).map_err(drop)?;
+        rest = after;
+    }
+    scanner.scan(rest).map_err(drop)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 512,
+        rng_seed: RngSeed::Fixed(1),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    // Guards against a damaged head that passes if it comes in certain pieces.
+    #[test]
+    fn result_does_not_depend_on_the_pieces(
+        sizes in vec(0..40usize, 0..8),
+        at in 0..HEAD.len(),
+        byte in any::<u8>(),
+    ) {
+        let mut damaged = HEAD.to_vec();
+        damaged[at] = byte;
+        prop_assert_eq!(scan(&damaged, &sizes), scan(&damaged, &[]));
+        prop_assert_eq!(scan(HEAD, &sizes), Ok(true));
+    }
+
+    // Guards against a head that two programs place differently: what passes has the head that a
+    // reader of whole lines finds.
+    #[test]
+    fn accepted_head_ends_at_its_first_empty_line(at in 0..HEAD.len(), byte in any::<u8>()) {
+        let mut damaged = HEAD.to_vec();
+        damaged[at] = byte;
+        let text = String::from_utf8_lossy(&damaged).into_owned();
+        let last = text.rfind("\r\n\r\n").map_or("", |end| &text[..end]);
+        if scan(&damaged, &[]) == Ok(true) {
+            for line in last.split("\r\n") {
+                let is_start = line.starts_with("HTTP/1.") || line.is_empty();
+                let name = line.split_once(':').map(|(name, _)| name);
+                let is_field = name.is_some_and(|name| HeaderName::try_from(name).is_ok());
+                prop_assert!((is_start || is_field) && !line.contains(['\r', '\n']), "{line:?}");
+            }
+        }
+    }
+}
 
 fn check(method: &Method, version: Version, name: &str) -> Result<(), framing::Error> {
     let mut headers = HeaderMap::new();
--- a/tests/requests.rs
+++ b/tests/requests.rs
@@ -75,6 +75,7 @@
             "HTTP/1.1 200 OK\r\ncontent_length: 5\r\n\r\nhello",
             "HTTP/1.1 200 OK\r\ncontent length: 5\r\n\r\nhello",
             "HTTP/1.1 200 OK\r\njunk\r\ncontent-length: 5\r\n\r\nhello",
+            "HTTP/1.1 200 OK\r\nx: y\n\ncontent-length: 5\r\n\r\nhello",
             "HTTP/1.1 000 OK\r\ncontent-length: 5\r\n\r\nhello",
             "HTTP/1.1 101 OK\r\n\r\n",
             "HTTP/1.1 999 OK\r\ncontent-length: 5\r\n\r\nhello",
