--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -37,6 +37,7 @@
         announce::Heartbeat,
         answer::Outcome,
         dialect::Load,
+        framing::Framing,
         hop,
         notice::Notice,
         update::{Members as MembersUpdate, Progress},
@@ -50,7 +51,7 @@
     },
     transport::relay::{
         body::{self, Body, ReadResult},
-        codec::{self, Decoded, Decoder, Framing},
+        codec::{self, Decoded, Decoder},
         offer::{self, UploadAdmission},
         pool::{self, Failure, Pool},
         serve::{self, ClientKind, Handler, Phase, Server},
