A failed write is reported after what came before it, and never as an orderly end

What callers saw: 502 for a complete answer that a target on another host gave before the end of an upload of 600 KB or more.

Cause: the HTTP library ends a connection at a write that failed, without reading what the other end had sent before it closed. And the system reports a reset once, to a write or to a read: after a write that failed, the next read finds an orderly end.

--- a/src/transport/relay/io.rs
+++ b/src/transport/relay/io.rs
@@ -39,6 +39,19 @@
 pub struct Io {
     stream: Arc<TcpStream>,
     check: ResponseCheck,
+    side: Side,
+}
+
+/// Which end of a connection an [`Io`] is.
+#[derive(Clone, Copy, Debug)]
+enum Side {
+    /// Sends responses.
+    Server,
+    /// Sends requests. The error of a write that failed is reported by the read that follows all
+    /// bytes that came before: the other end may have answered before it closed the connection,
+    /// and hyper reads nothing more after a write that failed. The system reports a reset once,
+    /// so without that error a part of a response would seem to end orderly.
+    Client { write_error: Option<io::ErrorKind> },
 }
 
 /// The check of what is read from a stream while a response is expected; none at first.
@@ -98,12 +111,24 @@
 }
 
 impl Io {
-    /// Returns `stream` for hyper, and a handle to inspect it.
-    pub fn new(stream: TcpStream) -> (Self, Arc<TcpStream>) {
+    /// Returns `stream` for a server of hyper.
+    pub fn server(stream: TcpStream) -> Self {
+        Self::new(Arc::new(stream), Side::Server)
+    }
+
+    /// Returns `stream` for a client of hyper, and a handle to inspect it.
+    pub fn client(stream: TcpStream) -> (Self, Arc<TcpStream>) {
         let stream = Arc::new(stream);
-        let handle = stream.clone();
-        let check = ResponseCheck::default();
-        (Self { stream, check }, handle)
+        let side = Side::Client { write_error: None };
+        (Self::new(stream.clone(), side), stream)
+    }
+
+    fn new(stream: Arc<TcpStream>, side: Side) -> Self {
+        Self {
+            stream,
+            check: ResponseCheck::default(),
+            side,
+        }
     }
 
     /// Returns the check of what is read from this stream.
@@ -151,6 +176,13 @@
         loop {
             ready!(self.stream.poll_read_ready(cx))?;
             match self.stream.try_read(&mut bytes[..len]) {
+                Ok(0)
+                    if let Side::Client {
+                        write_error: Some(error),
+                    } = self.side =>
+                {
+                    return Poll::Ready(Err(error.into()));
+                }
                 Ok(count) => {
                     self.check.check(&bytes[..count])?;
                     buf.put_slice(&bytes[..count]);
@@ -185,7 +217,7 @@
     }
 
     fn poll_write_vectored(
-        self: Pin<&mut Self>,
+        mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
@@ -193,6 +225,10 @@
             ready!(self.stream.poll_write_ready(cx))?;
             match self.stream.try_write_vectored(slices) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) if let Side::Client { write_error } = &mut self.side => {
+                    write_error.get_or_insert(error.kind());
+                    return Poll::Ready(Ok(slices.iter().map(|slice| slice.len()).sum()));
+                }
                 result => return Poll::Ready(result),
             }
         }
--- a/src/transport/relay/pool.rs
+++ b/src/transport/relay/pool.rs
@@ -354,7 +354,7 @@
             .unwrap_or_else(|_| Err(std::io::ErrorKind::TimedOut.into()))
             .map_err(Failure::NotSent)?;
         io::prepare(&stream).map_err(Failure::NotSent)?;
-        let (io, stream) = Io::new(stream);
+        let (io, stream) = Io::client(stream);
         let check = io.check();
         let connected = http1::handshake::<_, Body>(io).await;
         let (sender, driver) =
--- a/src/transport/relay/serve.rs
+++ b/src/transport/relay/serve.rs
@@ -156,7 +156,7 @@
             };
             return front.serve(stream).await;
         }
-        let (io, _) = Io::new(stream);
+        let io = Io::server(stream);
         let handler = self.handler.clone();
         let service = service_fn(move |request: Request<Incoming>| {
             let response = handler(request.map(Body::incoming));
--- a/standins/tests/answers.rs
+++ b/standins/tests/answers.rs
@@ -2,6 +2,7 @@
 
 use rilltrack_standins::{
     fleet::{Host, pair, version},
+    raw,
     target::{End, Script},
 };
 
@@ -158,3 +159,66 @@
     name_of_the_protocol: status_line("HTPT/1.1 200 OK") => is_fault;
     control_byte_in_the_reason: status_line("HTTP/1.1 200 O\u{1}K") => is_fault;
 }
+
+/// The size of an upload that takes long to be written, in bytes: within the limit of the version,
+/// beyond what the sockets on the way hold.
+const UPLOAD: usize = 1_900_000;
+
+/// Returns a whole request with a body of `size` bytes, in one chunk if it has no length.
+fn upload(id: &str, size: usize, has_length: bool) -> Vec<u8> {
+    let framing = match has_length {
+        true => format!("Content-Length: {size}"),
+        false => "Transfer-Encoding: chunked".into(),
+    };
+    let head = format!(
+        "POST /post/b/x HTTP/1.1\r\nHost: fares.example\r\nRilltrack-Attempt-Id: {id}\r\n\
+         Rilltrack-Deadline-Ms: 20000\r\n{framing}\r\nConnection: close\r\n\r\n"
+    );
+    let body = "x".repeat(size);
+    let body = match has_length {
+        true => body,
+        false => format!("{size:x}\r\n{body}\r\n0\r\n\r\n"),
+    };
+    (head + &body).into_bytes()
+}
+
+/// Returns whether an answer isn't taken for a complete one.
+fn is_incomplete(answer: &str) -> bool {
+    // An answer in chunks that breaks off has no last chunk.
+    let is_cut = answer.contains("transfer-encoding: chunked") && !answer.ends_with("0\r\n\r\n");
+    status(answer) != "200" || is_cut
+}
+
+macro_rules! early {
+    ($($name:ident: $answer:expr, $end:ident => $is_right:path;)*) => {$(
+        // Guards against a part of an answer that passes for the whole, since the reset of the
+        // connection was noticed by the write of the upload.
+        #[tokio::test(flavor = "multi_thread")]
+        async fn $name() {
+            let (_store, one, two) = pair(&version(5, &["a", "b"]), "b").await;
+            let script = Script { answer: $answer, is_early: true, end: End::$end };
+            two.target.play(Some(script));
+            for size in [5_000, 600_000, UPLOAD] {
+                for (host, at) in [(&one, "n1"), (&two, "n2")] {
+                    for has_length in [true, false] {
+                        let id = format!("{at}-{size}-{has_length}");
+                        let request = upload(&id, size, has_length);
+                        let answer = raw::exchange_until_closed(host.callers(), &request).await;
+                        assert!($is_right(&answer), "{id}: {answer:?}");
+                    }
+                }
+            }
+        }
+    )*};
+}
+
+early! {
+    early_answer_without_a_length_that_is_reset: with(""), Reset => is_incomplete;
+    early_answer_and_close_that_is_reset: with("Connection: close\r\n"), Reset => is_incomplete;
+    early_answer_with_a_length_that_is_reset: with("Content-Length: 6\r\n"), Reset => is_incomplete;
+    early_chunks_that_are_reset:
+        chunked("Transfer-Encoding: chunked\r\n", "5\r\nhello\r\n"), Reset => is_incomplete;
+    early_answer_without_a_length: with(""), Close => is_served;
+    early_answer_with_a_length: with("Content-Length: 5\r\n"), Close => is_served;
+    early_chunks: chunked("Transfer-Encoding: chunked\r\n", CHUNKS), Close => is_served;
+}
--- a/tests/framing.rs
+++ b/tests/framing.rs
@@ -1,8 +1,23 @@
-//! Where messages end: heads of responses in pieces, and fields that resemble those for the length.
+//! Where messages end: heads of responses in pieces, fields that resemble those for the length, and
+//! connections that are reset.
+
+use std::{
+    io::ErrorKind,
+    pin::Pin,
+    task::{Context, Poll},
+};
 
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, Version};
+use hyper::rt::{Read, ReadBuf, Write};
 use proptest::{collection::vec, prelude::*, test_runner::RngSeed};
-use rilltrack::protocol::{framing, response_head::Scanner};
+use rilltrack::{
+    protocol::{framing, response_head::Scanner},
+    transport::relay::io::Io,
+};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+};
 
 /// A head with an informational response before it, and the start of a body.
 const HEAD: &[u8] = b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n\
@@ -94,3 +109,62 @@
     name_with_a_prefix: GET HTTP_11 "x-content-length" => true;
     another_name_as_long: GET HTTP_11 "accept-charset" => true;
 }
+
+/// Returns the two ends of a connection.
+async fn connection() -> (TcpStream, TcpStream) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (connected, accepted) = tokio::join!(TcpStream::connect(address), listener.accept());
+    (connected.unwrap(), accepted.unwrap().0)
+}
+
+/// Reads once; returns how many bytes were read.
+async fn read(io: &mut Io) -> Result<usize, ErrorKind> {
+    std::future::poll_fn(|cx: &mut Context<'_>| {
+        let mut bytes = [0; 64];
+        let mut buffer = ReadBuf::new(&mut bytes);
+        match Pin::new(&mut *io).poll_read(cx, buffer.unfilled()) {
+            Poll::Ready(Ok(())) => Poll::Ready(Ok(buffer.filled().len())),
+            Poll::Ready(Err(error)) => Poll::Ready(Err(error.kind())),
+            Poll::Pending => Poll::Pending,
+        }
+    })
+    .await
+}
+
+/// Writes until the connection has noticed its reset.
+async fn write_until_reset(io: &mut Io, handle: &TcpStream) {
+    for _ in 0..100 {
+        let _ = std::future::poll_fn(|cx| Pin::new(&mut *io).poll_write(cx, b"x")).await;
+        tokio::time::sleep(std::time::Duration::from_millis(1)).await;
+    }
+    assert!(handle.peer_addr().is_err(), "the connection is reset");
+}
+
+// Guards against a reset that a write consumes: the read after it found an orderly end, and the part
+// of a response without a length passed for the whole.
+#[tokio::test]
+async fn reset_that_a_write_noticed_ends_no_response() {
+    let (stream, mut peer) = connection().await;
+    let (mut io, handle) = Io::client(stream);
+    peer.write_all(b"part").await.unwrap();
+    handle.readable().await.unwrap();
+    peer.set_zero_linger().unwrap();
+    drop(peer);
+    write_until_reset(&mut io, &handle).await;
+    assert_eq!(read(&mut io).await, Ok(4));
+    assert!(read(&mut io).await.is_err());
+}
+
+#[tokio::test]
+async fn orderly_end_is_one() {
+    let (stream, mut peer) = connection().await;
+    let (mut io, _) = Io::client(stream);
+    peer.write_all(b"part").await.unwrap();
+    peer.shutdown().await.unwrap();
+    let write = std::future::poll_fn(|cx| Pin::new(&mut io).poll_write(cx, b"x"));
+    write.await.unwrap();
+    assert_eq!(peer.read_u8().await.unwrap(), b'x');
+    assert_eq!(read(&mut io).await, Ok(4));
+    assert_eq!(read(&mut io).await, Ok(0));
+}
