What a node holds of messages that are not whole is bounded by its memory

What callers saw: clients that send most of a body and stay end a process, which runs out of memory; where the bodies are larger than 512 KiB, every other request to the service gets 503 meanwhile.

Cause: nothing bounded what a process holds of bodies that are not whole; each piece of a body kept the buffer of a whole read, so that chunks of one byte took 40 times their size; a body of more than 512 KiB took a slot of its target before it was whole. Ruled out: memory that is kept for clients that have left. It is free, but the allocator keeps it.

decision::memory decides, replayed in virtual time by tests/memory.rs: at the limit the messages that stood still longest make room for one that advances, else the one that asks is refused with 503 and Retry-After, which is true since no target has seen it. docs/design/memory.md has the limits, their defaults and the ways rejected.

--- a/src/coordination/decision/mod.rs
+++ b/src/coordination/decision/mod.rs
@@ -10,6 +10,7 @@
 //! * [`queue`]: slots of a target, and the requests that wait for one;
 //! * [`pace`]: the pace of requests to a target that warms up or states a limit;
 //! * [`balance`]: which node a request goes to;
+//! * [`memory`]: which messages are given up when there is no memory for more;
 //! * [`link_share`]: which large bodies a host's link may carry;
 //! * [`reach`]: which nodes are unreachable, and when they are probed;
 //! * [`retry_budget`]: how many retries may be sent;
@@ -29,6 +30,7 @@
 pub mod balance;
 pub mod link_share;
 pub mod load_report;
+pub mod memory;
 pub mod nested_call;
 pub mod pace;
 pub mod quarantine;
--- a/src/coordination/host.rs
+++ b/src/coordination/host.rs
@@ -144,6 +144,7 @@
             differs("advertise", current.advertise == new.advertise),
             differs("store", current.store == new.store),
             differs("descriptors", current.descriptors == new.descriptors),
+            differs("memory", current.memory == new.memory),
             differs("load_reports", current.load_reports == new.load_reports),
             differs("bandwidth", current.bandwidth() == new.bandwidth()),
         ]
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -36,6 +36,7 @@
 //! * [`local`], [`presence`]: the target on this host, and what is published about it;
 //! * [`record_keys`]: under which keys of the store that is written;
 //! * [`gate`], [`flow`]: admission to that target, and of large bodies to the host's link;
+//! * [`memory`]: the memory for messages that are not whole yet;
 //! * [`drain`]: which failure domains an operator has drained;
 //! * [`load_report`]: the exchange of the loads of targets;
 //! * [`rate_limit`]: the exchange of counts behind the limits on teams' requests;
@@ -65,6 +66,7 @@
 pub mod load_report;
 pub mod local;
 pub mod log_reader;
+pub mod memory;
 pub mod node;
 
 pub mod pick;
--- a/src/event.rs
+++ b/src/event.rs
@@ -100,6 +100,8 @@
     414 Info  BodyTaken: "A request's body was taken in over the host's link, or could not be in time.";
     415 Info  NoRoom: "A request was refused without asking any target: by the load reports, none has room for it.";
     416 Info  BytesRefused: "Bytes of a caller were refused before they were a request: too large, too slow or not valid.";
+    417 Warn  MemoryFull: "The memory for bodies or messages is used up: those that stand still are given up, others refused.";
+    418 Info  MemoryFree: "Less than half of the memory for bodies or messages is used again.";
     420 Info  KeyIssued: "Idempotency keys were issued.";
     421 Info  Replayed: "A keyed request came again and got the recorded answer.";
     422 Warn  KeyRefused: "A keyed request could not be run or replayed.";
--- a/src/host/metrics.rs
+++ b/src/host/metrics.rs
@@ -54,6 +54,10 @@
     pub unusable: Family<Unusable, Counter<u64, AtomicU64>>,
     /// Requests that were passed to the target on this host.
     pub admitted: Counter<u64, AtomicU64>,
+    /// Bytes of messages that are held, by kind of message.
+    pub held_bytes: Family<Memory, Gauge<i64, AtomicI64>>,
+    /// Messages that got no memory, by kind and by what happened to them.
+    pub no_memory: Family<NoMemory, Counter<u64, AtomicU64>>,
     /// Known members, by whether they answered the last check.
     pub members: Family<State, Gauge<i64, AtomicI64>>,
     /// Targets of the services that this node uses, by whether their load is known.
@@ -144,6 +148,22 @@
     pub result: &'static str,
 }
 
+/// The labels of [`Metrics::held_bytes`].
+#[derive(Clone, Debug, Eq, Hash, PartialEq, EncodeLabelSet)]
+pub struct Memory {
+    /// `bodies` or `messages`.
+    pub kind: &'static str,
+}
+
+/// The labels of [`Metrics::no_memory`].
+#[derive(Clone, Debug, Eq, Hash, PartialEq, EncodeLabelSet)]
+pub struct NoMemory {
+    /// `bodies` or `messages`.
+    pub kind: &'static str,
+    /// `given-up` or `refused`.
+    pub end: &'static str,
+}
+
 /// The labels of [`Metrics::unusable`].
 #[derive(Clone, Debug, Eq, Hash, PartialEq, EncodeLabelSet)]
 pub struct Unusable {
@@ -183,6 +203,8 @@
             store_latency: histogram(),
             unusable: Family::default(),
             admitted: Counter::default(),
+            held_bytes: Family::default(),
+            no_memory: Family::default(),
             members: Family::default(),
             gauges: Gauges::default(),
         };
@@ -234,6 +256,16 @@
             "Records, heartbeats and news that can't be used",
             self.unusable.clone(),
         );
+        registry.register(
+            "held_bytes",
+            "Bytes of messages that are not whole or not handled yet",
+            self.held_bytes.clone(),
+        );
+        registry.register(
+            "no_memory",
+            "Messages that were given up or refused for want of memory",
+            self.no_memory.clone(),
+        );
         registry.register("members", "Members known", self.members.clone());
         let gauges = &self.gauges;
         registry.register(
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -4,6 +4,7 @@
 //! the members come from that store, so the process needs no quorum, storage or
 //! snapshots. It manages the target on its host and routes requests.
 
+mod allocator;
 pub mod metrics;
 mod settings;
 
@@ -21,6 +22,7 @@
         host,
         interface::{CallPeer, Decoders, Store, Stream},
         load_report,
+        memory::{Change, Memory},
         presence::{self, Recorded},
         probe,
         quarantine::review,
@@ -39,6 +41,7 @@
             serve::{self, ClientKind, Handler, Phase, Server},
         },
     },
+    unit::Size,
 };
 
 /// The time for which a stopping process still accepts requests. The platform checks
@@ -95,9 +98,12 @@
         let host = Arc::new(host::Host::new(settings, decoders, journal));
         let (phase, phase_receiver) = watch::channel(Phase::Serving);
         let (recorded, recorded_receiver) = watch::channel(Recorded::default());
-        let ingress = Ingress::new(host.clone());
-        let egress = Egress::new(host.clone(), ingress.clone());
-        let call_peer = control::call_peer();
+        let bodies = memory(&host, "bodies", Memory::body_limit(host.settings.memory));
+        let limit = Memory::message_limit(host.settings.memory);
+        let messages = memory(&host, "messages", limit);
+        let ingress = Ingress::new(host.clone(), bodies.clone());
+        let egress = Egress::new(host.clone(), ingress.clone(), bodies.clone());
+        let call_peer = control::call_peer(messages.clone());
         let intake = load_intake(&host);
         let listen = &host.settings.listen;
         let request_servers = [
@@ -108,12 +114,17 @@
             (
                 listen.peers,
                 ClientKind::Internal,
-                control::peers(host.clone(), call_peer.clone(), intake.clone()),
+                control::peers(
+                    host.clone(),
+                    call_peer.clone(),
+                    intake.clone(),
+                    messages.clone(),
+                ),
             ),
             (
                 listen.targets,
                 ClientKind::Internal,
-                control::targets(host.clone(), recorded_receiver),
+                control::targets(host.clone(), recorded_receiver, messages.clone()),
             ),
             (
                 listen.ready,
@@ -123,7 +134,10 @@
             (
                 listen.metrics,
                 ClientKind::Internal,
-                control::metrics(host.clone()),
+                control::metrics(
+                    host.clone(),
+                    [("bodies", bodies.clone()), ("messages", messages.clone())],
+                ),
             ),
         ];
         let new_server = server_factory(&host, &phase_receiver);
@@ -141,7 +155,12 @@
             phase,
             request_thread: spawn_thread(
                 "requests",
-                serve_requests(request_listeners, egress, ingress),
+                serve_requests(
+                    request_listeners,
+                    egress,
+                    ingress,
+                    [bodies.clone(), messages.clone()],
+                ),
             )?,
             control_thread: spawn_thread(
                 "control",
@@ -206,6 +225,24 @@
     true
 }
 
+/// Returns memory of at most `limit` for messages of a kind, whose shortage is logged and counted.
+fn memory(host: &Arc<host::Host>, kind: &'static str, limit: Size) -> Arc<Memory> {
+    let host = host.clone();
+    Memory::new(limit, move |change| {
+        let count = |end, messages| {
+            let labels = metrics::NoMemory { kind, end };
+            let counter = host.metrics.no_memory.get_or_create(&labels);
+            counter.inc_by(messages as u64);
+        };
+        match change {
+            Change::Filled => note!(host.journal, Event::MemoryFull, kind = kind, limit = limit),
+            Change::GivenUp(messages) => count("given-up", messages),
+            Change::Refused => count("refused", 1),
+            Change::Freed => note!(host.journal, Event::MemoryFree, kind = kind, limit = limit),
+        }
+    })
+}
+
 /// Returns a function that makes a server from a handler.
 fn server_factory(
     host: &Arc<host::Host>,
@@ -261,7 +298,12 @@
         .spawn(move || runtime.block_on(task))?)
 }
 
-async fn serve_requests(listeners: Listeners, egress: Arc<Egress>, ingress: Arc<Ingress>) {
+async fn serve_requests(
+    listeners: Listeners,
+    egress: Arc<Egress>,
+    ingress: Arc<Ingress>,
+    memories: [Arc<Memory>; 2],
+) {
     tokio::spawn(health::run(ingress.host().clone()));
     tokio::spawn(async move {
         loop {
@@ -269,6 +311,11 @@
             egress.prune();
             egress.log_retries();
             ingress.prune();
+            let gone = memories.iter().filter(|memory| memory.is_crowd_gone());
+            // All of them are asked, as each notes its own crowd.
+            if gone.count() > 0 {
+                allocator::trim();
+            }
         }
     });
     serve_all(listeners).await;
--- a/src/host/settings.rs
+++ b/src/host/settings.rs
@@ -8,7 +8,7 @@
     document::{Document, Fault},
     id::{Name, Node},
     state::{region::Regions, selector::Labels},
-    unit::Span,
+    unit::{Size, Span},
 };
 
 /// The settings of one host process.
@@ -55,6 +55,10 @@
     pub load_reports: Option<bool>,
     /// The most file descriptors that the process may have open.
     pub descriptors: usize,
+    /// The memory that the process may take. The messages that it holds at a time take three eighths of
+    /// it at the most.
+    #[serde(default = "default_memory")]
+    pub memory: Size,
     /// The limit on requests to a new release before it has proven good. Without it,
     /// releases are not distinguished and there are no roll-outs.
     #[serde(default)]
@@ -114,6 +118,14 @@
 /// store, and a connection to and from each of a few dozen peers and callers.
 const MIN_DESCRIPTORS: usize = 256;
 
+/// The least memory with which a process can work, in bytes: what it takes without requests, and
+/// a message with all members of a large mesh.
+const MIN_MEMORY: u64 = 32 << 20;
+
+fn default_memory() -> Size {
+    Size::from_bytes(256 << 20)
+}
+
 impl Settings {
     /// Returns the bandwidth of the host's link in whole Mbit/s; 0 if unknown.
     pub fn bandwidth(&self) -> u32 {
@@ -167,7 +179,7 @@
         let ratio = self.resend.ratio;
         let share = self.exposure.map_or(1.0, |exposure| exposure.share);
         let slack = self.resend.slack;
-        let checks: [(bool, &[&str], &str); 7] = [
+        let checks: [(bool, &[&str], &str); 8] = [
             (
                 !(share > 0.0 && share <= 1.0),
                 &["exposure", "share"],
@@ -203,6 +215,11 @@
                 &["descriptors"],
                 "must be at least 256",
             ),
+            (
+                self.memory.as_bytes() < MIN_MEMORY,
+                &["memory"],
+                "must be at least 32MiB",
+            ),
         ];
         let found = checks.into_iter().filter(|(is_fault, _, _)| *is_fault);
         found.map(|(_, path, what)| (path, what)).collect()
--- a/src/transport/relay/body.rs
+++ b/src/transport/relay/body.rs
@@ -12,7 +12,7 @@
     time::{Duration, Instant},
 };
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body::{Body as _, Frame, SizeHint};
 use http_body_util::{BodyExt, combinators::BoxBody};
 use hyper::body::Incoming;
@@ -21,6 +21,11 @@
     time::Sleep,
 };
 
+use crate::{
+    coordination::memory::{Full, Hold},
+    transport::relay::MAX_BUFFERED_BODY,
+};
+
 /// The error of a body that ends early. It also closes the connection, so that
 /// a partial body is not mistaken for the whole.
 pub type Fault = Box<dyn Error + Send + Sync>;
@@ -78,6 +83,9 @@
     /// The body ended early.
     #[error("body broke off")]
     Interrupted(#[source] Fault),
+    /// There is no memory for more of it, or it was given up for one that advances.
+    #[error("{0}")]
+    NoMemory(#[from] Full),
 }
 
 impl Body {
@@ -308,71 +316,173 @@
     }
 }
 
-/// Reads a body until its end or until more than `max` bytes are received.
-/// Each piece must be received within `idle`.
+/// How a body is read.
+#[derive(Clone, Copy)]
+pub struct Reader<'a> {
+    /// The size up to which a body is held whole, in bytes.
+    pub max: usize,
+    /// The longest time without any of the body.
+    pub idle: Duration,
+    /// When the whole body must have been received; `None` for one whose size bounds the time.
+    pub deadline: Option<Instant>,
+    /// The memory that it takes.
+    pub hold: &'a Hold,
+    /// What happens if there is no memory for more.
+    pub when_full: WhenFull,
+}
+
+/// What happens to a body for which there is no more memory.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum WhenFull {
+    /// It fails with [`ReadError::NoMemory`].
+    Fail,
+    /// What was received is returned, as if the body were larger than the maximum.
+    Stream,
+}
+
+impl Reader<'_> {
+    /// Reads a body until its end, or until more than the maximum is received.
+    ///
+    /// # Errors
+    ///
+    /// If nothing is received for too long, the deadline passes, the body ends early, or there is
+    /// no memory for it.
+    pub async fn read(&self, body: Body) -> Result<ReadResult, ReadError> {
+        let reading = self.read_held(body);
+        let Some(deadline) = self.deadline else {
+            return reading.await;
+        };
+        // A body that comes in small pieces could take for ever otherwise.
+        let read = tokio::time::timeout_at(deadline.into(), reading).await;
+        read.unwrap_or(Err(ReadError::Stalled))
+    }
+
+    async fn read_held(&self, body: Body) -> Result<ReadResult, ReadError> {
+        tokio::select! {
+            read = collect(body, self.max, self.idle, |bytes| self.hold.grow(bytes), self.when_full) => {
+                self.hold.complete();
+                read
+            }
+            () = self.hold.given_up() => Err(ReadError::NoMemory(Full)),
+        }
+    }
+}
+
+/// Returns a reader of the body of an answer, whose caller waits until `deadline`. The body is
+/// streamed if there is no memory for it.
+pub fn answer_reader(hold: &Hold, deadline: Instant) -> Reader<'_> {
+    Reader {
+        max: MAX_BUFFERED_BODY,
+        idle: deadline.saturating_duration_since(Instant::now()),
+        deadline: Some(deadline),
+        hold,
+        when_full: WhenFull::Stream,
+    }
+}
+
+/// Reads a body of which few are read at a time, until its end or until more than `max` bytes are
+/// received. Each piece must be received within `idle`.
 ///
 /// # Errors
 ///
 /// If nothing is received for `idle`, or the body ends early.
-pub async fn read(mut body: Body, max: usize, idle: Duration) -> Result<ReadResult, ReadError> {
+pub async fn read(body: Body, max: usize, idle: Duration) -> Result<ReadResult, ReadError> {
+    collect(body, max, idle, |_| Ok(()), WhenFull::Fail).await
+}
+
+/// Reads a body until its end, until more than `max` bytes are received, or until `grow`, which is
+/// told how many bytes more are to be stored, has no memory.
+async fn collect(
+    mut body: Body,
+    max: usize,
+    idle: Duration,
+    grow: impl Fn(usize) -> Result<(), Full>,
+    when_full: WhenFull,
+) -> Result<ReadResult, ReadError> {
     if body.is_end_stream() {
         return Ok(ReadResult::Whole(Bytes::new()));
     }
-    let mut pieces = Pieces::default();
+    let mut pieces = Pieces::new(body.length());
     loop {
         let frame = tokio::time::timeout(idle, body.frame()).await;
-        match frame.map_err(|_| ReadError::Stalled)? {
-            None => return Ok(ReadResult::Whole(pieces.join())),
-            Some(frame) => {
-                let frame = frame.map_err(ReadError::Interrupted)?;
-                if let Ok(data) = frame.into_data() {
-                    pieces.add(data);
-                }
-            }
+        let Some(frame) = frame.map_err(|_| ReadError::Stalled)? else {
+            return Ok(ReadResult::Whole(pieces.join()));
+        };
+        let Ok(data) = frame.map_err(ReadError::Interrupted)?.into_data() else {
+            continue;
+        };
+        let room = grow(pieces.growth(data.len()));
+        let is_full = room.is_err();
+        if when_full == WhenFull::Fail {
+            room?;
         }
-        if pieces.len > max {
+        pieces.add(data);
+        if is_full || pieces.len() > max {
             return Ok(ReadResult::Partial(pieces.join(), body));
         }
     }
 }
 
-/// Reads a body as [`read`] does, all of it by `deadline`: a body that comes in small pieces could
-/// take for ever otherwise.
-///
-/// # Errors
-///
-/// If nothing is received for `idle`, the deadline passes, or the body ends early.
-pub async fn read_until(
-    body: Body,
-    max: usize,
-    idle: Duration,
-    deadline: Instant,
-) -> Result<ReadResult, ReadError> {
-    let reading = tokio::time::timeout_at(deadline.into(), read(body, max, idle));
-    reading.await.unwrap_or(Err(ReadError::Stalled))
-}
+/// The smallest buffer for a body in pieces, in bytes.
+const MIN_BUFFER: usize = 1 << 10;
 
-/// The pieces of a body. A single piece is not copied when they are joined.
-#[derive(Default)]
+/// The pieces of a body. A single piece that is the whole body isn't copied. Others are joined, since
+/// a piece keeps the buffer of a whole read alive, however small it is.
 struct Pieces {
-    pieces: Vec<Bytes>,
-    len: usize,
+    /// The length of the body, if known.
+    length: Option<usize>,
+    whole: Option<Bytes>,
+    joined: Vec<u8>,
 }
 
 impl Pieces {
-    fn add(&mut self, piece: Bytes) {
-        self.len += piece.len();
-        self.pieces.push(piece);
+    fn new(length: Option<usize>) -> Self {
+        Self {
+            length,
+            whole: None,
+            joined: Vec::new(),
+        }
     }
 
-    fn join(&mut self) -> Bytes {
-        if self.pieces.len() <= 1 {
-            return self.pieces.pop().unwrap_or_default();
+    fn len(&self) -> usize {
+        self.whole.as_ref().map_or(0, Bytes::len) + self.joined.len()
+    }
+
+    fn is_whole(&self, len: usize) -> bool {
+        self.length == Some(len) && self.joined.is_empty()
+    }
+
+    /// Returns the capacity with `len` bytes more. It doubles, up to the length of the body.
+    fn capacity_with(&self, len: usize) -> usize {
+        let needed = self.joined.len() + len;
+        let current = self.joined.capacity();
+        if needed <= current {
+            return current;
+        }
+        let doubled = needed.max(current * 2).max(MIN_BUFFER);
+        self.length
+            .map_or(doubled, |length| doubled.min(length.max(needed)))
+    }
+
+    /// Returns how much memory more the pieces take with one of `len` bytes.
+    fn growth(&self, len: usize) -> usize {
+        match self.is_whole(len) {
+            true => len,
+            false => self.capacity_with(len) - self.joined.capacity(),
         }
-        let mut whole = BytesMut::with_capacity(self.len);
-        self.pieces
-            .drain(..)
-            .for_each(|piece| whole.extend_from_slice(&piece));
-        whole.freeze()
+    }
+
+    fn add(&mut self, piece: Bytes) {
+        if self.is_whole(piece.len()) {
+            self.whole = Some(piece);
+            return;
+        }
+        let capacity = self.capacity_with(piece.len());
+        self.joined.reserve_exact(capacity - self.joined.len());
+        self.joined.extend_from_slice(&piece);
+    }
+
+    fn join(self) -> Bytes {
+        self.whole.unwrap_or_else(|| self.joined.into())
     }
 }
--- a/src/transport/relay/control.rs
+++ b/src/transport/relay/control.rs
@@ -23,18 +23,20 @@
         interface::{CallPeer, PeerRequest},
         load_report::Intake,
         local::Change,
+        memory::{Hold, Memory},
         presence::Recorded,
         records,
         rollout::controller,
         sync,
     },
     event::Event,
+    host::metrics,
     id::Instance,
     journal::note,
     protocol::{announce::TargetCall, load_report::Message},
     state::fingerprint::Fingerprint,
     transport::relay::{
-        body::{self, Body, ReadResult},
+        body::{Body, ReadError, ReadResult, Reader, WhenFull},
         empty_response,
         pool::{Pool, Settings},
         serve::{Handler, Phase},
@@ -103,17 +105,46 @@
 /// The path where operators release a quarantined request.
 const LET_GO: &str = "/let-go";
 
-/// Returns a function that sends requests to peers.
-pub fn call_peer() -> CallPeer {
+/// Returns a function that sends requests to peers. Their answers are held in `memory`.
+pub fn call_peer(memory: Arc<Memory>) -> CallPeer {
     let pool = Arc::new(Pool::new(POOL_SETTINGS));
     Arc::new(move |address, request| {
-        let pool = pool.clone();
-        async move { send_request(&pool, address, request).await }.boxed()
+        let (pool, memory) = (pool.clone(), memory.clone());
+        async move { send_request(&pool, &memory, address, request).await }.boxed()
     })
 }
 
+/// Reads a message of at most `max` bytes whose pieces come within `idle`; returns it with the
+/// memory that it takes.
+///
+/// # Errors
+///
+/// The status of the response if it can't be read.
+async fn read_message(
+    memory: &Arc<Memory>,
+    body: Body,
+    max: usize,
+    idle: Duration,
+) -> Result<(Bytes, Hold), StatusCode> {
+    let hold = memory.open();
+    let reader = Reader {
+        max,
+        idle,
+        deadline: None,
+        hold: &hold,
+        when_full: WhenFull::Fail,
+    };
+    match reader.read(body).await {
+        Ok(ReadResult::Whole(bytes)) => Ok((bytes, hold)),
+        Ok(ReadResult::Partial(..)) => Err(StatusCode::PAYLOAD_TOO_LARGE),
+        Err(ReadError::NoMemory(_)) => Err(StatusCode::SERVICE_UNAVAILABLE),
+        Err(ReadError::Stalled | ReadError::Interrupted(_)) => Err(StatusCode::BAD_REQUEST),
+    }
+}
+
 async fn send_request(
     pool: &Pool,
+    memory: &Arc<Memory>,
     address: SocketAddr,
     request: PeerRequest,
 ) -> Result<Bytes, Error> {
@@ -141,18 +172,13 @@
     if exchange.response.status() != StatusCode::OK {
         return Err(Error::Unexpected(peer()));
     }
-    let read = body::read(
-        exchange.response.into_body(),
-        MAX_PEER_MESSAGE,
-        PEER_TIMEOUT,
-    )
-    .await;
-    match read {
-        Ok(ReadResult::Whole(bytes)) => {
+    let body = exchange.response.into_body();
+    match read_message(memory, body, MAX_PEER_MESSAGE, PEER_TIMEOUT).await {
+        Ok((bytes, _)) => {
             pool.put_back(exchange.connection);
             Ok(bytes)
         }
-        Ok(ReadResult::Partial(..)) | Err(_) => Err(Error::Unexpected(peer())),
+        Err(_) => Err(Error::Unexpected(peer())),
     }
 }
 
@@ -169,23 +195,30 @@
         .into()
 }
 
-/// Returns the handler of requests from peers and operators.
-pub fn peers(host: Arc<Host>, call_peer: CallPeer, intake: Arc<Intake>) -> Handler {
+/// Returns the handler of requests from peers and operators. Messages are held in `memory`.
+pub fn peers(
+    host: Arc<Host>,
+    call_peer: CallPeer,
+    intake: Arc<Intake>,
+    memory: Arc<Memory>,
+) -> Handler {
     Arc::new(move |request: Request<Body>| {
         let (host, call_peer, intake) = (host.clone(), call_peer.clone(), intake.clone());
+        let memory = memory.clone();
         async move {
+            let memory = &memory;
             match request.uri().path() {
-                ROUTES => routes(&host, request.into_body()).await,
-                MEMBERS => members(&host, request.into_body()).await,
+                ROUTES => routes(&host, memory, request.into_body()).await,
+                MEMBERS => members(&host, memory, request.into_body()).await,
                 SEEN => Response::new(Body::whole(encode(&host.progress()))),
-                COUNTS => counts(&host, request.into_body()).await,
-                LOADS => loads(&host, &intake, request.into_body()).await,
-                NEWS => news(&host, &call_peer, request.into_body()).await,
+                COUNTS => counts(&host, memory, request.into_body()).await,
+                LOADS => loads(&host, &intake, memory, request.into_body()).await,
+                NEWS => news(&host, &call_peer, memory, request.into_body()).await,
                 ROLLOUTS => json(&controller::progress(&host)),
                 DRAINS => json(&host.drains.latest()),
                 HELD => json(&host.quarantine.quarantined(Instant::now())),
                 ROOM => json(&host.load_reports.reported(Instant::now())),
-                LET_GO => let_go(&host, request.into_body()).await,
+                LET_GO => let_go(&host, memory, request.into_body()).await,
                 _ => empty_response(StatusCode::NOT_FOUND),
             }
         }
@@ -193,10 +226,10 @@
     })
 }
 
-async fn routes(host: &Host, body: Body) -> Response<Body> {
-    let read = body::read(body, MAX_CALL, PEER_TIMEOUT).await;
-    let Ok(ReadResult::Whole(bytes)) = read else {
-        return empty_response(StatusCode::BAD_REQUEST);
+async fn routes(host: &Host, memory: &Arc<Memory>, body: Body) -> Response<Body> {
+    let (bytes, _hold) = match read_message(memory, body, MAX_CALL, PEER_TIMEOUT).await {
+        Ok(read) => read,
+        Err(status) => return empty_response(status),
     };
     let Ok(base) = rmp_serde::from_slice(&bytes) else {
         return empty_response(StatusCode::BAD_REQUEST);
@@ -207,20 +240,25 @@
     }
 }
 
-async fn members(host: &Host, body: Body) -> Response<Body> {
-    let read = body::read(body, MAX_CALL, PEER_TIMEOUT).await;
-    let Ok(ReadResult::Whole(bytes)) = read else {
-        return empty_response(StatusCode::BAD_REQUEST);
+async fn members(host: &Host, memory: &Arc<Memory>, body: Body) -> Response<Body> {
+    let (bytes, _hold) = match read_message(memory, body, MAX_CALL, PEER_TIMEOUT).await {
+        Ok(read) => read,
+        Err(status) => return empty_response(status),
     };
     // Marks that can't be decoded count as none, so that all members are sent.
     let hashes: Vec<u32> = rmp_serde::from_slice(&bytes).unwrap_or_default();
     Response::new(Body::whole(sync::members(host, &hashes)))
 }
 
-async fn news(host: &Arc<Host>, call_peer: &CallPeer, body: Body) -> Response<Body> {
-    let read = body::read(body, MAX_PEER_MESSAGE, PEER_TIMEOUT).await;
-    let Ok(ReadResult::Whole(bytes)) = read else {
-        return empty_response(StatusCode::BAD_REQUEST);
+async fn news(
+    host: &Arc<Host>,
+    call_peer: &CallPeer,
+    memory: &Arc<Memory>,
+    body: Body,
+) -> Response<Body> {
+    let (bytes, _hold) = match read_message(memory, body, MAX_PEER_MESSAGE, PEER_TIMEOUT).await {
+        Ok(read) => read,
+        Err(status) => return empty_response(status),
     };
     match records::decode(host, &bytes, "news", "reader") {
         Some(news) => {
@@ -231,10 +269,10 @@
     }
 }
 
-async fn counts(host: &Host, body: Body) -> Response<Body> {
-    let read = body::read(body, MAX_PEER_MESSAGE, PEER_TIMEOUT).await;
-    let Ok(ReadResult::Whole(bytes)) = read else {
-        return empty_response(StatusCode::BAD_REQUEST);
+async fn counts(host: &Host, memory: &Arc<Memory>, body: Body) -> Response<Body> {
+    let (bytes, _hold) = match read_message(memory, body, MAX_PEER_MESSAGE, PEER_TIMEOUT).await {
+        Ok(read) => read,
+        Err(status) => return empty_response(status),
     };
     let Some(routes) = host.routes() else {
         return empty_response(StatusCode::SERVICE_UNAVAILABLE);
@@ -249,10 +287,10 @@
     }
 }
 
-async fn loads(host: &Host, intake: &Intake, body: Body) -> Response<Body> {
-    let read = body::read(body, MAX_LOADS, PEER_TIMEOUT).await;
-    let Ok(ReadResult::Whole(bytes)) = read else {
-        return empty_response(StatusCode::BAD_REQUEST);
+async fn loads(host: &Host, intake: &Intake, memory: &Arc<Memory>, body: Body) -> Response<Body> {
+    let (bytes, _hold) = match read_message(memory, body, MAX_LOADS, PEER_TIMEOUT).await {
+        Ok(read) => read,
+        Err(status) => return empty_response(status),
     };
     if host.settings.load_reports == Some(false) {
         return empty_response(StatusCode::NOT_FOUND);
@@ -264,10 +302,10 @@
     Response::new(Body::whole(encode_compact(&reply)))
 }
 
-async fn let_go(host: &Host, body: Body) -> Response<Body> {
-    let read = body::read(body, MAX_CALL, PEER_TIMEOUT).await;
-    let Ok(ReadResult::Whole(bytes)) = read else {
-        return empty_response(StatusCode::BAD_REQUEST);
+async fn let_go(host: &Host, memory: &Arc<Memory>, body: Body) -> Response<Body> {
+    let (bytes, _hold) = match read_message(memory, body, MAX_CALL, PEER_TIMEOUT).await {
+        Ok(read) => read,
+        Err(status) => return empty_response(status),
     };
     match serde_json::from_slice::<Fingerprint>(&bytes) {
         Ok(content) => json(&host.quarantine.release(content)),
@@ -293,9 +331,20 @@
     })
 }
 
-/// Returns the handler that returns metrics, which ignores the path.
-pub fn metrics(host: Arc<Host>) -> Handler {
+/// Returns the handler that returns metrics, which ignores the path. `memories` are those of the kinds
+/// of messages.
+pub fn metrics<const N: usize>(
+    host: Arc<Host>,
+    memories: [(&'static str, Arc<Memory>); N],
+) -> Handler {
     Arc::new(move |_| {
+        for (kind, memory) in &memories {
+            let held = host
+                .metrics
+                .held_bytes
+                .get_or_create(&metrics::Memory { kind });
+            held.set(memory.held().as_bytes() as i64);
+        }
         let mut response = Response::new(Body::whole(host.metrics()));
         let content_type = HeaderValue::from_static("application/openmetrics-text; version=1.0.0");
         response.headers_mut().insert(CONTENT_TYPE, content_type);
@@ -303,24 +352,28 @@
     })
 }
 
-/// Returns the handler of the target's heartbeats and leave calls.
-pub fn targets(host: Arc<Host>, written: watch::Receiver<Recorded>) -> Handler {
+/// Returns the handler of the target's heartbeats and leave calls, which are held in `memory`.
+pub fn targets(
+    host: Arc<Host>,
+    written: watch::Receiver<Recorded>,
+    memory: Arc<Memory>,
+) -> Handler {
     Arc::new(move |request| {
-        let (host, written) = (host.clone(), written.clone());
-        async move { target_call(host, written, request).await }.boxed()
+        let (host, written, memory) = (host.clone(), written.clone(), memory.clone());
+        async move { target_call(host, written, &memory, request).await }.boxed()
     })
 }
 
 async fn target_call(
     host: Arc<Host>,
     mut written: watch::Receiver<Recorded>,
+    memory: &Arc<Memory>,
     request: Request<Body>,
 ) -> Response<Body> {
     let (head, incoming) = request.into_parts();
-    let body = match body::read(incoming, MAX_CALL, CALL_IDLE_TIMEOUT).await {
-        Ok(ReadResult::Whole(bytes)) => bytes,
-        Ok(ReadResult::Partial(..)) => return empty_response(StatusCode::PAYLOAD_TOO_LARGE),
-        Err(_) => return empty_response(StatusCode::BAD_REQUEST),
+    let (body, _hold) = match read_message(memory, incoming, MAX_CALL, CALL_IDLE_TIMEOUT).await {
+        Ok(read) => read,
+        Err(status) => return empty_response(status),
     };
     if head.method != Method::POST {
         return empty_response(StatusCode::METHOD_NOT_ALLOWED);
--- a/src/transport/relay/egress.rs
+++ b/src/transport/relay/egress.rs
@@ -22,6 +22,7 @@
         },
         gate,
         host::Host,
+        memory::{self, Hold, Memory},
         rollout::Answer,
     },
     event::Event,
@@ -34,7 +35,7 @@
         relay::{
             MAX_BUFFERED_BODY,
             attempt::{AttemptGuard, AttemptOutcome},
-            body::{self, Body, ReadError, ReadResult},
+            body::{Body, ReadError, ReadResult, Reader, WhenFull},
             call::Call,
             completion::{Attempts, finish},
             delivery::Delivery,
@@ -53,17 +54,19 @@
 /// Routes requests of callers and sends them to targets here or on other hosts.
 pub struct Egress {
     host: Arc<Host>,
+    memory: Arc<Memory>,
     ingress: Arc<Ingress>,
     peers: PeerClient,
 }
 
 impl Egress {
     /// Returns the egress side of `host`. Requests for the host's own target are passed
-    /// directly to `ingress`.
-    pub fn new(host: Arc<Host>, ingress: Arc<Ingress>) -> Arc<Self> {
+    /// directly to `ingress`. Bodies are held in `memory`.
+    pub fn new(host: Arc<Host>, ingress: Arc<Ingress>, memory: Arc<Memory>) -> Arc<Self> {
         Arc::new(Self {
-            peers: PeerClient::new(host.clone()),
+            peers: PeerClient::new(host.clone(), memory.clone()),
             host,
+            memory,
             ingress,
         })
     }
@@ -124,7 +127,9 @@
         };
         // One version's limits hold for the whole request.
         let limits = self.host.limits();
-        let body = match read_body(incoming, &call, &limits).await {
+        // Held until the request has its answer, as it may be sent again.
+        let hold = self.memory.open();
+        let body = match self.read_body(incoming, &call, &limits, &hold).await {
             Ok(body) => body,
             Err(refusal) => {
                 return finish(
@@ -148,6 +153,45 @@
         finish(&self.host, &call, version, &attempts, result)
     }
 
+    /// Reads a body whole if the node may hold one of its size, and the start of a larger one. No
+    /// target has a slot taken until a body is whole, which may be never.
+    async fn read_body(
+        &self,
+        incoming: Body,
+        call: &Call,
+        limits: &Limits,
+        hold: &Hold,
+    ) -> Result<ReadResult, Refusal> {
+        let max_bytes = limits.body.as_bytes();
+        let max_whole = self.memory.max_whole().max(MAX_BUFFERED_BODY);
+        let too_large = || Refusal::rejected(413, too_large_reason(limits.body));
+        let length: Option<u64> = http::parse(&call.head.headers, "content-length");
+        if length.is_some_and(|length| length > max_bytes) {
+            return Err(too_large());
+        }
+        if length.is_some_and(|length| length > max_whole as u64) {
+            return Ok(ReadResult::Partial(Bytes::new(), incoming));
+        }
+        let reader = Reader {
+            max: usize::try_from(max_bytes).map_or(max_whole, |max| max.min(max_whole)),
+            idle: limits.idle_timeout.duration(),
+            deadline: Some(call.deadline),
+            hold,
+            when_full: WhenFull::Fail,
+        };
+        match reader.read(incoming).await {
+            Ok(ReadResult::Partial(first, _)) if first.len() as u64 > max_bytes => Err(too_large()),
+            Ok(read) => Ok(read),
+            Err(ReadError::Stalled) => Err(Refusal::rejected(408, "request body stood still")),
+            Err(error @ ReadError::Interrupted(_)) => {
+                Err(Refusal::rejected(400, error.to_string()))
+            }
+            Err(error @ ReadError::NoMemory(_)) => {
+                Err(Refusal::not_run(error.to_string(), memory::RETRY_AFTER))
+            }
+        }
+    }
+
     /// Tries one target after another until one answers or no further attempt is allowed.
     async fn run_attempts(
         &self,
@@ -430,29 +474,6 @@
     }
 }
 
-/// Reads a small body whole, and the start of a larger one.
-async fn read_body(incoming: Body, call: &Call, limits: &Limits) -> Result<ReadResult, Refusal> {
-    let max_bytes = limits.body.as_bytes();
-    let too_large = || Refusal::rejected(413, too_large_reason(limits.body));
-    let length: Option<u64> = http::parse(&call.head.headers, "content-length");
-    if length.is_some_and(|length| length > max_bytes) {
-        return Err(too_large());
-    }
-    if length.is_some_and(|length| length > MAX_BUFFERED_BODY as u64) {
-        return Ok(ReadResult::Partial(Bytes::new(), incoming));
-    }
-    let idle_timeout = limits.idle_timeout.duration();
-    let buffered = usize::try_from(max_bytes)
-        .unwrap_or(MAX_BUFFERED_BODY)
-        .min(MAX_BUFFERED_BODY);
-    match body::read_until(incoming, buffered, idle_timeout, call.deadline).await {
-        Ok(ReadResult::Partial(first, _)) if first.len() as u64 > max_bytes => Err(too_large()),
-        Ok(read) => Ok(read),
-        Err(ReadError::Stalled) => Err(Refusal::rejected(408, "request body stood still")),
-        Err(error @ ReadError::Interrupted(_)) => Err(Refusal::rejected(400, error.to_string())),
-    }
-}
-
 fn too_large_reason(max: Size) -> String {
     format!("request body is larger than {max}")
 }
--- a/src/transport/relay/http1_server.rs
+++ b/src/transport/relay/http1_server.rs
@@ -44,6 +44,9 @@
 /// The size of one read in bytes: several heads, or a tenth of an upload.
 const READ_BYTES: usize = 4 << 10;
 
+/// The size from which a piece of a body is passed on as it is, in bytes: a quarter of a read.
+const MIN_PIECE_BYTES: usize = READ_BYTES / 4;
+
 /// The capacity of the channel that passes a request body to its reader, in pieces.
 const QUEUED_PIECES: usize = 4;
 
@@ -285,7 +288,9 @@
             return;
         }
         match body.decoder.next(&mut self.bytes) {
-            Ok(Decoded::Data(bytes)) => body.next = Some(bytes),
+            Ok(Decoded::Data(bytes)) => {
+                body.next = Some(join_small(bytes, &mut body.decoder, &mut self.bytes));
+            }
             Ok(Decoded::Incomplete) => {}
             // An empty piece marks the end.
             Ok(Decoded::End) => body.next = Some(Bytes::new()),
@@ -341,6 +346,22 @@
     }
 }
 
+/// Returns a decoded piece, joined with those that follow it in the bytes read so far if it is small.
+/// Small chunks would each keep the buffer of a whole read alive, and be passed on one by one.
+fn join_small(first: Bytes, decoder: &mut Decoder, bytes: &mut BytesMut) -> Bytes {
+    if first.len() >= MIN_PIECE_BYTES {
+        return first;
+    }
+    let mut joined = BytesMut::from(&first[..]);
+    // The end of the body, or an error, is met again by the next call of the decoder.
+    while joined.len() < READ_BYTES
+        && let Ok(Decoded::Data(next)) = decoder.next(bytes)
+    {
+        joined.extend_from_slice(&next);
+    }
+    joined.freeze()
+}
+
 /// Waits until the process closes its connections.
 async fn until_closing(phase: &mut watch::Receiver<Phase>) {
     // An error means that the sender was dropped at the end of the process.
--- a/src/transport/relay/ingress.rs
+++ b/src/transport/relay/ingress.rs
@@ -15,6 +15,7 @@
         gate::{self, LEAVING, Permit},
         host::Host,
         interface::Stream,
+        memory::{self, Memory},
         rollout::{Answer, local},
     },
     event::Event,
@@ -28,7 +29,7 @@
         http,
         relay::{
             MAX_BUFFERED_BODY,
-            body::{self, Body, ReadResult},
+            body::{Body, ReadError, ReadResult, Reader, WhenFull},
             delivery::{self as reasons, Delivery, Refused},
             empty_response, host_of,
             offer::UploadAdmission,
@@ -48,16 +49,18 @@
 /// Delivers requests to the target on this host.
 pub struct Ingress {
     host: Arc<Host>,
+    memory: Arc<Memory>,
     upload_admission: UploadAdmission,
     runner: Runner,
 }
 
 impl Ingress {
-    /// Returns the ingress side of `host`, with no connections yet.
-    pub fn new(host: Arc<Host>) -> Arc<Self> {
+    /// Returns the ingress side of `host`, with no connections yet. Bodies are held in `memory`.
+    pub fn new(host: Arc<Host>, memory: Arc<Memory>) -> Arc<Self> {
         Arc::new(Self {
             upload_admission: UploadAdmission::new(host.settings.bandwidth()),
-            runner: Runner::new(host.clone()),
+            runner: Runner::new(host.clone(), memory.clone()),
+            memory,
             host,
         })
     }
@@ -399,6 +402,7 @@
         let is_offered = head.headers.contains_key(hyper::header::EXPECT);
         let since = Instant::now();
         let mut waited = Duration::ZERO;
+        let hold = self.memory.open();
         let read = async {
             let _link_permit = match is_offered {
                 true => self.upload_admission.wait_for_link(length).await,
@@ -406,7 +410,14 @@
             };
             waited = since.elapsed();
             let remaining = delivery.deadline.saturating_duration_since(Instant::now());
-            body::read(body, MAX_BUFFERED_BODY, remaining).await
+            let reader = Reader {
+                max: MAX_BUFFERED_BODY,
+                idle: remaining,
+                deadline: None,
+                hold: &hold,
+                when_full: WhenFull::Fail,
+            };
+            reader.read(body).await
         };
         let refuse = |reason: String| {
             Refused::before_arrival(Refusal::not_run(reason, Span::from_millis(100)))
@@ -429,10 +440,13 @@
             );
         }
         match read {
-            Ok(Ok(ReadResult::Whole(bytes))) => Ok(Body::whole(bytes)),
+            Ok(Ok(ReadResult::Whole(bytes))) => Ok(Body::whole(bytes).holding(hold)),
             Ok(Ok(ReadResult::Partial(first, rest))) => {
-                Ok(Body::streamed(first, rest, delivery.deadline))
+                Ok(Body::streamed(first, rest, delivery.deadline).holding(hold))
             }
+            Ok(Err(error @ ReadError::NoMemory(_))) => Err(Refused::before_arrival(
+                Refusal::not_run(error.to_string(), memory::RETRY_AFTER),
+            )),
             Ok(Err(error)) => Err(refuse(error.to_string())),
             Err(_) => Err(refuse(reasons::LINK_FULL.into())),
         }
--- a/src/transport/relay/mod.rs
+++ b/src/transport/relay/mod.rs
@@ -39,8 +39,9 @@
     transport::{http, relay::body::Body},
 };
 
-/// The largest body that is buffered whole, in bytes. Ordinary uploads are smaller,
-/// and 100 bodies of this size at a time take a fifth of a process's memory.
+/// The largest body of an answer or of a request between nodes that is buffered whole, in bytes. The
+/// node where a request comes in holds larger ones, too, as far as its memory allows
+/// ([`Memory::max_whole`](crate::coordination::memory::Memory::max_whole)).
 pub const MAX_BUFFERED_BODY: usize = 512 << 10;
 
 /// Headers that a node handles itself and never forwards.
--- a/src/transport/relay/peer_client.rs
+++ b/src/transport/relay/peer_client.rs
@@ -17,13 +17,13 @@
             reach,
         },
         host::Host,
+        memory::Memory,
     },
     protocol::{answer::Refusal, header_block, hop},
     state::{member::Member, routing::Kind},
     transport::{
         http,
         relay::{
-            MAX_BUFFERED_BODY,
             attempt::{AttemptGuard, AttemptOutcome},
             body::{self, Body, ReadError, ReadResult},
             call::Call,
@@ -60,14 +60,16 @@
 /// Sends requests to the nodes beside targets on other hosts.
 pub struct PeerClient {
     host: Arc<Host>,
+    memory: Arc<Memory>,
     pool: Pool,
 }
 
 impl PeerClient {
-    /// Returns a client for `host`, with no connections yet.
-    pub fn new(host: Arc<Host>) -> Self {
+    /// Returns a client for `host`, with no connections yet. Bodies of answers are held in `memory`.
+    pub fn new(host: Arc<Host>, memory: Arc<Memory>) -> Self {
         Self {
             host,
+            memory,
             pool: Pool::new(POOL),
         }
     }
@@ -136,9 +138,10 @@
             .note_newer(report.version, report.members_offset, member.peers);
         let refused = delivery::peer_refusal(response.status(), report);
         let (head, incoming) = response.into_parts();
-        let remaining = call.deadline.saturating_duration_since(Instant::now());
-        let deadline = call.deadline;
-        let read = body::read_until(incoming, MAX_BUFFERED_BODY, remaining, deadline).await;
+        let hold = self.memory.open_lasting();
+        let read = body::answer_reader(&hold, call.deadline)
+            .read(incoming)
+            .await;
         let body = match (read, refused) {
             (Ok(ReadResult::Whole(_)), Some(refused)) if !is_offered => {
                 self.pool.put_back(connection);
@@ -149,15 +152,15 @@
             (_, Some(refused)) => return AttemptOutcome::Refused(refused),
             (Ok(ReadResult::Whole(bytes)), None) => {
                 self.pool.put_back(connection);
-                Body::whole(bytes)
+                Body::whole(bytes).holding(hold)
             }
             (Ok(ReadResult::Partial(first, rest)), None) => {
-                Body::streamed(first, rest, call.deadline).holding(connection)
+                Body::streamed(first, rest, call.deadline).holding((connection, hold))
             }
             (Err(error), None) => {
                 let refusal = match error {
                     ReadError::Stalled => Refusal::unknown(504, "no whole answer in time"),
-                    ReadError::Interrupted(_) => {
+                    ReadError::Interrupted(_) | ReadError::NoMemory(_) => {
                         Refusal::unknown(502, "the answer broke off between nodes")
                     }
                 };
--- a/src/transport/relay/run.rs
+++ b/src/transport/relay/run.rs
@@ -16,6 +16,7 @@
     coordination::{
         gate::{NO_TARGET, Permit},
         host::Host,
+        memory::Memory,
         quarantine::SharedQuarantine,
     },
     event::Event,
@@ -26,7 +27,6 @@
     transport::{
         http,
         relay::{
-            MAX_BUFFERED_BODY,
             body::{self, Body, ReadResult},
             delivery::{self as reasons, Delivery, Refused},
             forwarded_headers,
@@ -81,14 +81,17 @@
 /// Runs requests at the target on this host.
 pub struct Runner {
     host: Arc<Host>,
+    memory: Arc<Memory>,
     pool: Pool,
 }
 
 impl Runner {
-    /// Returns a runner for the target on `host`, with no connections yet.
-    pub fn new(host: Arc<Host>) -> Self {
+    /// Returns a runner for the target on `host`, with no connections yet. Bodies of answers are held
+    /// in `memory`.
+    pub fn new(host: Arc<Host>, memory: Arc<Memory>) -> Self {
         Self {
             host,
+            memory,
             pool: Pool::new(POOL),
         }
     }
@@ -318,10 +321,9 @@
             connection,
         } = exchange;
         let (head, incoming) = response.into_parts();
-        let remaining = delivery.deadline.saturating_duration_since(Instant::now());
-        let deadline = delivery.deadline;
-        let read = body::read_until(incoming, MAX_BUFFERED_BODY, remaining, deadline).await;
-        let read = match read {
+        let hold = self.memory.open_lasting();
+        let reader = body::answer_reader(&hold, delivery.deadline);
+        let read = match reader.read(incoming).await {
             Ok(read) => read,
             Err(error @ body::ReadError::Stalled) => {
                 return Err(Refused::after_arrival(Refusal::unknown(
@@ -329,7 +331,7 @@
                     error.to_string(),
                 )));
             }
-            Err(body::ReadError::Interrupted(_)) => {
+            Err(body::ReadError::Interrupted(_) | body::ReadError::NoMemory(_)) => {
                 let reason = self.disconnect_reason(&permit, run).await;
                 return Err(Refused::after_arrival(Refusal::unknown(502, reason)));
             }
@@ -338,10 +340,10 @@
             ReadResult::Whole(bytes) => {
                 self.pool.put_back(connection);
                 self.host.quarantine.note_answer(run.content);
-                Body::whole(bytes)
+                Body::whole(bytes).holding(hold)
             }
             ReadResult::Partial(first, rest) => {
-                Body::streamed(first, rest, delivery.deadline).holding((permit, connection))
+                Body::streamed(first, rest, delivery.deadline).holding((permit, connection, hold))
             }
         };
         let mut response = Response::new(body);
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod fleet;
 pub mod load;
+pub mod process;
 pub mod proxy;
 pub mod rate_limit;
 pub mod store;
--- a/tests/load_report.rs
+++ b/tests/load_report.rs
@@ -18,6 +18,7 @@
         },
         interface::PeerRequest,
         load_report::{self, Exchange, Intake, View},
+        memory::Memory,
     },
     id::{Incarnation, Name, Node},
     protocol::{
@@ -31,6 +32,7 @@
         selector::Labels,
         team::{Team, Teams},
     },
+    unit::Size,
 };
 use tokio::io::AsyncReadExt;
 
@@ -680,7 +682,10 @@
     let address = listener.local_addr().unwrap();
     let report = message(vec![entry(&member(1), 1, full(12))]);
     let body = rmp_serde::to_vec(&report).unwrap().len();
-    let call = rilltrack::transport::relay::control::call_peer();
+    let call = rilltrack::transport::relay::control::call_peer(Memory::new(
+        Size::from_bytes(1 << 20),
+        |_| {},
+    ));
     let sending = tokio::spawn(call(address, PeerRequest::Loads(report)));
     let (mut stream, _) = listener.accept().await.unwrap();
     let mut bytes = Vec::new();
