A listener at its limit closes the connection that was of no use longest

What callers saw: while clients held all connections of a listener and sent nothing, or half a head, an ordinary request had no answer in 60 s; through another node it got 503.

Cause: a server at its limit accepted nothing more until a client left, and the timeouts that end such clients are the operator's. Ruled out: descriptors, of which 40 were free, and memory.

Evidence: standins/tests/crowd.rs, outnumbered!: 60 clients that come back, 28 connections, timeouts of two minutes. Four of the eight cases failed on (callers and nodes, nothing and half a head); the other four guard listeners whose timeouts are shorter. All eight pass.

--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -9,7 +9,7 @@
 mod settings;
 
 use std::{
-    sync::{Arc, atomic::AtomicUsize},
+    sync::Arc,
     thread,
     time::{Duration, Instant},
 };
@@ -270,7 +270,7 @@
             }),
             phase: phase.clone(),
             max_connections,
-            open_connections: Arc::new(AtomicUsize::new(0)),
+            connections: Arc::default(),
         }
     }
 }
--- a/src/transport/relay/body.rs
+++ b/src/transport/relay/body.rs
@@ -39,7 +39,7 @@
     permission: Option<oneshot::Receiver<()>>,
     limit: Option<Limit>,
     /// Dropped with the body.
-    _guard: Option<Box<dyn Any + Send + Sync>>,
+    guard: Option<Box<dyn Any + Send + Sync>>,
 }
 
 /// The limit on what is still to be received of a body.
@@ -98,7 +98,7 @@
             deadline: None,
             permission: None,
             limit: None,
-            _guard: None,
+            guard: None,
         }
     }
 
@@ -187,10 +187,11 @@
         }
     }
 
-    /// Returns the body, which drops `guard` when it is dropped itself.
-    pub fn holding(self, guard: impl Any + Send + Sync) -> Self {
+    /// Returns the body, which drops `guard` when it is dropped itself, beside what it holds already.
+    pub fn holding(mut self, guard: impl Any + Send + Sync) -> Self {
+        let before = self.guard.take();
         Self {
-            _guard: Some(Box::new(guard)),
+            guard: Some(Box::new((before, guard))),
             ..self
         }
     }
--- a/src/transport/relay/http1_server.rs
+++ b/src/transport/relay/http1_server.rs
@@ -29,6 +29,7 @@
     transport::relay::{
         body::Body,
         codec::{self, Decoded, Decoder, Head, ResponseFraming},
+        connections::Guard,
         empty_response,
         serve::{CurrentLimits, Handler, OnRefused, Phase},
     },
@@ -124,7 +125,7 @@
 
 impl Http1Server {
     /// Serves a connection until it is closed.
-    pub async fn serve(&self, stream: TcpStream) {
+    pub async fn serve(&self, stream: TcpStream, guard: &Guard) {
         let (mut reader, mut writer) = stream.into_split();
         let mut connection = Connection {
             front: self.clone(),
@@ -137,7 +138,11 @@
             since: Instant::now(),
         };
         // If the caller disconnects, the running requests are dropped with `connection`.
-        if let Err(ConnectionEnd::Done) = connection.run(&mut reader, &mut writer).await {
+        let end = tokio::select! {
+            end = connection.run(&mut reader, &mut writer, guard) => end,
+            () = guard.until_closed() => return,
+        };
+        if let Err(ConnectionEnd::Done) = end {
             linger(&mut reader, &mut writer).await;
         }
     }
@@ -149,6 +154,7 @@
         &mut self,
         reader: &mut OwnedReadHalf,
         writer: &mut OwnedWriteHalf,
+        guard: &Guard,
     ) -> Result<(), ConnectionEnd> {
         let mut phase = self.front.phase.clone();
         loop {
@@ -163,12 +169,14 @@
             let limits = (self.front.limits)();
             let (deadline, is_idle) = self.read_deadline(&limits);
             let has_answers = !self.answers.is_empty();
+            guard.set_busy(has_answers && self.incoming_body.is_none());
             let max_bytes = READ_AHEAD_BYTES.max(limits.head.as_bytes() as usize);
             let has_room = self.bytes.len() < max_bytes && !self.has_piece();
             let was_empty = self.bytes.is_empty();
             let is_closing = self.is_closing;
             tokio::select! {
                 Some(answer) = self.answers.next(), if has_answers => {
+                    guard.set_busy(true);
                     self.write_answer(writer, answer).await?;
                 }
                 () = pass_piece(&mut self.incoming_body), if self.incoming_body.as_ref().is_some_and(|body| body.next.is_some()) => {}
@@ -176,6 +184,7 @@
                     if read? == 0 {
                         return Err(ConnectionEnd::Disconnected);
                     }
+                    guard.note_read();
                     if was_empty {
                         self.since = Instant::now();
                     }
--- a/src/transport/relay/mod.rs
+++ b/src/transport/relay/mod.rs
@@ -15,6 +15,7 @@
 pub mod call;
 pub mod codec;
 pub mod completion;
+pub mod connections;
 pub mod control;
 pub mod delivery;
 pub mod egress;
--- a/src/transport/relay/serve.rs
+++ b/src/transport/relay/serve.rs
@@ -1,14 +1,6 @@
 //! The servers of the relay: accepting, limiting and closing connections.
 
-use std::{
-    io,
-    net::SocketAddr,
-    sync::{
-        Arc,
-        atomic::{AtomicUsize, Ordering},
-    },
-    time::Duration,
-};
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
 use futures_util::future::BoxFuture;
 use hyper::{
@@ -25,6 +17,7 @@
     state::routing::Limits,
     transport::relay::{
         body::Body,
+        connections::{Connections, Guard},
         http1_server::Http1Server,
         io::{Io, prepare},
     },
@@ -87,10 +80,11 @@
     pub on_refused: OnRefused,
     /// The phase of the process.
     pub phase: watch::Receiver<Phase>,
-    /// The most open connections; further ones wait to be accepted.
+    /// The most open connections. For a further one, the one that was of no use longest is closed; if
+    /// all are in use, it waits.
     pub max_connections: usize,
-    /// The number of open connections.
-    pub open_connections: Arc<AtomicUsize>,
+    /// The open connections.
+    pub connections: Arc<Connections>,
 }
 
 /// Returns a listener on `address`.
@@ -117,32 +111,43 @@
         let mut phase = self.phase.clone();
         loop {
             let accepted = tokio::select! {
-                accepted = listener.accept(), if self.open_connections.load(Ordering::Relaxed) < self.max_connections => accepted,
-                () = tokio::time::sleep(ACCEPT_PAUSE), if self.open_connections.load(Ordering::Relaxed) >= self.max_connections => continue,
+                accepted = listener.accept() => accepted,
                 _ = phase.wait_for(|phase| *phase == Phase::Closing) => break,
             };
             match accepted {
-                Ok((stream, _)) => self.spawn(stream),
+                Ok((stream, _)) => {
+                    tokio::select! {
+                        () = self.make_room() => self.spawn(stream),
+                        _ = phase.wait_for(|phase| *phase == Phase::Closing) => break,
+                    }
+                }
                 Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
             }
         }
         drop(listener);
-        while self.open_connections.load(Ordering::Relaxed) > 0 {
+        while self.connections.count() > 0 {
             tokio::time::sleep(ACCEPT_PAUSE).await;
         }
         Ok(())
     }
 
+    /// Waits until there is room for a connection, for which idle ones are closed.
+    async fn make_room(&self) {
+        while self.connections.count() >= self.max_connections {
+            self.connections.close_idlest();
+            // Without an idle one, or if it takes long to close, another one may be by then.
+            let ended = self.connections.until_ended();
+            let _ = tokio::time::timeout(ACCEPT_PAUSE, ended).await;
+        }
+    }
+
     fn spawn(&self, stream: TcpStream) {
-        self.open_connections.fetch_add(1, Ordering::Relaxed);
+        let guard = self.connections.open();
         let server = self.clone();
-        tokio::spawn(async move {
-            server.serve_connection(stream).await;
-            server.open_connections.fetch_sub(1, Ordering::Relaxed);
-        });
+        tokio::spawn(async move { server.serve_connection(stream, guard).await });
     }
 
-    async fn serve_connection(&self, stream: TcpStream) {
+    async fn serve_connection(&self, stream: TcpStream, guard: Guard) {
         if prepare(&stream).is_err() {
             // The other end closed the connection already.
             return;
@@ -154,13 +159,17 @@
                 on_refused: self.on_refused.clone(),
                 phase: self.phase.clone(),
             };
-            return front.serve(stream).await;
+            return front.serve(stream, &guard).await;
         }
         let io = Io::server(stream);
         let handler = self.handler.clone();
-        let service = service_fn(move |request: Request<Incoming>| {
+        let service = service_fn(|request: Request<Incoming>| {
+            let running = guard.run();
             let response = handler(request.map(Body::incoming));
-            async move { Ok::<_, std::convert::Infallible>(response.await) }
+            async move {
+                let response = response.await.map(|body| body.holding(running));
+                Ok::<_, std::convert::Infallible>(response)
+            }
         });
         let connection = Builder::new()
             .timer(TokioTimer::new())
@@ -174,6 +183,7 @@
         // handler of a request under way has been dropped.
         tokio::select! {
             _ = connection.as_mut() => return,
+            () = guard.until_closed() => return,
             _ = phase.wait_for(|phase| *phase == Phase::Closing) => {}
         }
         connection.as_mut().graceful_shutdown();
--- a/standins/src/store.rs
+++ b/standins/src/store.rs
@@ -153,7 +153,7 @@
             on_refused: Arc::new(|_| {}),
             phase: seen,
             max_connections: 1000,
-            open_connections: Arc::default(),
+            connections: Arc::default(),
         };
         tokio::spawn(async move { server.run(listener).await.unwrap() });
         store
--- a/standins/tests/crowd.rs
+++ b/standins/tests/crowd.rs
@@ -8,12 +8,17 @@
 
 use rilltrack::unit::Size;
 use rilltrack_standins::{
-    fleet::version,
+    fleet::{self, version},
     process::{Limits, Process},
     store::Store,
     until,
 };
-use tokio::{io::AsyncWriteExt, net::TcpStream, sync::Mutex, task::JoinSet};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    sync::Mutex,
+    task::JoinSet,
+};
 
 /// The limits of each process.
 const LIMITS: Limits = Limits {
@@ -140,19 +145,30 @@
     }
 }
 
-/// Sends `script` to a listener of a node from many clients that stay, and checks both nodes.
-async fn check(script: Script, listener: fn(&Process) -> SocketAddr) {
-    let _guard = ONE_AT_A_TIME.lock().await;
-    let store = Store::start().await;
-    store.publish(&version(5, &["a", "b"]));
-    let mut nodes = [
-        Process::start(&store, "n1", "a", LIMITS).await,
-        Process::start(&store, "n2", "b", LIMITS).await,
+/// Starts two nodes, of which the first one knows the target on the other one's host. Callers may be
+/// idle for `timeout`, and take as long for a head.
+async fn start(store: &Store, limits: Limits, timeout: &str) -> [Process; 2] {
+    let mut version = version(5, &["a", "b"]);
+    for limit in ["idleTimeout", "headerTimeout"] {
+        version["resources"][0]["spec"][limit] = timeout.into();
+    }
+    store.publish(&version);
+    let nodes = [
+        Process::start(store, "n1", "a", limits).await,
+        Process::start(store, "n2", "b", limits).await,
     ];
     until("the target on the other host is known", async || {
         status(&nodes[0].ask("GET", "/get/b/x", "first", "").await) == "200"
     })
     .await;
+    nodes
+}
+
+/// Sends `script` to a listener of a node from many clients that stay, and checks both nodes.
+async fn check(script: Script, listener: fn(&Process) -> SocketAddr) {
+    let _guard = ONE_AT_A_TIME.lock().await;
+    let store = Store::start().await;
+    let mut nodes = start(&store, LIMITS, "15000ms").await;
     let address = listener(&nodes[0]);
     let mut sending = JoinSet::new();
     for _ in 0..CROWD {
@@ -219,3 +235,69 @@
     calls_of_targets_in_small_chunks: chunked_message("/api/instances/i1/heartbeat") => targets;
     requests_of_peers: peer_message("/post/a/x", WHOLE) => inbound;
 }
+
+/// The limits of a process that takes 28 connections at each listener.
+const FEW_CONNECTIONS: Limits = Limits {
+    memory: LIMITS.memory,
+    descriptors: 256,
+};
+
+/// Clients that are more than the connections of a listener.
+const OUTNUMBERING: usize = 60;
+
+/// Sends a script, waits until the node closes the connection, and starts again; never returns.
+async fn stay(script: Script, to: SocketAddr) {
+    loop {
+        if let Some(mut stream) = script.clone().send(to).await {
+            let _ = stream.read_to_end(&mut Vec::new()).await;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+/// Takes all connections of a listener with clients that come back, and checks an ordinary request
+/// and a readiness check.
+async fn check_outnumbered(script: Script, listener: fn(&Process) -> SocketAddr) {
+    let _guard = ONE_AT_A_TIME.lock().await;
+    let store = Store::start().await;
+    // The timeouts are longer than the test.
+    let mut nodes = start(&store, FEW_CONNECTIONS, "120000ms").await;
+    let address = listener(&nodes[0]);
+    let mut crowd = JoinSet::new();
+    for _ in 0..OUTNUMBERING {
+        crowd.spawn(stay(script.clone(), address));
+    }
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    assert_serves(&nodes[0], "meanwhile").await;
+    let ready = fleet::ready(nodes[0].ready()).await;
+    assert_eq!(status(&ready), "200", "{ready}");
+    let through_the_other = nodes[1].ask("GET", "/get/a/x", "other", "").await;
+    assert_eq!(status(&through_the_other), "200", "{through_the_other}");
+    for node in &mut nodes {
+        assert!(node.is_running(), "{} has ended", node.name);
+        let open = node.open_descriptors();
+        assert!(open <= FEW_CONNECTIONS.descriptors, "{}: {open}", node.name);
+    }
+}
+
+macro_rules! outnumbered {
+    ($($name:ident: $head:expr => $listener:ident;)*) => {$(
+        // Guards against clients that hold all connections of a listener and keep the others out.
+        #[tokio::test(flavor = "multi_thread")]
+        async fn $name() {
+            let script = Script::new($head, "", 0);
+            check_outnumbered(script, Process::$listener).await;
+        }
+    )*};
+}
+
+outnumbered! {
+    callers_that_send_nothing: String::new() => callers;
+    callers_that_send_half_a_head: "GET /get/a/x HTTP/1.1\r\nHost: fa".into() => callers;
+    callers_that_send_no_body: head("/post/a/x", "Content-Length: 1000") => callers;
+    nodes_that_send_nothing: String::new() => inbound;
+    nodes_that_send_half_a_head: "GET /get/a/x HTTP/1.1\r\nHost: fa".into() => inbound;
+    targets_that_send_nothing: String::new() => targets;
+    peers_that_send_nothing: String::new() => peers;
+    checks_that_send_nothing: String::new() => ready;
+}
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -348,7 +348,7 @@
         on_refused: Arc::new(|_| {}),
         phase: seen,
         max_connections: 100,
-        open_connections: Arc::default(),
+        connections: Arc::default(),
     };
     tokio::spawn(async move { server.run(listener).await.unwrap() });
     (address, phase)
