The daemon's bodies and messages have the same bounds on memory

Each body was bounded by its size, their sum by nothing; a connection read up to 400 KiB ahead.

http::whole takes what it holds from one of two accounts (coordination::memory); without memory a request is refused with 503 and Retry-After, a keyed one with an outcome that is unknown, as an earlier one with its key may have run. Callers' connections read 32 KiB ahead, which bounds their heads to the same.

--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -14,7 +14,12 @@
 use tokio::sync::Semaphore;
 
 use crate::{
-    coordination::{apply::Applier, gossip::UpdateQueue, limiter::Limiters},
+    coordination::{
+        apply::Applier,
+        gossip::UpdateQueue,
+        limiter::Limiters,
+        memory::{Change, Memory},
+    },
     event::{Event, Journal},
     id::Incarnation,
     metrics::Metrics,
@@ -25,7 +30,7 @@
         version::Version,
         view::View,
     },
-    unit::Span,
+    unit::{Size, Span},
 };
 
 /// The most member records in a message whose new records are always relayed; those of
@@ -60,6 +65,10 @@
     pub applier: Applier,
     /// The fault that keeps this node from following the log, if any.
     pub log_fault: Mutex<Option<LogFault>>,
+    /// The memory for bodies of requests and answers that are not whole or not handled yet.
+    pub bodies: Arc<Memory>,
+    /// The memory for messages of peers, targets and operators.
+    pub messages: Arc<Memory>,
     /// Permits for large replies to peers.
     pub large_replies: Arc<Semaphore>,
     /// Set once the daemon accepts no new work.
@@ -91,12 +100,28 @@
     },
 }
 
+/// Returns memory of at most `limit` for messages of a kind, whose shortage is logged.
+fn logged_memory(journal: &Journal, kind: &'static str, limit: Size) -> Arc<Memory> {
+    let journal = journal.clone();
+    Memory::new(limit, move |change| {
+        let event = match change {
+            Change::Filled => Event::MemoryFull,
+            Change::Freed => Event::MemoryFree,
+            Change::GivenUp(_) | Change::Refused => return,
+        };
+        journal.write(event, format_args!("kind={kind} limit={limit}"));
+    })
+}
+
 impl Node {
     /// Returns a node whose member table holds only itself.
     pub fn new(settings: Settings, me: Member, journal: Journal, applier: Applier) -> Self {
         let mut table = Table::default();
         table.merge(me.clone());
+        let memory = settings.requests.memory;
         Self {
+            bodies: logged_memory(&journal, "bodies", Memory::body_limit(memory)),
+            messages: logged_memory(&journal, "messages", Memory::message_limit(memory)),
             peers: me.peers,
             journal,
             metrics: Metrics::new(),
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -158,6 +158,9 @@
     pub header_timeout: Span,
     /// How long the transfer of a body may make no progress.
     pub idle_timeout: Span,
+    /// Memory that the process may take. The bodies and messages that it holds until they are whole
+    /// take three eighths of it at the most.
+    pub memory: Size,
 }
 
 impl Default for Membership {
@@ -182,6 +185,7 @@
             key_answers: Size::from_bytes(32 << 20),
             header_timeout: Span::from_secs(10),
             idle_timeout: Span::from_secs(30),
+            memory: Size::from_bytes(256 << 20),
         }
     }
 }
@@ -194,6 +198,10 @@
     "snapshots".parse().expect("a valid name")
 }
 
+/// The least memory with which a daemon can work: what it takes without requests, and a table of the
+/// members of a large mesh.
+const MIN_MEMORY: Size = Size::from_bytes(32 << 20);
+
 fn default_max_record() -> Size {
     Size::from_bytes(512 << 10)
 }
@@ -392,6 +400,9 @@
         if self.requests.threads == 0 {
             add(&["requests", "threads"], "must be at least 1");
         }
+        if self.requests.memory < MIN_MEMORY {
+            add(&["requests", "memory"], "must be at least 32MiB");
+        }
         if self.requests.keys == 0 {
             add(&["requests", "keys"], "must be at least 1");
         }
--- a/src/transport/http.rs
+++ b/src/transport/http.rs
@@ -1,6 +1,6 @@
 //! HTTP functions shared by the clients and servers.
 
-use std::{pin::Pin, time::Duration};
+use std::{pin::Pin, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use futures_util::{Stream, StreamExt, TryStreamExt};
@@ -12,6 +12,7 @@
 };
 
 use crate::{
+    coordination::memory::{self, Full, Hold, Memory},
     protocol::{
         answer::{self, Refusal},
         framing,
@@ -198,22 +199,55 @@
     futures_util::stream::unfold(pieces, next).boxed()
 }
 
-/// Returns the whole body of at most `max` bytes.
+/// Returns the whole body of at most `max` bytes, and the memory that it takes.
 ///
 /// # Errors
 ///
-/// Returns an error if the body is incomplete or larger.
-pub async fn whole(mut pieces: Pieces, max: usize) -> Result<Bytes, std::io::Error> {
+/// Returns an error if the body is incomplete or larger, or if there is no memory for it, which
+/// [`is_full`] tells.
+pub async fn whole(
+    pieces: Pieces,
+    max: usize,
+    memory: &Arc<Memory>,
+) -> Result<(Bytes, Hold), std::io::Error> {
+    let hold = memory.open();
+    let body = tokio::select! {
+        body = collect(pieces, max, &hold) => body?,
+        () = hold.given_up() => return Err(std::io::Error::other(Full)),
+    };
+    hold.complete();
+    Ok((body, hold))
+}
+
+async fn collect(mut pieces: Pieces, max: usize, hold: &Hold) -> Result<Bytes, std::io::Error> {
     let mut body = Vec::new();
     while let Some(piece) = pieces.next().await {
-        body.extend(piece?);
-        if body.len() > max {
+        let piece = piece?;
+        let len = body.len() + piece.len();
+        if len > max {
             return Err(std::io::Error::other("body is larger than allowed"));
         }
+        if len > body.capacity() {
+            let capacity = len.max(body.capacity() * 2).min(max);
+            let growth = capacity - body.capacity();
+            hold.grow(growth).map_err(std::io::Error::other)?;
+            body.reserve_exact(capacity - body.len());
+        }
+        body.extend_from_slice(&piece);
     }
     Ok(body.into())
 }
 
+/// Returns whether a body could not be read for want of memory.
+pub fn is_full(error: &std::io::Error) -> bool {
+    error.get_ref().is_some_and(|error| error.is::<Full>())
+}
+
+/// Returns the refusal of a request whose body could not be read for want of memory. It has not run.
+pub fn no_memory() -> Refusal {
+    Refusal::not_run(Full.to_string(), memory::RETRY_AFTER)
+}
+
 /// Sets the body of an answer to a stream of pieces.
 pub fn stream(res: &mut Response, pieces: Pieces) {
     res.stream(pieces);
--- a/src/transport/keyed.rs
+++ b/src/transport/keyed.rs
@@ -10,8 +10,9 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    coordination::idempotency::{
-        Answer, Key, KeyedDecision, Ledger, LedgerLimits, MAX_ANSWER, Record,
+    coordination::{
+        idempotency::{Answer, Key, KeyedDecision, Ledger, LedgerLimits, MAX_ANSWER, Record},
+        memory::{self, Hold},
     },
     event::Event,
     protocol::answer::{self, Outcome, Refusal},
@@ -158,10 +159,14 @@
         .to_owned();
     let idle = inbound.node.settings.requests.idle_timeout;
     let pieces = http::request_pieces(req.take_body(), Size::from_bytes(MAX_BODY as u64), idle);
-    let body = http::whole(pieces, MAX_BODY).await;
-    let body = body.map_err(|_| {
-        // An earlier request with the same key may have run.
-        Refusal::unknown(400, "the body of the keyed request did not arrive whole")
+    let body = http::whole(pieces, MAX_BODY, &inbound.node.bodies).await;
+    // An earlier request with the same key may have run, also if there is no memory for this one.
+    let (body, hold) = body.map_err(|error| match http::is_full(&error) {
+        true => Refusal {
+            retry_after: Some(memory::RETRY_AFTER),
+            ..Refusal::unknown(503, error.to_string())
+        },
+        false => Refusal::unknown(400, "the body of the keyed request did not arrive whole"),
     })?;
     let digest = digest(&service, &onward, &body);
     let begin = inbound
@@ -179,7 +184,7 @@
         }
         KeyedDecision::Run => {
             let visit = inbound.receive(sender, req.headers());
-            return run(inbound, visit, res, key, onward, body).await;
+            return run(inbound, visit, res, key, onward, (body, hold)).await;
         }
     };
     inbound
@@ -202,7 +207,7 @@
     res: &mut Response,
     key: Key,
     onward: Onward,
-    body: Bytes,
+    (body, hold): (Bytes, Hold),
 ) -> Result<(), Refusal> {
     let task = {
         let inbound = inbound.clone();
@@ -212,6 +217,7 @@
                 Err(refusal) => Record::NotRun(refusal),
             };
             inbound.keys.ledger.lock().end(key.secret, record.clone());
+            drop(hold);
             record
         }
     };
@@ -242,8 +248,10 @@
         return Record::TooLarge;
     }
     let idle = inbound.node.settings.requests.idle_timeout;
-    match http::whole(http::response_pieces(response, idle), MAX_ANSWER).await {
-        Ok(body) => Record::Answered(Arc::new(Answer {
+    let pieces = http::response_pieces(response, idle);
+    match http::whole(pieces, MAX_ANSWER, &inbound.node.bodies).await {
+        // The ledger bounds what it keeps by itself.
+        Ok((body, _hold)) => Record::Answered(Arc::new(Answer {
             status,
             headers,
             body,
--- a/src/transport/operators.rs
+++ b/src/transport/operators.rs
@@ -8,6 +8,7 @@
 use crate::{
     coordination::{
         interface::{Call, Log},
+        memory::Memory,
         node::Node,
         publish, scatter,
     },
@@ -283,10 +284,13 @@
 }
 
 /// Returns the decoded JSON body of a request.
-async fn body<T: serde::de::DeserializeOwned>(req: &mut Request) -> Result<T, String> {
+async fn body<T: serde::de::DeserializeOwned>(
+    memory: &Arc<Memory>,
+    req: &mut Request,
+) -> Result<T, String> {
     let max = Size::from_bytes(MAX_REQUEST_BYTES as u64);
     let pieces = http::request_pieces(req.take_body(), max, Span::from_secs(5));
-    let body = http::whole(pieces, MAX_REQUEST_BYTES)
+    let (body, _hold) = http::whole(pieces, MAX_REQUEST_BYTES, memory)
         .await
         .map_err(|error| error.to_string())?;
     serde_json::from_slice(&body).map_err(|error| error.to_string())
@@ -294,7 +298,7 @@
 
 fn changes<'a>(desk: &'a Desk, req: &'a mut Request, res: &'a mut Response) -> Answer<'a> {
     async move {
-        let change: Change = body(req).await?;
+        let change: Change = body(&desk.node.messages, req).await?;
         let published = publish::publish(&desk.node, &desk.log, change).await;
         json(res, &published.map_err(|error| error.to_string())?);
         Ok(())
@@ -304,7 +308,7 @@
 
 fn check<'a>(desk: &'a Desk, req: &'a mut Request, res: &'a mut Response) -> Answer<'a> {
     async move {
-        let change: Change = body(req).await?;
+        let change: Change = body(&desk.node.messages, req).await?;
         let problems = publish::check(&desk.node, &change)
             .await
             .map_err(|error| error.to_string())?;
@@ -316,7 +320,7 @@
 
 fn explain<'a>(desk: &'a Desk, req: &'a mut Request, res: &'a mut Response) -> Answer<'a> {
     async move {
-        let question: Question = body(req).await?;
+        let question: Question = body(&desk.node.messages, req).await?;
         let view = desk.node.require_view().map_err(|refusal| refusal.reason)?;
         json(res, &explanation(&desk.node, &view, &question));
         Ok(())
@@ -374,7 +378,7 @@
 
 fn drain<'a>(desk: &'a Desk, req: &'a mut Request, res: &'a mut Response) -> Answer<'a> {
     async move {
-        let drain: Drain = body(req).await?;
+        let drain: Drain = body(&desk.node.messages, req).await?;
         desk.targets.drain(drain.service.as_ref()).await;
         json(res, &desk.node.me().targets);
         Ok(())
--- a/src/transport/outbound.rs
+++ b/src/transport/outbound.rs
@@ -67,7 +67,7 @@
         }
         let plan = Plan::new(&self.node, req)?;
         let idle = self.node.settings.requests.idle_timeout;
-        let body = Body::of(req, &plan, idle).await?;
+        let body = Body::of(req, &plan, idle, &self.node.bodies).await?;
         match http::parse::<Key>(&plan.onward.headers, answer::KEY) {
             Some(key) => self.keyed(&plan, key, body).await,
             None if plan.onward.headers.contains_key(answer::KEY) && !plan.repeatable => {
@@ -273,7 +273,7 @@
             deadline,
             repeatable: true,
         };
-        self.attempts(&plan, Body::Whole(Bytes::new())).await
+        self.attempts(&plan, Body::Whole(Bytes::new(), None)).await
     }
 
     /// Updates the metrics for a request that arrived at `since`.
--- a/src/transport/plan.rs
+++ b/src/transport/plan.rs
@@ -7,7 +7,10 @@
 use salvo::Request;
 
 use crate::{
-    coordination::node::Node,
+    coordination::{
+        memory::{Hold, Memory},
+        node::Node,
+    },
     event::Event,
     id::Name,
     protocol::answer::{self, Refusal},
@@ -103,21 +106,26 @@
 
 /// A request body, either buffered whole or streamed once.
 pub enum Body {
-    /// The whole body, which can be sent in a retry.
-    Whole(Bytes),
+    /// The whole body, which can be sent in a retry, and the memory that it takes.
+    Whole(Bytes, Option<Hold>),
     /// The stream of pieces. `None` once it is taken.
     Once(Option<Pieces>),
 }
 
 impl Body {
-    /// Returns the body of a request. A small body is buffered whole, so that it can be
+    /// Returns the body of a request. A small body is held whole in `memory`, so that it can be
     /// sent in a retry.
     ///
     /// # Errors
     ///
     /// Returns the refusal if the body is too large or incomplete. The request has not
     /// run.
-    pub async fn of(req: &mut Request, plan: &Plan, idle: Span) -> Result<Self, Refusal> {
+    pub async fn of(
+        req: &mut Request,
+        plan: &Plan,
+        idle: Span,
+        memory: &Arc<Memory>,
+    ) -> Result<Self, Refusal> {
         let max = plan.service.policy.max_body;
         let length: Option<u64> = http::parse(req.headers(), "content-length");
         let chunked = req.headers().contains_key("transfer-encoding");
@@ -131,7 +139,7 @@
         // stream marks the empty body.
         let body = req.take_body();
         if length.is_none() && !chunked && body.is_end_stream() {
-            return Ok(Self::Whole(Bytes::new()));
+            return Ok(Self::Whole(Bytes::new(), None));
         }
         let keyed = plan.onward.headers.contains_key(answer::KEY);
         let kept = if keyed {
@@ -147,10 +155,12 @@
         }
         if length.is_some_and(|length| length <= kept) {
             let pieces = http::request_pieces(body, Size::from_bytes(kept), idle);
-            let whole = http::whole(pieces, kept as usize).await;
-            let whole = whole
-                .map_err(|_| Refusal::rejected(400, "the request body did not arrive whole"))?;
-            return Ok(Self::Whole(whole));
+            let whole = http::whole(pieces, kept as usize, memory).await;
+            let (whole, hold) = whole.map_err(|error| match http::is_full(&error) {
+                true => http::no_memory(),
+                false => Refusal::rejected(400, "the request body did not arrive whole"),
+            })?;
+            return Ok(Self::Whole(whole, Some(hold)));
         }
         Ok(Self::Once(Some(http::request_pieces(body, max, idle))))
     }
@@ -158,7 +168,7 @@
     /// Returns the body to send, or `None` if a streamed body was already taken.
     pub fn take(&mut self) -> Option<reqwest::Body> {
         match self {
-            Self::Whole(bytes) => Some(bytes.clone().into()),
+            Self::Whole(bytes, _) => Some(bytes.clone().into()),
             Self::Once(pieces) => pieces.take().map(reqwest::Body::wrap_stream),
         }
     }
@@ -166,7 +176,7 @@
     /// Returns the whole body if it can be sent in a retry.
     pub fn kept(&self) -> Option<Bytes> {
         match self {
-            Self::Whole(bytes) => Some(bytes.clone()),
+            Self::Whole(bytes, _) => Some(bytes.clone()),
             Self::Once(_) => None,
         }
     }
--- a/src/transport/server.rs
+++ b/src/transport/server.rs
@@ -24,6 +24,10 @@
 /// from callers by default, about 400 KiB.
 const MAX_NODE_HEAD: u32 = 512 << 10;
 
+/// The largest head of a message from a caller, target or operator, and the most that a connection
+/// reads ahead of a body, in bytes. The HTTP library's default is 400 KiB for each connection.
+const MAX_OUTSIDE_BUFFER: usize = 32 << 10;
+
 /// Whose requests a server takes.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Client {
@@ -138,11 +142,16 @@
     // A sender that never completes its headers must not occupy a connection.
     let fuse = FuseConfig::default().with_http1_header_timeout(header_timeout.duration());
     let mut server = Server::new(acceptor).fuse_config(fuse);
-    if client == Client::Nodes {
-        let http1 = server.http1_mut();
-        http1.max_headers(MAX_NODE_HEADERS);
-        http1.max_buf_size(MAX_NODE_HEAD as usize);
-        server.http2_mut().max_header_list_size(MAX_NODE_HEAD);
+    match client {
+        Client::Outside => {
+            server.http1_mut().max_buf_size(MAX_OUTSIDE_BUFFER);
+        }
+        Client::Nodes => {
+            let http1 = server.http1_mut();
+            http1.max_headers(MAX_NODE_HEADERS);
+            http1.max_buf_size(MAX_NODE_HEAD as usize);
+            server.http2_mut().max_header_list_size(MAX_NODE_HEAD);
+        }
     }
     let handle = server.handle();
     // Prevents the library from replacing empty error answers by pages of its own.
--- a/src/transport/targets.rs
+++ b/src/transport/targets.rs
@@ -178,10 +178,9 @@
     async fn handle(&self, req: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
         let max = Size::from_bytes(MAX_ANNOUNCEMENT_BYTES as u64);
         let pieces = http::request_pieces(req.take_body(), max, Span::from_secs(2));
-        let body = http::whole(pieces, MAX_ANNOUNCEMENT_BYTES)
-            .await
-            .unwrap_or_default();
-        match serde_json::from_slice(&body) {
+        let read = http::whole(pieces, MAX_ANNOUNCEMENT_BYTES, &self.0.node.messages).await;
+        let body = read.as_ref().map_or(&[][..], |(body, _)| body);
+        match serde_json::from_slice(body) {
             Ok(announcement) => {
                 let lease = self.0.announce(announcement).await;
                 json(res, &lease);
