The soak has targets with damaged heads and crowds that stay

Four kinds of damaged answers are among the faults of targets, and clients that send all of an upload but its last byte among those from outside; each process has 64 MiB and is checked against it.

--- a/standins/examples/soak.rs
+++ b/standins/examples/soak.rs
@@ -25,7 +25,7 @@
     fleet::version,
     proxy::{Harm, Proxy},
     store::{Mode as StoreMode, Store},
-    target::{Endless, Mode, Target},
+    target::{Damage, Endless, Mode, Target},
 };
 use serde_json::json;
 
@@ -93,6 +93,13 @@
 /// Callers that together take more than the slots of a service's other targets.
 const FILLING_CALLERS: usize = 24;
 
+/// The setting `memory` of each node, in MiB.
+const MEMORY_MIB: u64 = 64;
+
+/// The clients of a crowd, and the size of the body that each of them doesn't end, in bytes.
+const CROWD: usize = 100;
+const CROWD_BODY: usize = 700_000;
+
 const SERVICES: [&str; 2] = ["a", "b"];
 
 /// A request and its answer, as its caller saw them.
@@ -367,6 +374,7 @@
                 "advertise": {"inbound": proxies.inbound.address, "peers": proxies.peers.address},
                 "store": proxies.store.address, "heartbeat": "400ms", "grace": "6s",
                 "resend": {"ratio": 0.2, "slack": 62, "window": "10s"}, "descriptors": 1024,
+                "memory": format!("{MEMORY_MIB}MiB"),
             });
             if reports_loads(seed) {
                 settings["load_reports"] = true.into();
@@ -484,7 +492,7 @@
     async fn inject_fault(self: Arc<Self>, mut rng: Rng) {
         let node = &self.nodes[rng.usize(..self.nodes.len())];
         let span = Duration::from_millis(rng.u64(200..2500));
-        match rng.u32(..15) {
+        match rng.u32(..16) {
             0 => node.signal(libc::SIGKILL),
             1 => node.signal(libc::SIGTERM),
             2 => node.signal(libc::SIGHUP),
@@ -554,6 +562,7 @@
                 tokio::time::sleep(span).await;
                 set_domain(Harm::None);
             }
+            13 => self.crowd(node, span).await,
             _ => {
                 let modes = [
                     Mode::Sheds,
@@ -568,6 +577,10 @@
                     Mode::Endless(Endless::Headers),
                     Mode::Endless(Endless::Interim),
                     Mode::Endless(Endless::Drip),
+                    Mode::Damaged(Damage::Coding),
+                    Mode::Damaged(Damage::Name),
+                    Mode::Damaged(Damage::Line),
+                    Mode::Damaged(Damage::Status),
                 ];
                 node.target.set(modes[rng.usize(..modes.len())]);
                 tokio::time::sleep(span).await;
@@ -576,6 +589,38 @@
         }
     }
 
+    /// Sends a node uploads that stop before their end, from clients that stay for a while.
+    async fn crowd(&self, node: &Node, span: Duration) {
+        use tokio::io::AsyncWriteExt;
+        let mut clients = tokio::task::JoinSet::new();
+        for _ in 0..CROWD {
+            let callers = node.at(7001);
+            clients.spawn(async move {
+                let head = format!(
+                    "POST /post/a/ HTTP/1.1\r\nHost: fares.example\r\nRilltrack-Attempt-Id: crowd\r\n\
+                     Rilltrack-Deadline-Ms: 20000\r\nContent-Length: {CROWD_BODY}\r\n\r\n"
+                );
+                let mut stream = tokio::net::TcpStream::connect(callers).await.ok()?;
+                stream.write_all(head.as_bytes()).await.ok()?;
+                stream.write_all(&vec![b'x'; CROWD_BODY - 1]).await.ok()?;
+                tokio::time::sleep(Duration::from_secs(60)).await;
+                Some(())
+            });
+        }
+        tokio::time::sleep(span).await;
+    }
+
+    /// Checks that no process has taken more memory than its setting allows.
+    fn check_memory(&self) {
+        for (i, node) in self.nodes.iter().enumerate() {
+            let id = node.child.lock().as_ref().map(Child::id);
+            let peak = id.map_or(0, rilltrack_standins::process::peak_memory);
+            if peak > MEMORY_MIB << 20 {
+                self.report_violation(format!("n{i} took {peak} bytes of memory"));
+            }
+        }
+    }
+
     /// Drains a target and replaces it by a successor; kills its node at times.
     async fn drain(&self, node: &Node, rng: &mut Rng) {
         let instance = {
@@ -898,6 +943,7 @@
     for fault in faults {
         fault.await.expect("a fault does not panic");
     }
+    fleet.check_memory();
     fleet.check_recovery().await;
     if reports_loads(fleet.seed) {
         fleet.check_room().await;
--- a/standins/src/process.rs
+++ b/standins/src/process.rs
@@ -186,20 +186,12 @@
 
     /// Returns the most memory that the process had so far.
     pub fn peak_memory(&self) -> Size {
-        self.memory("VmHWM:")
+        Size::from_bytes(peak_memory(self.child.id()))
     }
 
     /// Returns the memory that the process has.
     pub fn current_memory(&self) -> Size {
-        self.memory("VmRSS:")
-    }
-
-    fn memory(&self, field: &str) -> Size {
-        let status = format!("/proc/{}/status", self.child.id());
-        let status = std::fs::read_to_string(status).unwrap_or_default();
-        let line = status.lines().find_map(|line| line.strip_prefix(field));
-        let kib = line.and_then(|line| line.trim().strip_suffix(" kB"));
-        Size::from_bytes(kib.and_then(|kib| kib.trim().parse().ok()).unwrap_or(0u64) << 10)
+        Size::from_bytes(memory(self.child.id(), "VmRSS:"))
     }
 
     /// Returns the number of descriptors that the process has open.
@@ -217,3 +209,15 @@
         let _ = std::fs::remove_file(&self.settings);
     }
 }
+
+/// Returns the most memory that a process had so far, in bytes; 0 if it has ended.
+pub fn peak_memory(process: u32) -> u64 {
+    memory(process, "VmHWM:")
+}
+
+fn memory(process: u32, field: &str) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{process}/status")).unwrap_or_default();
+    let line = status.lines().find_map(|line| line.strip_prefix(field));
+    let kib = line.and_then(|line| line.trim().strip_suffix(" kB"));
+    kib.and_then(|kib| kib.trim().parse().ok()).unwrap_or(0u64) << 10
+}
--- a/standins/src/target.rs
+++ b/standins/src/target.rs
@@ -44,6 +44,21 @@
     Other,
     /// Runs them and sends bytes without end.
     Endless(Endless),
+    /// Runs them and sends an answer with a damaged head.
+    Damaged(Damage),
+}
+
+/// What is damaged in the head of an answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Damage {
+    /// The value of the field for the coding, before a body in chunks.
+    Coding,
+    /// The name of that field.
+    Name,
+    /// A line before the length, by two line feeds.
+    Line,
+    /// The status.
+    Status,
 }
 
 /// What comes without end, until the client closes the connection.
@@ -99,6 +114,25 @@
     }
 }
 
+impl Damage {
+    /// Returns an answer with these headers and this body.
+    fn answer(self, headers: &str, body: &str) -> String {
+        let length = body.len();
+        let chunks = format!("{length:x}\r\n{body}\r\n0\r\n\r\n");
+        let (status, framing, body) = match self {
+            Self::Coding => ("200", "Transfer-Encoding: chunkd\r\n".into(), chunks),
+            Self::Name => ("200", "Transfer-Encodin: chunked\r\n".into(), chunks),
+            Self::Line => (
+                "200",
+                format!("X: y\n\nContent-Length: {length}\r\n"),
+                body.into(),
+            ),
+            Self::Status => ("000", format!("Content-Length: {length}\r\n"), body.into()),
+        };
+        format!("HTTP/1.1 {status} OK\r\n{headers}{framing}\r\n{body}")
+    }
+}
+
 /// An answer of given bytes, as a target in trouble sends it.
 #[derive(Clone, Debug)]
 pub struct Script {
@@ -543,6 +577,7 @@
         Mode::Halves => (served[..served.len() - 2].into(), true),
         Mode::Unframed => (format!("HTTP/1.1 200 OK\r\n{echo}{proof}\r\n{body}"), true),
         Mode::Twice => (format!("{served}{served}"), false),
+        Mode::Damaged(damage) => (damage.answer(&format!("{echo}{proof}"), &body), true),
         Mode::Hangs | Mode::Endless(_) => unreachable!("has no whole answer"),
     };
     Some((text.into_bytes(), closes))
