Messages of peers are read by one function, and the memory's words are the field's

The handlers of peers' messages return the status of a refusal, instead of six copies of it. The answer to a keyed request, which has run, isn't given up for other bodies.

--- a/src/coordination/decision/memory.rs
+++ b/src/coordination/decision/memory.rs
@@ -16,7 +16,7 @@
 use crate::unit::Size;
 
 /// How much of a message counts as a short one, which may use the whole limit. Requests have a few
-/// hundred bytes; a crowd on all connections takes less than half of the limit with it.
+/// hundred bytes; those of all connections together take less than half of the limit.
 const SHORT_BYTES: u64 = 16 << 10;
 
 /// The part of the limit that is left for short messages.
--- a/src/coordination/memory.rs
+++ b/src/coordination/memory.rs
@@ -44,8 +44,10 @@
 /// The bodies of the largest size that fit into the memory for them at a time.
 const MAX_LARGE_BODIES: u64 = 8;
 
-/// The part of the limit that a crowd takes at least, and that which is left once it has gone.
-const CROWD_SHARE: u64 = 8;
+/// The part of the limit from which what was held counts as a peak.
+const PEAK_SHARE: u64 = 8;
+
+/// The part of the limit up to which a peak counts as over.
 const IDLE_SHARE: u64 = 64;
 
 /// The memory is used up, and no message that holds some of it stands still.
@@ -77,8 +79,8 @@
     /// Wakes the task that receives a message once it is given up.
     tasks: HashMap<Id, Arc<Notify>>,
     is_full: bool,
-    /// Whether a crowd has held memory that the allocator may still keep.
-    had_crowd: bool,
+    /// Whether there was a peak, whose memory the allocator may still keep.
+    had_peak: bool,
 }
 
 /// The part of [`Memory`] that one message takes; given back when it is dropped.
@@ -97,7 +99,7 @@
             account: Account::new(limit),
             tasks: HashMap::new(),
             is_full: false,
-            had_crowd: false,
+            had_peak: false,
         };
         Arc::new(Self {
             state: Mutex::new(state),
@@ -126,14 +128,14 @@
         self.state.lock().account.held()
     }
 
-    /// Returns whether a crowd has held much memory and is gone, so that the allocator should give
-    /// back to the system what it keeps; once for each crowd.
-    pub fn is_crowd_gone(&self) -> bool {
+    /// Returns whether much memory was held and little is now, so that the allocator should give
+    /// back to the system what it keeps; once for each such peak.
+    pub fn is_peak_over(&self) -> bool {
         let mut state = self.state.lock();
         let limit = state.account.limit().as_bytes();
-        state.had_crowd |= state.account.take_peak().as_bytes() * CROWD_SHARE >= limit;
+        state.had_peak |= state.account.take_peak().as_bytes() * PEAK_SHARE >= limit;
         let is_idle = state.account.held().as_bytes() * IDLE_SHARE <= limit;
-        is_idle && std::mem::take(&mut state.had_crowd)
+        is_idle && std::mem::take(&mut state.had_peak)
     }
 
     /// Returns a hold for a message of which nothing was received yet. It may be given up until it
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -311,9 +311,9 @@
             egress.prune();
             egress.log_retries();
             ingress.prune();
-            let gone = memories.iter().filter(|memory| memory.is_crowd_gone());
-            // All of them are asked, as each notes its own crowd.
-            if gone.count() > 0 {
+            // All of them are asked, as each notes its own peaks.
+            let over = memories.iter().filter(|memory| memory.is_peak_over());
+            if over.count() > 0 {
                 allocator::trim();
             }
         }
--- a/src/protocol/response_head.rs
+++ b/src/protocol/response_head.rs
@@ -26,10 +26,12 @@
 /// Where in a head the next byte is.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 enum State {
-    /// At this index of the status line, up to the status.
+    /// The first byte of the status line.
     #[default]
     Start,
+    /// At this index of [`PROTOCOL`].
     Protocol(usize),
+    /// The minor version.
     Minor,
     /// The blank before the status.
     Blank,
--- a/src/transport/http.rs
+++ b/src/transport/http.rs
@@ -1,6 +1,6 @@
 //! HTTP functions shared by the clients and servers.
 
-use std::{pin::Pin, sync::Arc, time::Duration};
+use std::{pin::Pin, time::Duration};
 
 use bytes::Bytes;
 use futures_util::{Stream, StreamExt, TryStreamExt};
@@ -12,7 +12,7 @@
 };
 
 use crate::{
-    coordination::memory::{self, Full, Hold, Memory},
+    coordination::memory::{self, Full, Hold},
     protocol::{
         answer::{self, Refusal},
         framing,
@@ -199,7 +199,7 @@
     futures_util::stream::unfold(pieces, next).boxed()
 }
 
-/// Returns the whole body of at most `max` bytes, and the memory that it takes.
+/// Returns the whole body of at most `max` bytes, with `hold`, which has the memory that it takes.
 ///
 /// # Errors
 ///
@@ -208,9 +208,8 @@
 pub async fn whole(
     pieces: Pieces,
     max: usize,
-    memory: &Arc<Memory>,
+    hold: Hold,
 ) -> Result<(Bytes, Hold), std::io::Error> {
-    let hold = memory.open();
     let body = tokio::select! {
         body = collect(pieces, max, &hold) => body?,
         () = hold.given_up() => return Err(std::io::Error::other(Full)),
--- a/src/transport/keyed.rs
+++ b/src/transport/keyed.rs
@@ -159,7 +159,7 @@
         .to_owned();
     let idle = inbound.node.settings.requests.idle_timeout;
     let pieces = http::request_pieces(req.take_body(), Size::from_bytes(MAX_BODY as u64), idle);
-    let body = http::whole(pieces, MAX_BODY, &inbound.node.bodies).await;
+    let body = http::whole(pieces, MAX_BODY, inbound.node.bodies.open()).await;
     // An earlier request with the same key may have run, also if there is no memory for this one.
     let (body, hold) = body.map_err(|error| match http::is_full(&error) {
         true => Refusal {
@@ -249,7 +249,9 @@
     }
     let idle = inbound.node.settings.requests.idle_timeout;
     let pieces = http::response_pieces(response, idle);
-    match http::whole(pieces, MAX_ANSWER, &inbound.node.bodies).await {
+    // The request has run, so its answer isn't given up for others.
+    let hold = inbound.node.bodies.open_lasting();
+    match http::whole(pieces, MAX_ANSWER, hold).await {
         // The ledger bounds what it keeps by itself.
         Ok((body, _hold)) => Record::Answered(Arc::new(Answer {
             status,
--- a/src/transport/operators.rs
+++ b/src/transport/operators.rs
@@ -290,7 +290,7 @@
 ) -> Result<T, String> {
     let max = Size::from_bytes(MAX_REQUEST_BYTES as u64);
     let pieces = http::request_pieces(req.take_body(), max, Span::from_secs(5));
-    let (body, _hold) = http::whole(pieces, MAX_REQUEST_BYTES, memory)
+    let (body, _hold) = http::whole(pieces, MAX_REQUEST_BYTES, memory.open())
         .await
         .map_err(|error| error.to_string())?;
     serde_json::from_slice(&body).map_err(|error| error.to_string())
--- a/src/transport/peers.rs
+++ b/src/transport/peers.rs
@@ -123,7 +123,7 @@
         };
         let max = Size::from_bytes(wire::MAX_FRAME as u64);
         let pieces = http::request_pieces(req.take_body(), max, Span::from_secs(5));
-        let read = http::whole(pieces, wire::MAX_FRAME, &self.node.messages).await;
+        let read = http::whole(pieces, wire::MAX_FRAME, self.node.messages.open()).await;
         let Ok((body, _hold)) = read else {
             res.status_code(::http::StatusCode::BAD_REQUEST);
             return;
--- a/src/transport/plan.rs
+++ b/src/transport/plan.rs
@@ -155,7 +155,7 @@
         }
         if length.is_some_and(|length| length <= kept) {
             let pieces = http::request_pieces(body, Size::from_bytes(kept), idle);
-            let whole = http::whole(pieces, kept as usize, memory).await;
+            let whole = http::whole(pieces, kept as usize, memory.open()).await;
             let (whole, hold) = whole.map_err(|error| match http::is_full(&error) {
                 true => http::no_memory(),
                 false => Refusal::rejected(400, "the request body did not arrive whole"),
--- a/src/transport/relay/control.rs
+++ b/src/transport/relay/control.rs
@@ -114,6 +114,9 @@
     })
 }
 
+/// The response to a peer or an operator, or the status of one without a body.
+type Answer = Result<Response<Body>, StatusCode>;
+
 /// Reads a message of at most `max` bytes whose pieces come within `idle`; returns it with the
 /// memory that it takes.
 ///
@@ -207,109 +210,87 @@
         let memory = memory.clone();
         async move {
             let memory = &memory;
-            match request.uri().path() {
+            let answer = match request.uri().path() {
                 ROUTES => routes(&host, memory, request.into_body()).await,
                 MEMBERS => members(&host, memory, request.into_body()).await,
-                SEEN => Response::new(Body::whole(encode(&host.progress()))),
+                SEEN => Ok(Response::new(Body::whole(encode(&host.progress())))),
                 COUNTS => counts(&host, memory, request.into_body()).await,
                 LOADS => loads(&host, &intake, memory, request.into_body()).await,
                 NEWS => news(&host, &call_peer, memory, request.into_body()).await,
-                ROLLOUTS => json(&controller::progress(&host)),
-                DRAINS => json(&host.drains.latest()),
-                HELD => json(&host.quarantine.quarantined(Instant::now())),
-                ROOM => json(&host.load_reports.reported(Instant::now())),
+                ROLLOUTS => Ok(json(&controller::progress(&host))),
+                DRAINS => Ok(json(&host.drains.latest())),
+                HELD => Ok(json(&host.quarantine.quarantined(Instant::now()))),
+                ROOM => Ok(json(&host.load_reports.reported(Instant::now()))),
                 LET_GO => let_go(&host, memory, request.into_body()).await,
-                _ => empty_response(StatusCode::NOT_FOUND),
-            }
+                _ => Err(StatusCode::NOT_FOUND),
+            };
+            answer.unwrap_or_else(empty_response)
         }
         .boxed()
     })
 }
 
-async fn routes(host: &Host, memory: &Arc<Memory>, body: Body) -> Response<Body> {
-    let (bytes, _hold) = match read_message(memory, body, MAX_CALL, PEER_TIMEOUT).await {
-        Ok(read) => read,
-        Err(status) => return empty_response(status),
-    };
+async fn routes(host: &Host, memory: &Arc<Memory>, body: Body) -> Answer {
+    let (bytes, _hold) = read_message(memory, body, MAX_CALL, PEER_TIMEOUT).await?;
     let Ok(base) = rmp_serde::from_slice(&bytes) else {
-        return empty_response(StatusCode::BAD_REQUEST);
+        return Err(StatusCode::BAD_REQUEST);
     };
     match sync::routes(host, base) {
-        Some(delta) => Response::new(Body::whole(delta)),
-        None => empty_response(StatusCode::NOT_FOUND),
+        Some(delta) => Ok(Response::new(Body::whole(delta))),
+        None => Err(StatusCode::NOT_FOUND),
     }
 }
 
-async fn members(host: &Host, memory: &Arc<Memory>, body: Body) -> Response<Body> {
-    let (bytes, _hold) = match read_message(memory, body, MAX_CALL, PEER_TIMEOUT).await {
-        Ok(read) => read,
-        Err(status) => return empty_response(status),
-    };
+async fn members(host: &Host, memory: &Arc<Memory>, body: Body) -> Answer {
+    let (bytes, _hold) = read_message(memory, body, MAX_CALL, PEER_TIMEOUT).await?;
     // Marks that can't be decoded count as none, so that all members are sent.
     let hashes: Vec<u32> = rmp_serde::from_slice(&bytes).unwrap_or_default();
-    Response::new(Body::whole(sync::members(host, &hashes)))
+    Ok(Response::new(Body::whole(sync::members(host, &hashes))))
 }
 
-async fn news(
-    host: &Arc<Host>,
-    call_peer: &CallPeer,
-    memory: &Arc<Memory>,
-    body: Body,
-) -> Response<Body> {
-    let (bytes, _hold) = match read_message(memory, body, MAX_PEER_MESSAGE, PEER_TIMEOUT).await {
-        Ok(read) => read,
-        Err(status) => return empty_response(status),
-    };
+async fn news(host: &Arc<Host>, call_peer: &CallPeer, memory: &Arc<Memory>, body: Body) -> Answer {
+    let (bytes, _hold) = read_message(memory, body, MAX_PEER_MESSAGE, PEER_TIMEOUT).await?;
     match records::decode(host, &bytes, "news", "reader") {
         Some(news) => {
             records::apply_update(host, call_peer, news);
-            empty_response(StatusCode::OK)
+            Ok(empty_response(StatusCode::OK))
         }
-        None => empty_response(StatusCode::BAD_REQUEST),
+        None => Err(StatusCode::BAD_REQUEST),
     }
 }
 
-async fn counts(host: &Host, memory: &Arc<Memory>, body: Body) -> Response<Body> {
-    let (bytes, _hold) = match read_message(memory, body, MAX_PEER_MESSAGE, PEER_TIMEOUT).await {
-        Ok(read) => read,
-        Err(status) => return empty_response(status),
-    };
+async fn counts(host: &Host, memory: &Arc<Memory>, body: Body) -> Answer {
+    let (bytes, _hold) = read_message(memory, body, MAX_PEER_MESSAGE, PEER_TIMEOUT).await?;
     let Some(routes) = host.routes() else {
-        return empty_response(StatusCode::SERVICE_UNAVAILABLE);
+        return Err(StatusCode::SERVICE_UNAVAILABLE);
     };
     match records::decode(host, &bytes, "counts", "peer") {
         Some(report) => {
             let limits = &host.rate_limits;
             let shares = limits.receive(report, &routes, host.nodes(), Instant::now());
-            Response::new(Body::whole(encode(&shares)))
+            Ok(Response::new(Body::whole(encode(&shares))))
         }
-        None => empty_response(StatusCode::BAD_REQUEST),
+        None => Err(StatusCode::BAD_REQUEST),
     }
 }
 
-async fn loads(host: &Host, intake: &Intake, memory: &Arc<Memory>, body: Body) -> Response<Body> {
-    let (bytes, _hold) = match read_message(memory, body, MAX_LOADS, PEER_TIMEOUT).await {
-        Ok(read) => read,
-        Err(status) => return empty_response(status),
-    };
+async fn loads(host: &Host, intake: &Intake, memory: &Arc<Memory>, body: Body) -> Answer {
+    let (bytes, _hold) = read_message(memory, body, MAX_LOADS, PEER_TIMEOUT).await?;
     if host.settings.load_reports == Some(false) {
-        return empty_response(StatusCode::NOT_FOUND);
+        return Err(StatusCode::NOT_FOUND);
     }
     let Some(message) = records::decode::<Message>(host, &bytes, "loads", "peer") else {
-        return empty_response(StatusCode::BAD_REQUEST);
+        return Err(StatusCode::BAD_REQUEST);
     };
     let reply = intake.receive(message, Instant::now());
-    Response::new(Body::whole(encode_compact(&reply)))
+    Ok(Response::new(Body::whole(encode_compact(&reply))))
 }
 
-async fn let_go(host: &Host, memory: &Arc<Memory>, body: Body) -> Response<Body> {
-    let (bytes, _hold) = match read_message(memory, body, MAX_CALL, PEER_TIMEOUT).await {
-        Ok(read) => read,
-        Err(status) => return empty_response(status),
-    };
+async fn let_go(host: &Host, memory: &Arc<Memory>, body: Body) -> Answer {
+    let (bytes, _hold) = read_message(memory, body, MAX_CALL, PEER_TIMEOUT).await?;
     match serde_json::from_slice::<Fingerprint>(&bytes) {
-        Ok(content) => json(&host.quarantine.release(content)),
-        Err(_) => empty_response(StatusCode::BAD_REQUEST),
+        Ok(content) => Ok(json(&host.quarantine.release(content))),
+        Err(_) => Err(StatusCode::BAD_REQUEST),
     }
 }
 
--- a/src/transport/targets.rs
+++ b/src/transport/targets.rs
@@ -178,7 +178,7 @@
     async fn handle(&self, req: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
         let max = Size::from_bytes(MAX_ANNOUNCEMENT_BYTES as u64);
         let pieces = http::request_pieces(req.take_body(), max, Span::from_secs(2));
-        let read = http::whole(pieces, MAX_ANNOUNCEMENT_BYTES, &self.0.node.messages).await;
+        let read = http::whole(pieces, MAX_ANNOUNCEMENT_BYTES, self.0.node.messages.open()).await;
         let body = read.as_ref().map_or(&[][..], |(body, _)| body);
         match serde_json::from_slice(body) {
             Ok(announcement) => {
--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -143,7 +143,7 @@
         drop(holds);
         let expected = [Change::Filled, Change::Refused, Change::Refused, Change::Freed];
         assert_eq!(changes.lock()[..], expected);
-        assert!(memory.is_crowd_gone() && !memory.is_crowd_gone());
+        assert!(memory.is_peak_over() && !memory.is_peak_over());
     }
 }
 
