--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -27,15 +27,15 @@
 
 use crate::{raw, store::Store, target::Target, until};
 
-const CALLERS: u16 = 7001;
-const INBOUND: u16 = 7002;
-const PEERS: u16 = 7003;
-const TARGETS: u16 = 7004;
-const READY: u16 = 7005;
-const METRICS: u16 = 7006;
+pub(crate) const CALLERS: u16 = 7001;
+pub(crate) const INBOUND: u16 = 7002;
+pub(crate) const PEERS: u16 = 7003;
+pub(crate) const TARGETS: u16 = 7004;
+pub(crate) const READY: u16 = 7005;
+pub(crate) const METRICS: u16 = 7006;
 
 /// The time between two heartbeats of a target.
-const HEARTBEAT: Duration = Duration::from_millis(1500);
+pub(crate) const HEARTBEAT: Duration = Duration::from_millis(1500);
 
 /// A simulated host in one of the failure domains `here` and `near` of region `south`, `there` of
 /// region `north`, and others of unknown regions: its address, its target, and its node while that runs.
@@ -366,7 +366,7 @@
 }
 
 /// Returns a POST whose answer closes the connection.
-fn post(path: &str, body: &str) -> String {
+pub(crate) fn post(path: &str, body: &str) -> String {
     let length = body.len();
     format!(
         "POST {path} HTTP/1.1\r\nhost: x\r\ncontent-type: application/json\r\n\
--- a/standins/src/process.rs
+++ b/standins/src/process.rs
@@ -8,24 +8,19 @@
         Once,
         atomic::{AtomicU8, Ordering},
     },
-    time::Duration,
 };
 
 use rilltrack::unit::Size;
 use serde_json::json;
 use tokio::task::JoinSet;
 
-use crate::{fleet, raw, store::Store, target::Target, until};
-
-const CALLERS: u16 = 7001;
-const INBOUND: u16 = 7002;
-const PEERS: u16 = 7003;
-const TARGETS: u16 = 7004;
-const READY: u16 = 7005;
-const METRICS: u16 = 7006;
-
-/// The time between two heartbeats of a target.
-const HEARTBEAT: Duration = Duration::from_millis(1500);
+use crate::{
+    fleet::{self, CALLERS, HEARTBEAT, INBOUND, METRICS, PEERS, READY, TARGETS},
+    raw,
+    store::Store,
+    target::Target,
+    until,
+};
 
 /// The limits of a node's process.
 #[derive(Clone, Copy, Debug)]
@@ -54,6 +49,8 @@
     BUILT.call_once(|| {
         let built = Command::new(env!("CARGO"))
             .args(["build", "--quiet", "--locked", "-p", "rilltrack-platform"])
+            // The profile of the test, in whose folder the program is looked for.
+            .args((!cfg!(debug_assertions)).then_some("--release"))
             .current_dir(env!("CARGO_MANIFEST_DIR"))
             .status();
         assert!(built.unwrap().success(), "rilltrack-node can be built");
@@ -128,13 +125,8 @@
             "info": {"service": self.service, "version": "v1", "zone": "here", "slots": 4},
             "status": {"state": "ready", "sequence": 1, "warmupLeft": "0ms"},
         });
-        let body = body.to_string();
-        format!(
-            "POST /api/instances/{}/heartbeat HTTP/1.1\r\nhost: x\r\ncontent-length: {}\r\n\
-             connection: close\r\n\r\n{body}",
-            self.name,
-            body.len()
-        )
+        let path = format!("/api/instances/{}/heartbeat", self.name);
+        fleet::post(&path, &body.to_string())
     }
 
     /// Returns the address for requests of callers.
