The rest of a head is not passed on as the body

What callers saw: where a field of a target's answer was damaged into an empty line, before the length or in its place, 200 with the rest of the head, or an empty line, as the start of the body.

Cause: an empty line ends a head, and an answer without a length is a sound one that ends with its connection. Ruled out: heads that differ from the grammar; this one doesn't.

Evidence: the three cases empty_line_* of standins/tests/answers.rs failed on, beside the target and through another host: 200 with bodies of 7, 26 and 45 bytes for one of 5.

An answer without a length that doesn't announce the end of its connection, and whose body begins with an empty line or a field, is no answer (framing::is_rest_of_head).

--- a/src/protocol/framing.rs
+++ b/src/protocol/framing.rs
@@ -16,7 +16,8 @@
 //! A response may have no length and end with its connection. One whose field for the length was
 //! damaged looks the same if its name is still valid, and the body would contain the framing. So a
 //! response without either field is invalid if the name of another field has the length of theirs
-//! and differs in a few bytes, or lacks or has one byte more.
+//! and differs in a few bytes, or lacks or has one byte more. A field that was damaged into an empty
+//! line ends the head, so that the body begins with the rest of it ([`is_rest_of_head`]).
 //!
 //! ```
 //! use http::{HeaderMap, HeaderValue, Version};
@@ -31,8 +32,8 @@
 //! ```
 
 use http::{
-    HeaderMap, HeaderValue, Method, StatusCode, Version,
-    header::{CONTENT_LENGTH, TRANSFER_ENCODING},
+    HeaderMap, HeaderName, HeaderValue, Method, StatusCode, Version,
+    header::{CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING},
 };
 
 /// The most bytes in which a damaged name differs from that of a field for the length. Names of
@@ -119,6 +120,32 @@
     Ok(())
 }
 
+/// Returns whether the start of a body shows that the head before it ended too early, at a field
+/// that was damaged into an empty line.
+///
+/// Only a response without a length can have such a body. One that announces the end of its
+/// connection is sound.
+pub fn is_rest_of_head(version: Version, headers: &HeaderMap, body: &[u8]) -> bool {
+    let is_announced = headers.get_all(CONNECTION).iter().any(|value| {
+        let options = value.as_bytes().split(|byte| *byte == b',');
+        options
+            .map(<[u8]>::trim_ascii)
+            .any(|option| option.eq_ignore_ascii_case(b"close"))
+    });
+    let is_unframed = version == Version::HTTP_11 && of(headers, version) == Ok(None);
+    is_unframed && !is_announced && begins_with_field(body)
+}
+
+/// Returns whether bytes begin with an empty line, or with a line that is a field.
+fn begins_with_field(bytes: &[u8]) -> bool {
+    let Some(end) = bytes.windows(2).position(|pair| pair == b"\r\n") else {
+        return false;
+    };
+    let line = &bytes[..end];
+    let name = line.split(|byte| *byte == b':').next().unwrap_or_default();
+    line.is_empty() || name.len() < end && HeaderName::from_bytes(name).is_ok()
+}
+
 /// Returns whether a response with this status may have a body.
 pub fn may_have_body(status: StatusCode) -> bool {
     !status.is_informational()
--- a/src/transport/relay/run.rs
+++ b/src/transport/relay/run.rs
@@ -22,7 +22,7 @@
     event::Event,
     id::Instance,
     journal::note,
-    protocol::{answer::Refusal, notice::Notice},
+    protocol::{answer::Refusal, framing, notice::Notice},
     state::fingerprint::Fingerprint,
     transport::{
         http,
@@ -336,6 +336,13 @@
                 return Err(Refused::after_arrival(Refusal::unknown(502, reason)));
             }
         };
+        let (ReadResult::Whole(start) | ReadResult::Partial(start, _)) = &read;
+        if framing::is_rest_of_head(head.version, &head.headers, start) {
+            return Err(Refused::after_arrival(Refusal::unknown(
+                502,
+                reasons::NO_RESPONSE,
+            )));
+        }
         let body = match read {
             ReadResult::Whole(bytes) => {
                 self.pool.put_back(connection);
--- a/standins/tests/answers.rs
+++ b/standins/tests/answers.rs
@@ -141,6 +141,12 @@
     carriage_return_alone: with("X: y\rContent-Length: 5\r\n") => is_fault;
     null_in_a_value: with("X: y\u{0}z\r\nContent-Length: 5\r\n") => is_fault;
     control_byte_in_a_value: with("X: y\u{1}z\r\nContent-Length: 5\r\n") => is_fault;
+    empty_line_in_place_of_the_length:
+        format!("HTTP/1.1 200 OK\r\n{MARKS}\r\n\r\nhello") => is_fault;
+    empty_line_before_the_length:
+        format!("HTTP/1.1 200 OK\r\n{MARKS}\r\nContent-Length: 5\r\n\r\nhello") => is_fault;
+    empty_line_before_the_coding:
+        format!("HTTP/1.1 200 OK\r\n{MARKS}\r\nTransfer-Encoding: chunked\r\n\r\n{CHUNKS}") => is_fault;
     line_feed_before_the_body:
         format!("HTTP/1.1 200 OK\r\n{MARKS}Content-Length: 5\r\n\nhello") => is_fault;
     status_line_ended_by_a_line_feed:
--- a/tests/framing.rs
+++ b/tests/framing.rs
@@ -110,6 +110,34 @@
     another_name_as_long: GET HTTP_11 "accept-charset" => true;
 }
 
+macro_rules! bodies {
+    ($($test:ident: $version:ident [$($name:literal: $value:literal),*] $body:literal => $is_rest:literal;)*) => {$(
+        // Guards against the rest of a head that passes for the start of a body, and a sound body that
+        // is taken for one.
+        #[test]
+        fn $test() {
+            #[allow(unused_mut)]
+            let mut headers = HeaderMap::new();
+            $(headers.insert($name, HeaderValue::from_static($value));)*
+            let is_rest = framing::is_rest_of_head(Version::$version, &headers, $body);
+            assert_eq!(is_rest, $is_rest);
+        }
+    )*};
+}
+
+bodies! {
+    rest_of_a_head: HTTP_11 [] b"Content-Length: 5\r\n\r\nhello" => true;
+    empty_line: HTTP_11 [] b"\r\nhello" => true;
+    text: HTTP_11 [] b"hello" => false;
+    text_of_lines: HTTP_11 [] b"hello, you\r\nthere" => false;
+    text_with_a_colon_after_a_blank: HTTP_11 [] b"as we said: hello\r\n" => false;
+    empty_body: HTTP_11 [] b"" => false;
+    body_of_a_length: HTTP_11 ["content-length": "9"] b"A: b\r\nabc" => false;
+    body_in_chunks: HTTP_11 ["transfer-encoding": "chunked"] b"A: b\r\n" => false;
+    announced_end: HTTP_11 ["connection": "x, Close"] b"A: b\r\n" => false;
+    http_1_0_body: HTTP_10 [] b"A: b\r\n" => false;
+}
+
 /// Returns the two ends of a connection.
 async fn connection() -> (TcpStream, TcpStream) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
