--- a/src/transport/relay/body.rs
+++ b/src/transport/relay/body.rs
@@ -317,31 +317,55 @@
     }
 }
 
-/// How a body is read.
+/// Reads bodies into the memory of a [`Hold`].
 #[derive(Clone, Copy)]
 pub struct Reader<'a> {
-    /// The size up to which a body is held whole, in bytes.
-    pub max: usize,
-    /// The longest time without any of the body.
-    pub idle: Duration,
-    /// When the whole body must have been received; `None` for one whose size bounds the time.
-    pub deadline: Option<Instant>,
-    /// The memory that it takes.
-    pub hold: &'a Hold,
-    /// What happens if there is no memory for more.
-    pub when_full: WhenFull,
+    hold: &'a Hold,
+    max: usize,
+    idle: Duration,
+    deadline: Option<Instant>,
+    when_full: WhenFull,
 }
 
 /// What happens to a body for which there is no more memory.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum WhenFull {
+enum WhenFull {
     /// It fails with [`ReadError::NoMemory`].
     Fail,
     /// What was received is returned, as if the body were larger than the maximum.
     Stream,
 }
 
-impl Reader<'_> {
+impl<'a> Reader<'a> {
+    /// Returns a reader that holds bodies of up to `max` bytes whole. Each piece must be received
+    /// within `idle`. A body for which there is no memory fails.
+    pub fn new(hold: &'a Hold, max: usize, idle: Duration) -> Self {
+        Self {
+            hold,
+            max,
+            idle,
+            deadline: None,
+            when_full: WhenFull::Fail,
+        }
+    }
+
+    /// Sets when the whole body must have been received: one that comes in small pieces could take
+    /// for ever otherwise.
+    pub fn until(self, deadline: Instant) -> Self {
+        Self {
+            deadline: Some(deadline),
+            ..self
+        }
+    }
+
+    /// Makes a body for which there is no memory be returned as one that is larger than the maximum.
+    pub fn or_stream(self) -> Self {
+        Self {
+            when_full: WhenFull::Stream,
+            ..self
+        }
+    }
+
     /// Reads a body until its end, or until more than the maximum is received.
     ///
     /// # Errors
@@ -353,7 +377,6 @@
         let Some(deadline) = self.deadline else {
             return reading.await;
         };
-        // A body that comes in small pieces could take for ever otherwise.
         let read = tokio::time::timeout_at(deadline.into(), reading).await;
         read.unwrap_or(Err(ReadError::Stalled))
     }
@@ -372,13 +395,10 @@
 /// Returns a reader of the body of an answer, whose caller waits until `deadline`. The body is
 /// streamed if there is no memory for it.
 pub fn answer_reader(hold: &Hold, deadline: Instant) -> Reader<'_> {
-    Reader {
-        max: MAX_BUFFERED_BODY,
-        idle: deadline.saturating_duration_since(Instant::now()),
-        deadline: Some(deadline),
-        hold,
-        when_full: WhenFull::Stream,
-    }
+    let idle = deadline.saturating_duration_since(Instant::now());
+    Reader::new(hold, MAX_BUFFERED_BODY, idle)
+        .until(deadline)
+        .or_stream()
 }
 
 /// Reads a body of which few are read at a time, until its end or until more than `max` bytes are
--- a/src/transport/relay/control.rs
+++ b/src/transport/relay/control.rs
@@ -36,7 +36,7 @@
     protocol::{announce::TargetCall, load_report::Message},
     state::fingerprint::Fingerprint,
     transport::relay::{
-        body::{Body, ReadError, ReadResult, Reader, WhenFull},
+        body::{Body, ReadError, ReadResult, Reader},
         empty_response,
         pool::{Pool, Settings},
         serve::{Handler, Phase},
@@ -130,14 +130,7 @@
     idle: Duration,
 ) -> Result<(Bytes, Hold), StatusCode> {
     let hold = memory.open();
-    let reader = Reader {
-        max,
-        idle,
-        deadline: None,
-        hold: &hold,
-        when_full: WhenFull::Fail,
-    };
-    match reader.read(body).await {
+    match Reader::new(&hold, max, idle).read(body).await {
         Ok(ReadResult::Whole(bytes)) => Ok((bytes, hold)),
         Ok(ReadResult::Partial(..)) => Err(StatusCode::PAYLOAD_TOO_LARGE),
         Err(ReadError::NoMemory(_)) => Err(StatusCode::SERVICE_UNAVAILABLE),
--- a/src/transport/relay/egress.rs
+++ b/src/transport/relay/egress.rs
@@ -35,7 +35,7 @@
         relay::{
             MAX_BUFFERED_BODY,
             attempt::{AttemptGuard, AttemptOutcome},
-            body::{Body, ReadError, ReadResult, Reader, WhenFull},
+            body::{Body, ReadError, ReadResult, Reader},
             call::Call,
             completion::{Attempts, finish},
             delivery::Delivery,
@@ -172,13 +172,8 @@
         if length.is_some_and(|length| length > max_whole as u64) {
             return Ok(ReadResult::Partial(Bytes::new(), incoming));
         }
-        let reader = Reader {
-            max: usize::try_from(max_bytes).map_or(max_whole, |max| max.min(max_whole)),
-            idle: limits.idle_timeout.duration(),
-            deadline: Some(call.deadline),
-            hold,
-            when_full: WhenFull::Fail,
-        };
+        let max = usize::try_from(max_bytes).map_or(max_whole, |max| max.min(max_whole));
+        let reader = Reader::new(hold, max, limits.idle_timeout.duration()).until(call.deadline);
         match reader.read(incoming).await {
             Ok(ReadResult::Partial(first, _)) if first.len() as u64 > max_bytes => Err(too_large()),
             Ok(read) => Ok(read),
--- a/src/transport/relay/ingress.rs
+++ b/src/transport/relay/ingress.rs
@@ -29,7 +29,7 @@
         http,
         relay::{
             MAX_BUFFERED_BODY,
-            body::{Body, ReadError, ReadResult, Reader, WhenFull},
+            body::{Body, ReadError, ReadResult, Reader},
             delivery::{self as reasons, Delivery, Refused},
             empty_response, host_of,
             offer::UploadAdmission,
@@ -410,13 +410,7 @@
             };
             waited = since.elapsed();
             let remaining = delivery.deadline.saturating_duration_since(Instant::now());
-            let reader = Reader {
-                max: MAX_BUFFERED_BODY,
-                idle: remaining,
-                deadline: None,
-                hold: &hold,
-                when_full: WhenFull::Fail,
-            };
+            let reader = Reader::new(&hold, MAX_BUFFERED_BODY, remaining);
             reader.read(body).await
         };
         let refuse = |reason: String| {
