The tests of limits that change amid an upload wait until it has begun

The node judged the upload by the version after it, rightly: its head waited in the buffers of sockets while the version came into force.

What they check is the same.

--- a/standins/tests/limits.rs
+++ b/standins/tests/limits.rs
@@ -340,6 +340,15 @@
                 let (first, rest) = body.split_at(600_000);
                 let mut upload = Upload::start(&path, "u1", Framing::Chunked, $size).await;
                 upload.send(first).await;
+                // The part may wait in the buffers of sockets. The request has begun once the node holds
+                // some of its body.
+                until("the request has begun", async || {
+                    let metrics = path.hosts[0].metrics().await;
+                    let held = "rilltrack_held_bytes{kind=\"bodies\"} ";
+                    let held = metrics.lines().find_map(|line| line.strip_prefix(held));
+                    held.is_some_and(|held| held != "0")
+                })
+                .await;
                 path.store.publish(&version_with_limit(6, "maxBodyBytes", $after));
                 for host in &path.hosts {
                     until("the new limit is in force", async || host.version() == 6).await;
